Lay out the package: errors, messages, records, configuration, core rules

Cause: nothing existed yet; side-by-side work needs one set of typed messages. Conclusion: the contracts on which the thin path is built.

--- /dev/null
+++ b/src/pomeloshift/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line with ``python -m pomeloshift``."""
+
+from .cli import main
+
+main()
--- /dev/null
+++ b/src/pomeloshift/attempts/__init__.py
@@ -0,0 +1,1 @@
+"""Runs each attempt of a request at most once and delivers its answer in order."""
--- /dev/null
+++ b/src/pomeloshift/batch/__init__.py
@@ -0,0 +1,1 @@
+"""Jobs, their items, and the state that is folded from the log."""
--- /dev/null
+++ b/src/pomeloshift/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from ._main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/pomeloshift/config/_configuration.py
@@ -0,0 +1,130 @@
+"""The configuration that all processes of a deployment apply."""
+
+from enum import Enum
+
+import attrs
+from attrs import validators as v
+
+
+class ServiceKind(Enum):
+    """What answers a service's requests."""
+
+    MODEL = "model"
+    PLAIN = "plain"
+
+
+@attrs.frozen
+class CallPattern:
+    """Calls of a plain service: a method and a path prefix; ``*`` is any method."""
+
+    method: str
+    path_prefix: str
+
+    def matches(self, method: str, path: str) -> bool:
+        """Tells whether a call is one of this pattern's."""
+        if self.method not in ("*", method.upper()):
+            return False
+        return path.startswith(self.path_prefix)
+
+
+@attrs.frozen
+class ServiceConfig:
+    """One model or plain service.
+
+    Targets and deadlines are in seconds. ``batch_weight`` is 0 where online tail
+    latency alone counts and 1 where batch throughput alone counts.
+    """
+
+    name: str = attrs.field(validator=v.min_len(1))
+    kind: ServiceKind = ServiceKind.MODEL
+    first_token_target_s: float = attrs.field(default=0.7, validator=v.gt(0))
+    between_tokens_target_s: float = attrs.field(default=0.04, validator=v.gt(0))
+    objective: float = attrs.field(default=0.95, validator=[v.gt(0), v.lt(1)])
+    online_deadline_s: float = attrs.field(default=30.0, validator=v.gt(0))
+    batch_weight: float = attrs.field(default=0.5, validator=[v.ge(0), v.le(1)])
+    max_output_tokens: int = attrs.field(default=1024, validator=v.ge(1))
+    unrepeatable_calls: tuple[CallPattern, ...] = ()
+
+    def is_repeatable(self, method: str, path: str) -> bool:
+        """Tells whether a call may be run again when its outcome is unknown."""
+        return not any(call.matches(method, path) for call in self.unrepeatable_calls)
+
+
+@attrs.frozen
+class WorkspaceConfig:
+    """The share and the limits of one workspace."""
+
+    name: str = attrs.field(validator=v.min_len(1))
+    share: float = attrs.field(default=1.0, validator=v.gt(0))
+    requests_per_s: float = attrs.field(default=100.0, validator=v.gt(0))
+    concurrency: int = attrs.field(default=200, validator=v.ge(1))
+
+
+@attrs.frozen
+class ApiKeyConfig:
+    """A caller's key; only the salt and the digest of the key are kept."""
+
+    key_id: str
+    workspace: str
+    salt: str
+    digest: str
+
+
+@attrs.frozen
+class OperatorKeyConfig:
+    """An operator's token; the role is ``viewer``, ``operator`` or ``admin``."""
+
+    key_id: str
+    operator: str
+    role: str = attrs.field(validator=v.in_(("viewer", "operator", "admin")))
+    salt: str
+    digest: str
+
+
+@attrs.frozen
+class BackendServerConfig:
+    """What a backend server's engine does with an old fencing number."""
+
+    name: str
+    service: str
+    checks_fencing: bool = False
+
+
+@attrs.frozen
+class RegionConfig:
+    """A region and its availability zones."""
+
+    name: str
+    availability_zones: tuple[str, ...]
+
+
+@attrs.frozen
+class LinkConfig:
+    """The paid link between regions and its shares by class of work."""
+
+    bytes_per_s: float = attrs.field(default=1_875_000.0, validator=v.gt(0))
+    online_share: float = attrs.field(default=0.5, validator=[v.ge(0), v.le(1)])
+    batch_share: float = attrs.field(default=0.1, validator=[v.ge(0), v.le(1)])
+
+
+@attrs.frozen
+class Configuration:
+    """A whole configuration; one version of it is in force at any time."""
+
+    deployment: str
+    regions: tuple[RegionConfig, ...] = ()
+    services: tuple[ServiceConfig, ...] = ()
+    workspaces: tuple[WorkspaceConfig, ...] = ()
+    api_keys: tuple[ApiKeyConfig, ...] = ()
+    operator_keys: tuple[OperatorKeyConfig, ...] = ()
+    backend_servers: tuple[BackendServerConfig, ...] = ()
+    link: LinkConfig = LinkConfig()
+    result_retention_s: float = attrs.field(default=604800.0, validator=v.gt(0))
+
+    def service(self, name: str) -> ServiceConfig | None:
+        """Returns the service of that name, or `None`."""
+        return next((s for s in self.services if s.name == name), None)
+
+    def workspace(self, name: str) -> WorkspaceConfig | None:
+        """Returns the workspace of that name, or `None`."""
+        return next((w for w in self.workspaces if w.name == name), None)
--- /dev/null
+++ b/src/pomeloshift/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment in one process."""
--- /dev/null
+++ b/src/pomeloshift/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry role: callers' interfaces in front of the fleet."""
--- /dev/null
+++ b/src/pomeloshift/errors/__init__.py
@@ -0,0 +1,8 @@
+"""The typed failures of the system."""
+
+from ._code import ErrorCode
+from ._error import PomeloshiftError
+from ._ran import Ran
+from ._report import ErrorReport
+
+__all__ = ["ErrorCode", "ErrorReport", "PomeloshiftError", "Ran"]
--- /dev/null
+++ b/src/pomeloshift/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of workspaces, fair queueing and the retry budget."""
--- /dev/null
+++ b/src/pomeloshift/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which instances are live, leaving, silent or gone."""
--- /dev/null
+++ b/src/pomeloshift/model/__init__.py
@@ -0,0 +1,15 @@
+"""The nouns that every other package shares."""
+
+from ._instance import Instance, InstanceRole, InstanceState
+from ._load_report import LoadReport
+from ._place import Place
+from ._priority import Priority
+
+__all__ = [
+    "Instance",
+    "InstanceRole",
+    "InstanceState",
+    "LoadReport",
+    "Place",
+    "Priority",
+]
--- /dev/null
+++ b/src/pomeloshift/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, clocks and clients that carry the cores' events and effects."""
--- /dev/null
+++ b/src/pomeloshift/questionnaire/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' questionnaire and the configuration generated from it."""
--- /dev/null
+++ b/src/pomeloshift/routing/__init__.py
@@ -0,0 +1,5 @@
+"""Chooses the backend server for a request."""
+
+from ._messages import Route, RouteQuery
+
+__all__ = ["Route", "RouteQuery"]
--- /dev/null
+++ b/src/pomeloshift/routing/_messages.py
@@ -0,0 +1,33 @@
+"""The question to the router and its answer."""
+
+import attrs
+
+from ..model import Instance, Priority
+
+
+@attrs.frozen
+class RouteQuery:
+    """What the router needs to know of a request.
+
+    ``prefix`` is a digest of the prompt's beginning, empty if there is none.
+    ``excluded`` names backend servers that this request must not go to.
+    ``body_bytes`` estimates what the request and its answer put on the link.
+    """
+
+    service: str
+    priority: Priority
+    prompt_tokens: int
+    max_tokens: int
+    deadline_s: float
+    prefix: str = ""
+    body_bytes: int = 0
+    excluded: frozenset[str] = frozenset()
+    alone: bool = False
+
+
+@attrs.frozen
+class Route:
+    """The chosen backend server. ``paid`` is set where the paid link is crossed."""
+
+    instance: Instance
+    paid: bool = False
--- /dev/null
+++ b/src/pomeloshift/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files of processes: JSON with comments, checked on reading."""
--- /dev/null
+++ b/src/pomeloshift/wire/__init__.py
@@ -0,0 +1,40 @@
+"""The messages between the system's own processes."""
+
+from ._attempt import AttemptRequest
+from ._codec import decode_message, encode_message
+from ._errors import WireError
+from ._frame import Frame, FrameReader, encode_frame
+from ._messages import (
+    Acknowledgement,
+    ConfigDocument,
+    ConfigPull,
+    GrantedItem,
+    ItemGrants,
+    ItemOutcome,
+    ItemPull,
+    ItemResults,
+    LeaseRelease,
+    Refusal,
+    SidecarReport,
+)
+
+__all__ = [
+    "Acknowledgement",
+    "AttemptRequest",
+    "ConfigDocument",
+    "ConfigPull",
+    "Frame",
+    "FrameReader",
+    "GrantedItem",
+    "ItemGrants",
+    "ItemOutcome",
+    "ItemPull",
+    "ItemResults",
+    "LeaseRelease",
+    "Refusal",
+    "SidecarReport",
+    "WireError",
+    "decode_message",
+    "encode_frame",
+    "encode_message",
+]
