--- /dev/null
+++ b/src/pomeloshift/net/_http.py
@@ -0,0 +1,91 @@
+"""Answers of the HTTP interfaces."""
+
+from collections.abc import Awaitable, Callable
+from functools import wraps
+from typing import Any
+
+import msgspec
+from loguru import logger
+from twisted.web.server import Request
+
+from ..errors import ErrorCode, PomeloshiftError, Ran
+
+
+class InternalError(PomeloshiftError):
+    """An unexpected exception ended a request."""
+
+    code = ErrorCode.INTERNAL
+
+
+class InvalidRequestError(PomeloshiftError):
+    """A request does not follow the interface."""
+
+    code = ErrorCode.INVALID_REQUEST
+    ran = Ran.NO
+
+
+def respond_json(req: Request, body: Any, status: int = 200) -> bytes:
+    """Sets status and headers for a JSON answer and returns its bytes."""
+    req.setResponseCode(status)
+    req.setHeader(b"content-type", b"application/json")
+    return msgspec.json.encode(body)
+
+
+def respond_error(req: Request, error: PomeloshiftError) -> bytes:
+    """Sets status and headers for an error and returns its JSON body."""
+    if error.retry_after_s is not None:
+        seconds = max(1, round(error.retry_after_s + 0.499))
+        req.setHeader(b"retry-after", str(seconds).encode())
+    return respond_json(req, error.report().as_json(), error.http_status)
+
+
+def read_json(req: Request) -> dict[str, Any]:
+    """Returns the request's JSON object; raises `InvalidRequestError` otherwise."""
+    try:
+        body = msgspec.json.decode(read_body(req))
+    except msgspec.DecodeError as exc:
+        raise InvalidRequestError(f"the body is not JSON: {exc}") from exc
+    if not isinstance(body, dict):
+        raise InvalidRequestError("the body is not a JSON object")
+    return body
+
+
+def read_body(req: Request) -> bytes:
+    """Returns the request's body."""
+    content: Any = req.content
+    content.seek(0)
+    return content.read()
+
+
+Handler = Callable[..., Awaitable[Any]]
+
+
+def answers_errors(handler: Handler) -> Handler:
+    """Makes a klein handler answer every exception with the JSON form of errors.
+
+    @app.route("/v1/models")
+    @answers_errors
+    async def models(self, req): ...
+    """
+
+    @wraps(handler)
+    async def wrapper(*args: Any, **kwargs: Any) -> Any:
+        req = next(arg for arg in args if isinstance(arg, Request))
+        try:
+            return await handler(*args, **kwargs)
+        except PomeloshiftError as exc:
+            return _answer(req, exc)
+        except Exception as exc:
+            logger.exception("event=unexpected_error path={}", req.path)
+            return _answer(req, InternalError(f"unexpected {type(exc).__name__}"))
+
+    return wrapper
+
+
+def _answer(req: Request, error: PomeloshiftError) -> bytes:
+    if req.startedWriting:
+        channel: Any = req.channel
+        if channel is not None and channel.transport is not None:
+            channel.transport.abortConnection()
+        return b""
+    return respond_error(req, error)
