--- a/src/pomeloshift/admission/__init__.py
+++ b/src/pomeloshift/admission/__init__.py
@@ -14,6 +14,7 @@
     Tick,
     TokensArrived,
 )
+from ._prompt_tokens import count_prompt_tokens, prompt_text
 
 __all__ = [
     "AdmissionEffect",
@@ -28,4 +29,6 @@
     "TakeBackStream",
     "Tick",
     "TokensArrived",
+    "count_prompt_tokens",
+    "prompt_text",
 ]
--- /dev/null
+++ b/src/pomeloshift/sidecar/_engine_client.py
@@ -0,0 +1,201 @@
+"""Calls an engine by the OpenAI protocol and its control interface."""
+
+from typing import Any, TypeVar
+
+import cattrs
+import msgspec
+from treq.client import HTTPClient
+from twisted.internet.error import ConnectError, ConnectionRefusedError, DNSLookupError
+from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
+from twisted.web.http_headers import Headers
+
+from ..errors import Ran
+from ._engine_body import OnChunk, receive
+from ._engine_errors import EngineFencedError, EngineLostError, EngineRefusedError
+from ._engine_types import EngineEnd, EngineLoadSnapshot, EngineServes
+
+CONNECT_TIMEOUT_S = 2.0
+CONTROL_TIMEOUT_S = 5.0
+HEALTH_TIMEOUT_S = 2.0
+IDLE_CONNECTION_S = 30
+MAX_IDLE_CONNECTIONS = 256
+EVENT_STREAM = "text/event-stream"
+CONFLICT_STATUS = 409
+CANCELLED_STATUS = 499
+UNAVAILABLE_STATUS = 503
+NEVER_SENT = (ConnectError, ConnectionRefusedError, DNSLookupError, RequestNotSent)
+
+T = TypeVar("T")
+
+
+class EngineClient:
+    """The calls of a sidecar to one engine.
+
+    end = await client.run("s1", "/v1/completions", body, on_chunk)
+    """
+
+    def __init__(self, base_url: str, reactor: Any) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
+        self._pool.retryAutomatically = False
+        agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._http = HTTPClient(agent)
+
+    async def run(
+        self,
+        stream_id: str,
+        path: str,
+        body: bytes,
+        on_chunk: OnChunk,
+        resume: bytes = b"",
+    ) -> EngineEnd:
+        """Runs a stream and returns at its end.
+
+        ``on_chunk`` receives whole events and the number of tokens in them. With
+        ``resume`` the engine sends only what follows the tokens produced before; an
+        answer that is not streamed is always sent whole. Raises
+        `EngineRefusedError` if nothing ran and `EngineLostError` if that is not
+        known or part of it ran.
+        """
+        headers = {"content-type": "application/json", "x-request-id": stream_id}
+        if resume:
+            headers["x-resume"] = resume.decode()
+        response = await self._request("POST", path, body, headers)
+        await self._check_status(response)
+        content_type = _content_type(response)
+        is_event_stream = content_type.startswith(EVENT_STREAM)
+        try:
+            whole = await receive(response, on_chunk, is_event_stream)
+        except Exception as exc:
+            raise EngineLostError(f"the stream broke: {exc}", Ran.YES) from exc
+        cancelled = response.code == CANCELLED_STATUS
+        return EngineEnd(response.code, content_type, whole and not cancelled)
+
+    async def cancel(self, stream_id: str) -> bytes:
+        """Stops a stream and returns its resume token; empty if there is none."""
+        path = f"/control/streams/{stream_id}/cancel"
+        fields = await self._control("POST", path)
+        return str(fields.get("resume", "")).encode()
+
+    async def export_kv(self, stream_id: str) -> bytes:
+        """Returns the KV cache of a running stream as opaque bytes."""
+        path = f"/control/streams/{stream_id}/kv"
+        return await self._control_bytes("GET", path)
+
+    async def import_kv(self, exported: bytes) -> None:
+        """Gives the engine a KV cache that another engine exported."""
+        await self._control_bytes("PUT", "/control/kv", exported)
+
+    async def load(self) -> EngineLoadSnapshot:
+        """Returns the engine's lagging load."""
+        return _structure(
+            await self._control("GET", "/control/load"), EngineLoadSnapshot
+        )
+
+    async def serves(self) -> EngineServes:
+        """Returns what the engine serves, for example after an order."""
+        return _structure(await self._control("GET", "/control/state"), EngineServes)
+
+    async def order(self, kind: str, value: str, fencing_number: int) -> EngineServes:
+        """Gives an order and returns what the engine serves after it.
+
+        Raises `EngineFencedError` if the engine checks fencing numbers and has seen
+        a higher one.
+        """
+        fields = {"kind": kind, "value": value, "fencing_number": fencing_number}
+        body = msgspec.json.encode(fields)
+        return _structure(
+            await self._control("POST", "/control/orders", body), EngineServes
+        )
+
+    async def alive(self) -> bool:
+        """Tells whether the engine answers now."""
+        try:
+            await self._control_bytes(
+                "GET", "/control/health", timeout_s=HEALTH_TIMEOUT_S
+            )
+        except (EngineLostError, EngineRefusedError):
+            return False
+        return True
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        await self._pool.closeCachedConnections()
+
+    async def _control(
+        self, method: str, path: str, body: bytes = b""
+    ) -> dict[str, Any]:
+        raw = await self._control_bytes(method, path, body)
+        try:
+            fields = msgspec.json.decode(raw, type=dict[str, Any])
+        except msgspec.MsgspecError as exc:
+            raise EngineLostError(f"the answer of {path} cannot be read") from exc
+        return fields
+
+    async def _control_bytes(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_s: float = CONTROL_TIMEOUT_S,
+    ) -> bytes:
+        headers = {"content-type": "application/json"}
+        response = await self._request(method, path, body, headers, timeout_s)
+        await self._check_status(response)
+        return await self._read(response)
+
+    async def _request(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout_s: float | None = None,
+    ) -> Any:
+        try:
+            return await self._http.request(
+                method,
+                self._base_url + path,
+                headers=Headers({k: [v] for k, v in headers.items()}),
+                data=body or None,
+                timeout=timeout_s,
+                unbuffered=True,
+            )
+        except NEVER_SENT as exc:
+            raise EngineRefusedError(f"the engine cannot be reached: {exc}") from exc
+        except Exception as exc:
+            raise EngineLostError(f"the engine did not answer: {exc}") from exc
+
+    async def _check_status(self, response: Any) -> None:
+        status = response.code
+        if status < 400 or status == CANCELLED_STATUS:
+            return
+        body = await self._read(response)
+        message = f"the engine answered {status}"
+        if status >= 500 and status != UNAVAILABLE_STATUS:
+            raise EngineLostError(message)
+        if status == CONFLICT_STATUS and b'"fenced"' in body:
+            raise EngineFencedError(message, status, body)
+        raise EngineRefusedError(message, status, body)
+
+    async def _read(self, response: Any) -> bytes:
+        parts: list[bytes] = []
+        try:
+            await receive(response, lambda data, _: parts.append(data), False)
+        except Exception as exc:
+            raise EngineLostError(f"the answer broke: {exc}") from exc
+        return b"".join(parts)
+
+
+def _content_type(response: Any) -> str:
+    values = response.headers.getRawHeaders("content-type", [""])
+    return str(values[0])
+
+
+def _structure(fields: dict[str, Any], into: type[T]) -> T:
+    try:
+        return cattrs.structure(fields, into)
+    except Exception as exc:
+        raise EngineLostError(f"the engine's answer cannot be read: {exc}") from exc
--- /dev/null
+++ b/src/pomeloshift/standins/engine/_settings.py
@@ -0,0 +1,47 @@
+"""Settings of the engine stand-in."""
+
+import attrs
+from attrs import validators as v
+
+
+@attrs.frozen
+class EngineSettings:
+    """The speed, the memory and the manners of one engine.
+
+    A step lasts ``step_base_s`` plus ``step_per_sequence_s`` for each sequence that
+    decodes plus ``step_per_prefill_token_s`` for each prompt token read in it, all
+    divided by ``speed``. Times are in seconds and memory in tokens.
+
+    ``cache_event_gap`` is the share of cache events that are lost. A prompt that
+    contains ``crash_marker`` crashes the engine when its first token is due; an
+    empty marker turns that off. After a crash it is back after ``restart_s``, or
+    stays away if that is 0. An order takes ``order_s``, and one with an old fencing
+    number is refused only with ``checks_fencing``.
+    """
+
+    name: str = attrs.field(default="engine-1", validator=v.min_len(1))
+    models: tuple[str, ...] = attrs.field(default=("vezi-lm",))
+    decode_slots: int = attrs.field(default=128, validator=v.ge(1))
+    kv_tokens: int = attrs.field(default=200_000, validator=v.ge(1))
+    prefix_cache_tokens: int = attrs.field(default=100_000, validator=v.ge(0))
+    prefill_chunk_tokens: int = attrs.field(default=256, validator=v.ge(1))
+    step_base_s: float = attrs.field(default=0.010, validator=v.gt(0))
+    step_per_sequence_s: float = attrs.field(default=0.00025, validator=v.ge(0))
+    step_per_prefill_token_s: float = attrs.field(default=0.00004, validator=v.ge(0))
+    speed: float = attrs.field(default=1.0, validator=v.gt(0))
+    load_lag_s: float = attrs.field(default=0.5, validator=v.ge(0))
+    cache_event_lag_s: float = attrs.field(default=1.0, validator=v.ge(0))
+    cache_event_gap: float = attrs.field(default=0.1, validator=[v.ge(0), v.le(1)])
+    checks_fencing: bool = True
+    crash_marker: str = "CRASH-ENGINE"
+    restart_s: float = attrs.field(default=2.0, validator=v.ge(0))
+    order_s: float = attrs.field(default=0.5, validator=v.ge(0))
+
+    def step_s(self, sequences: int, prefill_tokens: int) -> float:
+        """Returns how long a step of that content lasts, in seconds."""
+        work_s = (
+            self.step_base_s
+            + self.step_per_sequence_s * sequences
+            + self.step_per_prefill_token_s * prefill_tokens
+        )
+        return work_s / self.speed
