Add a first admission core

Cause: a sidecar must decide which streams its engine runs. Change: online streams start at once, batch streams up to a limit worked out from a fitted step time; predicted first tokens in the tail and over-target steps take batch streams back, the ones with least tokens first. Conclusion: usable by the sidecar's shell.

--- a/src/pomeloshift/admission/__init__.py
+++ b/src/pomeloshift/admission/__init__.py
@@ -1,5 +1,7 @@
 """Decides which streams a backend server's engine runs, and when."""
 
+from ._admission import Admission
+from ._config import AdmissionConfig, admission_config
 from ._messages import (
     AdmissionEffect,
     AdmissionEvent,
@@ -17,6 +19,8 @@
 from ._prompt_tokens import count_prompt_tokens, prompt_text
 
 __all__ = [
+    "Admission",
+    "AdmissionConfig",
     "AdmissionEffect",
     "AdmissionEvent",
     "BatchWanted",
@@ -29,6 +33,7 @@
     "TakeBackStream",
     "Tick",
     "TokensArrived",
+    "admission_config",
     "count_prompt_tokens",
     "prompt_text",
 ]
--- /dev/null
+++ b/src/pomeloshift/admission/_errors.py
@@ -0,0 +1,17 @@
+"""Refusals of streams that were never handed to the engine."""
+
+from ..errors import ErrorCode, PomeloshiftError, Ran
+
+
+class EngineFullError(PomeloshiftError):
+    """An online stream would wait too long for its place at the engine."""
+
+    code = ErrorCode.OVERLOADED
+    ran = Ran.NO
+
+
+class DeadlinePassedError(PomeloshiftError):
+    """The deadline of a stream passed before it could be started."""
+
+    code = ErrorCode.DEADLINE_EXCEEDED
+    ran = Ran.NO
--- /dev/null
+++ b/src/pomeloshift/admission/_roster.py
@@ -0,0 +1,85 @@
+"""All streams that admission knows, by what they are doing."""
+
+from ._messages import StreamOffered
+from ._stream import Phase, Stream
+
+Group = dict[str, Stream]
+
+
+class Roster:
+    """Streams in groups by priority and phase, each in the order they entered."""
+
+    def __init__(self) -> None:
+        self._streams: dict[str, Stream] = {}
+        self._groups: dict[tuple[bool, Phase], Group] = {
+            (online, phase): {} for online in (True, False) for phase in Phase
+        }
+        self.online_waiting = self._groups[True, Phase.WAITING]
+        self.online_reading = self._groups[True, Phase.READING]
+        self.online_decoding = self._groups[True, Phase.DECODING]
+        self.batch_waiting = self._groups[False, Phase.WAITING]
+        self.batch_reading = self._groups[False, Phase.READING]
+        self.batch_decoding = self._groups[False, Phase.DECODING]
+        self.batch_taken_back = self._groups[False, Phase.TAKEN_BACK]
+
+    def add(self, offer: StreamOffered, now: float) -> Stream:
+        """Adds a stream that waits to be started."""
+        stream = Stream(offer, offer.prompt_tokens, changed_at=now)
+        self._streams[offer.stream_id] = stream
+        self._group(stream)[offer.stream_id] = stream
+        return stream
+
+    def get(self, stream_id: str) -> Stream | None:
+        """Returns the stream of that id, or `None`."""
+        return self._streams.get(stream_id)
+
+    def move(self, stream: Stream, phase: Phase, now: float) -> None:
+        """Puts a stream into another phase."""
+        del self._group(stream)[stream.stream_id]
+        stream.phase = phase
+        stream.changed_at = now
+        self._group(stream)[stream.stream_id] = stream
+
+    def remove(self, stream: Stream) -> None:
+        """Forgets a stream."""
+        del self._group(stream)[stream.stream_id]
+        del self._streams[stream.stream_id]
+
+    @property
+    def streams(self) -> tuple[Stream, ...]:
+        """All streams."""
+        return tuple(self._streams.values())
+
+    @property
+    def online_running(self) -> int:
+        """The online streams that the engine holds."""
+        return len(self.online_reading) + len(self.online_decoding)
+
+    @property
+    def batch_running(self) -> int:
+        """The batch streams that the engine holds."""
+        return len(self.batch_reading) + len(self.batch_decoding)
+
+    @property
+    def decoding(self) -> int:
+        """The streams that get a token in each step."""
+        return len(self.online_decoding) + len(self.batch_decoding)
+
+    @property
+    def is_reading(self) -> bool:
+        """Tells whether the engine reads any prompt."""
+        return bool(self.online_reading or self.batch_reading)
+
+    @property
+    def has_suspect(self) -> bool:
+        """Tells whether a stream runs that must be alone among its like."""
+        running = (
+            self.online_reading,
+            self.online_decoding,
+            self.batch_reading,
+            self.batch_decoding,
+        )
+        return any(s.offer.alone for group in running for s in group.values())
+
+    def _group(self, stream: Stream) -> Group:
+        return self._groups[stream.is_online, stream.phase]
