Compare waits with a fluid engine without batch work

Cause: the tail of waits was taken from predictions that batch work itself had lengthened, so protection switched itself off in bursts. Change: a fluid model of the engine with the online streams alone; prompt reading learned as a line over prompt tokens, which shows the cached part.

--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -142,10 +142,12 @@
     def _learn_end(self, stream: Stream, now: float) -> None:
         tokens = stream.held_tokens - self._online_tokens
         self._online_tokens += MEAN_SHARE * tokens
+        self._shadow.on_output(stream.tokens)
         lasted_s = now - stream.started_at
         self._online_s += MEAN_SHARE * (lasted_s - self._online_s)
 
     def _on_tick(self, now: float) -> list[AdmissionEffect]:
+        self._shadow.advance(now, self._first_tokens.chunk_tokens)
         self._adjust_limit()
         effects = self._drop_late(now)
         effects += self._balance(now)
@@ -191,13 +193,13 @@
 
     def _protect(self, stream: Stream, now: float) -> None:
         roster = self._roster
-        ahead = sum(s.read_tokens for s in roster.online_reading.values())
-        tokens = ahead + stream.read_tokens
         model = self._first_tokens
+        stream.read_tokens = model.uncached_tokens(stream.offer.prompt_tokens)
+        tokens = stream.read_tokens + self._online_tokens_ahead()
         online = len(roster.online_decoding)
-        chunk, step_s = model.chunk_tokens, self._observer.gap_s
-        self._shadow.drain(now, chunk, online, step_s)
-        alone_s = self._shadow.wait_s(stream.read_tokens, chunk, online, step_s)
+        chunk = model.chunk_tokens
+        self._shadow.advance(now, chunk)
+        alone_s = self._shadow.wait_s(stream.read_tokens, chunk)
         model.observe_wait(alone_s)
         limit_s = max(model.tail_s, alone_s * self._tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
@@ -206,6 +208,18 @@
         with_batch_s = model.wait_s(tokens + batch_ahead, roster.decoding)
         stream.is_protected = with_batch_s > limit_s
 
+    def _online_tokens_ahead(self) -> float:
+        """Estimates the online prompt tokens that the engine has still to read."""
+        chunk = self._first_tokens.chunk_tokens
+        ahead = 0.0
+        read = float("inf")
+        for stream in self._roster.online_reading.values():
+            ahead += stream.read_tokens
+            read = min(
+                read, (self._observer.step_count - stream.steps_at_start) * chunk
+            )
+        return max(0.0, ahead - read) if ahead else 0.0
+
     def _online_limit(self) -> float:
         if not self._steps.is_fitted:
             return float("inf")
--- a/src/pomeloshift/admission/_first_token_model.py
+++ b/src/pomeloshift/admission/_first_token_model.py
@@ -5,32 +5,53 @@
 
 import attrs
 
+from ._least_squares import LeastSquares
 from ._step_model import StepModel
 
-FIRST_CHUNK_TOKENS = 400.0
-CHUNK_SHARE = 0.2
-MIN_STEPS = 4
+TOKENS_SCALE = 256.0
+FIRST_STEPS_PER_SCALE = 0.7
+MIN_CHUNK_TOKENS = 16.0
+MAX_CHUNK_TOKENS = 16384.0
+ROUNDING_STEPS = 1.5
+CURRENT_STEP_SHARE = 0.5
 SAMPLES = 512
 REFRESH_EVERY = 16
 
 
 @attrs.define
 class FirstTokenModel:
-    """Learns how many prompt tokens a step reads and which waits are in the tail."""
+    """Learns how many steps prompts take to read and which waits are in the tail.
+
+    The steps of prompts that were read by themselves give a line over their tokens:
+    its slope is the inverse of the tokens read in a step, and its intercept shows how
+    many tokens the engine finds in its prefix cache.
+    """
 
     step_model: StepModel
     tail_quantile: float
-    chunk_tokens: float = FIRST_CHUNK_TOKENS
     tail_s: float = 0.0
+    _line: LeastSquares = attrs.field(
+        factory=lambda: LeastSquares((ROUNDING_STEPS, FIRST_STEPS_PER_SCALE, 0.0))
+    )
     _waits: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES))
     _since_refresh: int = 0
 
-    def observe_read(self, tokens: int, steps: int) -> None:
+    @property
+    def chunk_tokens(self) -> float:
+        """The prompt tokens that a step reads at most."""
+        slope = self._line.coefficients[1]
+        if slope <= 0:
+            return MAX_CHUNK_TOKENS
+        return min(MAX_CHUNK_TOKENS, max(MIN_CHUNK_TOKENS, TOKENS_SCALE / slope))
+
+    def uncached_tokens(self, prompt_tokens: float) -> float:
+        """Estimates how many tokens of a prompt the engine has to read."""
+        cached = (ROUNDING_STEPS - self._line.coefficients[0]) * self.chunk_tokens
+        return max(MIN_CHUNK_TOKENS, prompt_tokens - max(0.0, cached))
+
+    def observe_read(self, prompt_tokens: int, steps: int) -> None:
         """Learns from a prompt that was read in ``steps`` steps by itself."""
-        if steps < MIN_STEPS:
-            return
-        seen = tokens / steps
-        self.chunk_tokens += CHUNK_SHARE * (seen - self.chunk_tokens)
+        self._line.observe((1.0, prompt_tokens / TOKENS_SCALE, 0.0), float(steps))
 
     def observe_wait(self, alone_s: float) -> None:
         """Adds the wait that an arrival would have without any batch work."""
@@ -42,17 +63,17 @@
             self.tail_s = ordered[int(self.tail_quantile * (len(ordered) - 1))]
 
     def steps_for(self, tokens: float) -> int:
-        """Returns the steps it takes to read ``tokens`` prompt tokens."""
+        """Returns the steps it takes to read ``tokens`` uncached tokens."""
         return max(1, math.ceil(tokens / self.chunk_tokens))
 
     def wait_s(self, tokens: float, sequences: float) -> float:
         """Predicts the time to read ``tokens`` beside decoding ``sequences``."""
         model = self.step_model
-        steps = self.steps_for(tokens)
+        steps = self.steps_for(tokens) + CURRENT_STEP_SHARE
         return steps * (model.step_s(sequences) + model.read_extra_s)
 
     def sequences_within(self, tokens: float, wait_s: float) -> float:
         """Returns how many sequences may decode so that reading takes ``wait_s``."""
         model = self.step_model
-        steps = self.steps_for(tokens)
+        steps = self.steps_for(tokens) + CURRENT_STEP_SHARE
         return model.sequences_within(wait_s / steps - model.read_extra_s)
--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -60,7 +60,7 @@
             self._pace.observe(gap_s, online)
 
     def _on_first_token(self, stream: Stream) -> None:
-        if stream.read_alone:
+        if stream.read_alone and stream.is_online:
             steps = self.step_count - stream.steps_at_start
-            self._first_tokens.observe_read(stream.read_tokens, steps)
+            self._first_tokens.observe_read(stream.offer.prompt_tokens, steps)
         self._was_reading = True
--- a/src/pomeloshift/admission/_shadow_queue.py
+++ b/src/pomeloshift/admission/_shadow_queue.py
@@ -1,49 +1,60 @@
-"""Estimates the reading queue as it would be without batch work."""
+"""Estimates the online work of an engine as it would be without batch work."""
 
 import attrs
 
 from ._step_model import StepModel
 
+MEAN_SHARE = 0.05
+FIRST_OUTPUT_TOKENS = 100.0
+LONGEST_SLICE_S = 0.05
+
 
 @attrs.define
 class ShadowQueue:
-    """A fluid queue of online prompt tokens that is drained at the batch-free pace.
+    """A fluid model of the engine that gets the same online streams and no batch.
 
-    Without batch work steps are shorter, so online streams leave sooner and fewer of
-    them decode at a time: by Little's law their number shrinks with the step time.
+    It keeps the prompt tokens still to be read and the number of decoding streams.
+    Streams leave at the pace of the shadow's own steps, after the mean number of
+    tokens that real ones produced.
     """
 
     step_model: StepModel
     tokens: float = 0.0
-    _at: float = 0.0
+    streams: float = 0.0
+    mean_output_tokens: float = FIRST_OUTPUT_TOKENS
+    _at: float | None = None
 
-    def wait_s(
-        self, prompt_tokens: float, chunk_tokens: float, online: int, step_s: float
-    ) -> float:
-        """Adds a prompt and returns its wait for the first token without batch."""
+    def wait_s(self, prompt_tokens: float, chunk_tokens: float) -> float:
+        """Adds a stream and returns its wait for the first token."""
         self.tokens += prompt_tokens
-        pace_s = self.pace_s(online, step_s)
-        return max(1.0, self.tokens / chunk_tokens) * pace_s
+        steps = max(1.0, self.tokens / chunk_tokens) + 0.5
+        wait_s = steps * self._step_s()
+        self.streams += 1.0
+        return wait_s
+
+    def on_output(self, tokens: int) -> None:
+        """Learns how many tokens a finished online stream produced."""
+        change = tokens - self.mean_output_tokens
+        self.mean_output_tokens += MEAN_SHARE * change
 
-    def drain(
-        self, now: float, chunk_tokens: float, online: int, step_s: float
-    ) -> None:
+    def advance(self, now: float, chunk_tokens: float) -> None:
         """Lets the time since the last call pass."""
-        elapsed_s = now - self._at
+        if self._at is None:
+            self._at = now
+        left_s = now - self._at
         self._at = now
-        if self.tokens > 0:
-            read = chunk_tokens * elapsed_s / self.pace_s(online, step_s)
-            self.tokens = max(0.0, self.tokens - read)
-
-    def pace_s(self, online: int, step_s: float) -> float:
-        """Returns the length of a batch-free step that reads a whole chunk.
-
-        ``step_s`` is the recent length of the engine's steps with batch work, in
-        which ``online`` streams decode.
-        """
+        while left_s > 0:
+            slice_s = min(left_s, LONGEST_SLICE_S)
+            self._pass(slice_s, chunk_tokens)
+            left_s -= slice_s
+
+    def _pass(self, slice_s: float, chunk_tokens: float) -> None:
+        steps = slice_s / self._step_s()
+        ended = self.streams * steps / max(1.0, self.mean_output_tokens)
+        self.streams = max(0.0, self.streams - ended)
+        self.tokens = max(0.0, self.tokens - steps * chunk_tokens)
+
+    def _step_s(self) -> float:
         model = self.step_model
-        fixed_s = model.base_s + model.read_extra_s
-        if step_s <= 0:
-            return fixed_s + model.slope_s * online
-        shrink = 1.0 - model.slope_s * online / step_s
-        return fixed_s / max(fixed_s / (fixed_s + model.slope_s * online), shrink)
+        reading_s = model.read_extra_s if self.tokens > 0 else 0.0
+        return max(1e-4, model.step_s(self.streams) + reading_s)
--- a/src/pomeloshift/admission/_stream.py
+++ b/src/pomeloshift/admission/_stream.py
@@ -28,7 +28,7 @@
     """
 
     offer: StreamOffered
-    read_tokens: int
+    read_tokens: float
     phase: Phase = Phase.WAITING
     tokens: int = 0
     changed_at: float = 0.0
@@ -59,4 +59,4 @@
         """The tokens still to be read and produced at most."""
         output = max(0, self.offer.max_tokens - self.tokens)
         reading = self.phase is not Phase.DECODING
-        return output + (self.read_tokens if reading else 0)
+        return output + (int(self.read_tokens) if reading else 0)
