--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -27,11 +27,11 @@
 
 LATE_SHARE = 0.04
 FIRST_BATCH_LIMIT = 8.0
-SLOW_START_GROWTH = 0.5
+SLOW_START_GROWTH = 1.0
 GROWTH_SHARE = 0.1
 HARD_LIMIT_SHARE = 1.12
 ONLINE_SHARE = 0.02
-RESUME_READ_TOKENS = 20
+RESUME_READ_TOKENS = 10
 CACHED_S = 20.0
 WANTED_INTERVAL_S = 0.1
 MEAN_SHARE = 0.05
@@ -55,8 +55,11 @@
         self._steps = StepModel()
         weight = cfg.batch_weight
         self._tail_ratio = 1.02 + 0.13 * weight
-        tail_quantile = 0.95 + 0.03 * weight
-        self._first_tokens = FirstTokenModel(self._steps, tail_quantile)
+        self._tail_quantile = 0.95 + 0.03 * weight
+        self._queue_quantile = 0.9
+        self._queue_streams = 2
+        self._burst_streams = 99
+        self._first_tokens = FirstTokenModel(self._steps)
         highest_scale = 0.75 + 0.3 * weight
         self._pace = PaceGoal(cfg.between_tokens_target_s, LATE_SHARE, highest_scale)
         self._observer = Observer(
@@ -73,7 +76,10 @@
     def handle(self, event: AdmissionEvent, now: float) -> list[AdmissionEffect]:
         """Takes an event at ``now`` and returns what the shell has to do, in order."""
         if type(event) is TokensArrived:
-            return self._on_tokens(event, now)
+            stream = self._roster.get(event.stream_id)
+            if stream is None or self._observer.adds_only(stream, event.tokens, now):
+                return []
+            return self._on_tokens(stream, event.tokens, now)
         if type(event) is StreamOffered:
             return self._on_offered(event, now)
         if type(event) is StreamEnded:
@@ -100,11 +106,12 @@
             sequence=self._sequence,
         )
 
-    def _on_tokens(self, event: TokensArrived, now: float) -> list[AdmissionEffect]:
-        stream = self._roster.get(event.stream_id)
-        if stream is None or stream.phase in (Phase.WAITING, Phase.TAKEN_BACK):
+    def _on_tokens(
+        self, stream: Stream, tokens: int, now: float
+    ) -> list[AdmissionEffect]:
+        if stream.phase in (Phase.WAITING, Phase.TAKEN_BACK):
             return []
-        self._observer.on_tokens(stream, event.tokens, now)
+        self._observer.on_tokens(stream, tokens, now)
         if stream.phase is not Phase.READING:
             return []
         self._roster.move(stream, Phase.DECODING, now)
@@ -201,7 +208,9 @@
         self._shadow.advance(now, chunk)
         alone_s = self._shadow.wait_s(stream.read_tokens, chunk)
         model.observe_wait(alone_s)
-        limit_s = max(model.tail_s, alone_s * self._tail_ratio)
+        queued = len(roster.online_reading) > self._queue_streams
+        quantile = self._queue_quantile if queued else self._tail_quantile
+        limit_s = max(model.tail_s(quantile), alone_s * self._tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
         stream.max_batch = max(0.0, room)
         batch_ahead = sum(s.read_tokens for s in roster.batch_reading.values())
@@ -224,8 +233,7 @@
         if not self._steps.is_fitted:
             return float("inf")
         target_s = self.cfg.between_tokens_target_s
-        room = self._steps.sequences_within(target_s - self._steps.read_extra_s)
-        return max(1.0, room)
+        return max(1.0, self._steps.sequences_within(target_s))
 
     def _queue_wait_s(self) -> float:
         roster = self._roster
@@ -236,6 +244,8 @@
 
     def _protected_cap(self) -> float:
         reading = self._roster.online_reading.values()
+        if len(reading) >= self._burst_streams:
+            return 0.0
         return min((s.max_batch for s in reading), default=float("inf"))
 
     def _is_protecting(self) -> bool:
--- a/src/pomeloshift/admission/_first_token_model.py
+++ b/src/pomeloshift/admission/_first_token_model.py
@@ -28,12 +28,11 @@
     """
 
     step_model: StepModel
-    tail_quantile: float
-    tail_s: float = 0.0
     _line: LeastSquares = attrs.field(
         factory=lambda: LeastSquares((ROUNDING_STEPS, FIRST_STEPS_PER_SCALE, 0.0))
     )
     _waits: deque[float] = attrs.field(factory=lambda: deque(maxlen=SAMPLES))
+    _ordered: list[float] = attrs.field(factory=list)
     _since_refresh: int = 0
 
     @property
@@ -59,8 +58,13 @@
         self._since_refresh += 1
         if self._since_refresh >= REFRESH_EVERY or len(self._waits) < REFRESH_EVERY:
             self._since_refresh = 0
-            ordered = sorted(self._waits)
-            self.tail_s = ordered[int(self.tail_quantile * (len(ordered) - 1))]
+            self._ordered = sorted(self._waits)
+
+    def tail_s(self, quantile: float) -> float:
+        """Returns a quantile of the recent waits without batch work."""
+        if not self._ordered:
+            return 0.0
+        return self._ordered[int(quantile * (len(self._ordered) - 1))]
 
     def steps_for(self, tokens: float) -> int:
         """Returns the steps it takes to read ``tokens`` uncached tokens."""
--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -32,6 +32,16 @@
         self._is_new_step = False
         self._was_reading = True
 
+    def adds_only(self, stream: Stream, tokens: int, now: float) -> bool:
+        """Counts tokens of a step that was observed already; `False` for others."""
+        if self._is_new_step or stream.phase is not Phase.DECODING:
+            return False
+        if now - self._step_at > SAME_STEP_S:
+            return False
+        stream.tokens += tokens
+        stream.last_token_at = now
+        return True
+
     def on_tokens(self, stream: Stream, tokens: int, now: float) -> None:
         """Takes the arrival of ``tokens`` tokens of a running stream."""
         if now - self._step_at > SAME_STEP_S:
--- a/src/pomeloshift/admission/_roster.py
+++ b/src/pomeloshift/admission/_roster.py
@@ -14,6 +14,7 @@
         self._groups: dict[tuple[bool, Phase], Group] = {
             (online, phase): {} for online in (True, False) for phase in Phase
         }
+        self.get = self._streams.get
         self.online_waiting = self._groups[True, Phase.WAITING]
         self.online_reading = self._groups[True, Phase.READING]
         self.online_decoding = self._groups[True, Phase.DECODING]
@@ -29,10 +30,6 @@
         self._group(stream)[offer.stream_id] = stream
         return stream
 
-    def get(self, stream_id: str) -> Stream | None:
-        """Returns the stream of that id, or `None`."""
-        return self._streams.get(stream_id)
-
     def move(self, stream: Stream, phase: Phase, now: float) -> None:
         """Puts a stream into another phase."""
         del self._group(stream)[stream.stream_id]
--- a/src/pomeloshift/bench/policy/_measures.py
+++ b/src/pomeloshift/bench/policy/_measures.py
@@ -19,10 +19,9 @@
     batch_tokens: int = 0
     batch_tokens_by_s: Counter[int] = attrs.field(factory=Counter)
     gaps_by_s: dict[int, Counter[int]] = attrs.field(factory=dict)
-    online_finished: int = 0
     online_shed: int = 0
     take_backs: int = 0
-    reread_tokens: int = 0
+    lost_tokens: int = 0
     cross_region_bytes: int = 0
 
     def add_gap(self, at: float, gap_s: float, streams: int) -> None:
--- a/src/pomeloshift/bench/policy/_server.py
+++ b/src/pomeloshift/bench/policy/_server.py
@@ -134,8 +134,7 @@
         if self._needs_tokens:
             self._send_tokens((*decoded, *started), seen_at)
         for stream_id in finished:
-            job = self._jobs.pop(stream_id)
-            self._measures.online_finished += job.arrival is not None
+            del self._jobs[stream_id]
             self.send(StreamEnded(stream_id), seen_at)
 
     def deliver_batch(self, items: int, now: float) -> None:
@@ -157,6 +156,12 @@
             )
             self.send(offer, now)
 
+    def finish(self, now: float) -> None:
+        """Ends the run: bursts that were never given room count until now."""
+        for at in self._bursts.values():
+            if at >= 0:
+                self._measures.give_back_s.append(now - at)
+
     def take_pulls(self) -> list[int]:
         """Returns the numbers of items that were asked for since the last call."""
         pulls = list(self._pulls)
--- a/src/pomeloshift/bench/policy/_simulation.py
+++ b/src/pomeloshift/bench/policy/_simulation.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ...admission import Tick
+from ...model import LoadReport
 from ...standins.engine import EngineModel
 from ._backlog import Backlog
 from ._deployment import BenchDeployment
@@ -20,6 +21,7 @@
 TICK_S = 0.02
 REPORT_INTERVAL_S = 0.1
 PULL_S = 0.003
+BYTES_PER_TOKEN = 6
 TICK = Tick()
 
 Action = Callable[[float], None]
@@ -81,6 +83,9 @@
             if at >= trace.duration_s:
                 break
             action(at)
+        for server in self._servers:
+            server.finish(trace.duration_s)
+            self._measures.lost_tokens += server.model.lost_tokens
         return RunResult(self._measures, tuple(s.use for s in self._servers))
 
     def _at(self, at: float, action: Action) -> None:
@@ -91,6 +96,8 @@
         tokens = arrival.prompt_tokens + arrival.output_tokens
         number = self._router.choose(arrival.place, tokens)
         latency_s = self._latency_s(arrival, number)
+        if self._deployment.engines[number].region != arrival.place.region:
+            self._measures.cross_region_bytes += tokens * BYTES_PER_TOKEN
         action = partial(self._offer, number, arrival, latency_s)
         self._at(now + latency_s, action)
 
@@ -121,8 +128,10 @@
         self._at(now + self._report_lag_s, deliver)
         self._at(now + REPORT_INTERVAL_S, partial(self._report, number))
 
-    def _deliver_report(self, number: int, report: object, mark: int, _: float) -> None:
-        self._router.on_report(number, report, mark)  # type: ignore[arg-type]
+    def _deliver_report(
+        self, number: int, report: LoadReport, mark: int, _: float
+    ) -> None:
+        self._router.on_report(number, report, mark)
 
     def _end_step(self, number: int, now: float) -> None:
         server = self._servers[number]
--- a/src/pomeloshift/standins/engine/_model.py
+++ b/src/pomeloshift/standins/engine/_model.py
@@ -24,6 +24,10 @@
 class EngineModel:
     """Batches sequences continuously, first come first served.
 
+    ``prefill_tokens`` counts the prompt tokens read, ``lost_tokens`` those of them
+    that were read again for a resumed sequence or belong to one that was cancelled
+    before its first token.
+
     Each step decodes one token of every running sequence and reads up to a chunk of
     prompt tokens. The caller asks `next_step_at`, and at that time calls `advance`:
 
@@ -37,6 +41,7 @@
         self.crashed = False
         self.kv_used = 0
         self.prefill_tokens = 0
+        self.lost_tokens = 0
         self._rng = rng
         self._step = 0
         self._done_step = 0
@@ -189,6 +194,9 @@
             total = work.prompt_tokens + work.done_tokens
             hit = min(self._cache.hit_tokens(known), total - 1)
             sequence.prefill_left = total - hit
+            sequence.prefill_tokens = total - hit
+            if work.done_tokens:
+                self.lost_tokens += total - hit
             self._prefilling.append(sequence)
 
     def _read_prompts(self) -> int:
@@ -249,6 +257,7 @@
             self._waiting.remove(sequence)
         else:
             self.kv_used -= sequence.kv_tokens
+            self.lost_tokens += sequence.prefill_tokens - sequence.prefill_left
             if sequence in self._prefilling:
                 self._prefilling.remove(sequence)
 
--- a/src/pomeloshift/standins/engine/_sequence.py
+++ b/src/pomeloshift/standins/engine/_sequence.py
@@ -16,6 +16,7 @@
 
     work: EngineWork
     kv_tokens: int
+    prefill_tokens: int = 0
     prefill_left: int = 0
     first_step: int = -1
     cancelled: bool = False
