--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,18 +3,25 @@
 
 from pomeloshift.net import install_reactor
 
+# Importing treq would install another reactor, so this one is installed before
+# any test module is imported.
+REACTOR = install_reactor()
+
 
 @pytest.fixture(scope="session")
 def reactor():
-    return install_reactor()
+    """The running asyncio reactor; the loop runs only within `run_async`."""
+    REACTOR.startRunning(installSignalHandlers=False)
+    yield REACTOR
+    REACTOR.fireSystemEvent("shutdown")
 
 
 @pytest.fixture
 def run_async(reactor):
     """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
+    loop = reactor._asyncioEventloop
 
     def run(coroutine):
-        loop = reactor._asyncioEventloop
         return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
 
     return run
