--- /dev/null
+++ b/src/pomeloshift/settings/_field.py
@@ -0,0 +1,44 @@
+"""Declares settings with the explanation that operators are shown."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+from urllib.parse import urlsplit
+
+import attrs
+from attrs import validators as v
+
+MAX_PORT = 65535
+
+
+def setting(
+    help: str,  # noqa: A002
+    *,
+    default: Any = attrs.NOTHING,
+    validator: Callable[..., Any] | Sequence[Callable[..., Any]] | None = None,
+) -> Any:
+    """Returns an attrs field whose ``help`` is shown beside faults and in docs.
+
+    port: int = setting("port of the HTTP interface", default=8080)
+    """
+    return attrs.field(default=default, validator=validator, metadata={"help": help})
+
+
+def url_setting(help: str, *, default: Any = attrs.NOTHING) -> Any:  # noqa: A002
+    """Returns a field that holds an ``http`` or ``https`` URL."""
+    return setting(help, default=default, validator=is_url)
+
+
+def port_setting(help: str, *, default: Any = attrs.NOTHING) -> Any:  # noqa: A002
+    """Returns a field that holds a TCP port; 0 lets the system choose."""
+    return setting(help, default=default, validator=[v.ge(0), v.le(MAX_PORT)])
+
+
+def is_url(_: Any, attribute: Any, value: str) -> None:
+    """Refuses what is not an ``http`` or ``https`` URL with a host."""
+    try:
+        parts = urlsplit(value)
+        valid = parts.scheme in ("http", "https") and bool(parts.hostname)
+    except ValueError:
+        valid = False
+    if not valid:
+        raise ValueError(f"'{attribute.name}' must be a URL such as http://host:port")
