Fold the configuration stream so that every reader decides alike

Cause: operators race each other, records repeat and expire, and a late checkpoint must not bring an old configuration back. ConfigHolder applies higher versions only and names the peer to pull from. digest_key moves from entry to config, beside functions that make key records.

--- /dev/null
+++ b/src/pomeloshift/config/_holder.py
@@ -0,0 +1,69 @@
+"""The configuration that one process applies."""
+
+import attrs
+
+from ._configuration import Configuration
+from ._document import decode_configuration
+
+
+@attrs.define
+class ConfigHolder:
+    """Applies higher versions only and knows which peer to pull a newer one from.
+
+        holder = ConfigHolder()
+        holder.offer(3, document)           # True: applied
+        holder.offer(2, older)              # False: never reverts
+        holder.observe("entry-2", 5)        # a peer's exchange named version 5
+        holder.next_pull()                  # "entry-2"
+
+    Versions come from the log, from peers or from pushes alike; which of them was
+    first makes no difference.
+    """
+
+    version: int = 0
+    document: bytes = b""
+    current: Configuration | None = None
+    _versions_by_peer: dict[str, int] = attrs.field(factory=dict)
+
+    @property
+    def newest_seen(self) -> int:
+        """The highest version that any peer named, or the own one."""
+        return max([self.version, *self._versions_by_peer.values()])
+
+    def offer(self, version: int, document: bytes) -> bool:
+        """Applies a configuration if its version is higher; tells whether it did.
+
+        Raises `ConfigDocumentError` for bytes that are not a configuration.
+        """
+        if version <= self.version or not document:
+            return False
+        self.current = decode_configuration(document)
+        self.document = document
+        self.version = version
+        self._forget_overtaken()
+        return True
+
+    def observe(self, peer: str, version: int) -> bool:
+        """Notes the version a peer named and tells whether it is newer than ours."""
+        if version <= self.version:
+            self._versions_by_peer.pop(peer, None)
+            return False
+        self._versions_by_peer[peer] = version
+        return True
+
+    def forget(self, peer: str) -> None:
+        """Forgets a peer that is gone or did not answer a pull."""
+        self._versions_by_peer.pop(peer, None)
+
+    def next_pull(self) -> str | None:
+        """Returns the peer with the highest version, or `None` if none is ahead."""
+        if not self._versions_by_peer:
+            return None
+        return max(self._versions_by_peer, key=lambda p: (self._versions_by_peer[p], p))
+
+    def _forget_overtaken(self) -> None:
+        self._versions_by_peer = {
+            peer: version
+            for peer, version in self._versions_by_peer.items()
+            if version > self.version
+        }
--- a/src/pomeloshift/entry/_auth.py
+++ b/src/pomeloshift/entry/_auth.py
@@ -1,11 +1,10 @@
 """Tells which workspace a caller's key belongs to."""
 
-import hashlib
 import hmac
 from collections.abc import Callable
 from typing import TypeVar
 
-from ..config import ApiKeyConfig, Configuration, OperatorKeyConfig
+from ..config import ApiKeyConfig, Configuration, OperatorKeyConfig, digest_key
 from ..errors import ErrorCode, PomeloshiftError, Ran
 
 BEARER_PREFIX = "Bearer "
@@ -25,14 +24,6 @@
     ran = Ran.NO
 
 
-def digest_key(salt: str, secret: str) -> str:
-    """Returns the salted digest under which a key is kept.
-
-    Keys are long and random, so that one round of a fast hash is enough.
-    """
-    return hashlib.sha256(f"{salt}:{secret}".encode()).hexdigest()
-
-
 class Authenticator:
     """Checks keys of the form ``<key id>.<secret>`` against the configuration.
 
