--- /dev/null
+++ b/src/pomeloshift/sidecar/_answer_assembler.py
@@ -0,0 +1,91 @@
+"""Builds a whole answer out of the engine's stream of events."""
+
+from typing import Any
+
+import msgspec
+
+EVENT_PREFIX = b"data:"
+END_OF_STREAM = b"[DONE]"
+JOINED_FIELDS = ("content", "reasoning_content", "refusal", "text")
+
+
+class AnswerAssembler:
+    """Joins OpenAI stream events into the answer to a call without streaming.
+
+        assembler = AnswerAssembler()
+        assembler.feed(b'data: {"choices": [...]}')
+        assembler.answer()
+
+    Fields that this class does not know are taken from the latest event that has
+    them, so that an engine's own additions reach the caller.
+    """
+
+    def __init__(self) -> None:
+        self._top: dict[str, Any] = {}
+        self._choices: dict[int, dict[str, Any]] = {}
+        self._is_chat = False
+        self.ended = False
+
+    def feed(self, payload: bytes) -> None:
+        """Takes whole events as the engine sent them."""
+        for line in payload.splitlines():
+            if line.startswith(EVENT_PREFIX):
+                self._take_event(line[len(EVENT_PREFIX) :].strip())
+
+    def answer(self) -> bytes:
+        """Returns the joined answer as JSON."""
+        choices = [self._choices[index] for index in sorted(self._choices)]
+        kind = "chat.completion" if self._is_chat else "text_completion"
+        return msgspec.json.encode({**self._top, "object": kind, "choices": choices})
+
+    def _take_event(self, data: bytes) -> None:
+        if data == END_OF_STREAM:
+            self.ended = True
+            return
+        event = msgspec.json.decode(data)
+        for choice in event.pop("choices", ()):
+            self._take_choice(choice)
+        event.pop("object", None)
+        self._top.update({k: v for k, v in event.items() if v is not None})
+
+    def _take_choice(self, choice: dict[str, Any]) -> None:
+        joined = self._choices.setdefault(choice["index"], {"index": choice["index"]})
+        delta = choice.pop("delta", None)
+        if delta is not None:
+            self._is_chat = True
+            message = joined.setdefault("message", {"role": "assistant"})
+            _merge(message, delta)
+        _merge(joined, choice)
+
+
+def _merge(target: dict[str, Any], part: dict[str, Any]) -> None:
+    for name, value in part.items():
+        if value is None:
+            target.setdefault(name, None)
+        elif name in JOINED_FIELDS:
+            target[name] = (target.get(name) or "") + value
+        elif name == "tool_calls":
+            _merge_tool_calls(target, value)
+        else:
+            target[name] = value
+
+
+def _merge_tool_calls(target: dict[str, Any], parts: list[dict[str, Any]]) -> None:
+    calls = target.setdefault("tool_calls", [])
+    for part in parts:
+        position = part.get("index", 0)
+        while len(calls) <= position:
+            calls.append({"function": {"name": "", "arguments": ""}})
+        call = calls[position]
+        function = part.get("function") or {}
+        call["function"]["name"] += function.get("name") or ""
+        call["function"]["arguments"] += function.get("arguments") or ""
+        call.update({k: v for k, v in part.items() if k not in ("function", "index")})
+
+
+def request_stream(body: bytes) -> bytes:
+    """Returns a request body that asks the engine to stream and to count tokens."""
+    request = msgspec.json.decode(body)
+    request["stream"] = True
+    request["stream_options"] = {"include_usage": True}
+    return msgspec.json.encode(request)
--- /dev/null
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -0,0 +1,217 @@
+"""Carries admission's effects to one engine and the engine's tokens back."""
+
+from typing import Any, Protocol
+
+import attrs
+from loguru import logger
+from twisted.internet.defer import Deferred
+
+from ..admission import (
+    Admission,
+    AdmissionEffect,
+    AdmissionEvent,
+    BatchWanted,
+    ReleaseStream,
+    ResumeStream,
+    ShedStream,
+    StartStream,
+    StreamEnded,
+    TakeBackStream,
+    Tick,
+    TokensArrived,
+)
+from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
+from ..model import LoadReport
+from ..net import Clock
+from ._engine_client import EngineClient
+from ._work import Work
+
+
+class BatchSource(Protocol):
+    """Where a lane asks for batch work."""
+
+    def want(self, lane: "EngineLane", tokens: int, items: int) -> None:
+        """Notes that the lane has room for batch work."""
+
+
+@attrs.define
+class _Run:
+    work: Work
+    resume: bytes = b""
+    engine_knows_it: bool = False
+    cancelling: bool = False
+    taken_back: bool = False
+    resume_wanted: bool = False
+    withdrawn: bool = False
+
+
+class EngineLane:
+    """The streams of one engine.
+
+    Every stream that the engine runs was started by this object on admission's
+    word, and every token of a stream is told to admission.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        engine: EngineClient,
+        admission: Admission,
+        batch: BatchSource,
+        clock: Clock,
+    ) -> None:
+        self.name = name
+        self._engine = engine
+        self._admission = admission
+        self._batch = batch
+        self._clock = clock
+        self._runs: dict[str, _Run] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no stream is known."""
+        return not self._runs
+
+    def load(self) -> LoadReport:
+        """Returns the lane's load."""
+        return self._admission.load(self._clock.monotonic())
+
+    def offer(self, work: Work, resume: bytes = b"") -> None:
+        """Takes new work; admission decides when it runs."""
+        self._runs[work.stream_id] = _Run(work, resume)
+        self._tell(work.offer(self._clock.monotonic()))
+
+    def withdraw(self, stream_id: str) -> None:
+        """Stops a stream whose result nobody wants any more."""
+        run = self._runs.pop(stream_id, None)
+        if run is None:
+            return
+        run.withdrawn = True
+        if run.engine_knows_it:
+            self._spawn(self._cancel(run))
+        self._tell(StreamEnded(stream_id))
+
+    def tick(self) -> None:
+        """Tells admission that time passed."""
+        self._tell(Tick())
+
+    def release_batch(self) -> list[str]:
+        """Gives all batch work back and returns the stream ids."""
+        batch = [
+            run
+            for run in self._runs.values()
+            if run.work.stream_id.startswith("item-")
+        ]
+        for run in batch:
+            self._spawn(self._release(run))
+        return [run.work.stream_id for run in batch]
+
+    def _tell(self, event: AdmissionEvent) -> None:
+        for effect in self._admission.handle(event, self._clock.monotonic()):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: AdmissionEffect) -> None:
+        if isinstance(effect, BatchWanted):
+            self._batch.want(self, effect.tokens, effect.items)
+            return
+        run = self._runs.get(effect.stream_id)
+        if run is None:
+            return
+        match effect:
+            case StartStream():
+                self._spawn(self._run(run))
+            case ResumeStream():
+                self._resume(run)
+            case TakeBackStream():
+                self._spawn(self._take_back(run))
+            case ReleaseStream():
+                self._spawn(self._release(run))
+            case ShedStream():
+                del self._runs[run.work.stream_id]
+                run.work.fail(effect.error)
+
+    async def _run(self, run: _Run) -> None:
+        stream_id = run.work.stream_id
+        run.engine_knows_it = True
+        run.taken_back = False
+
+        def on_chunk(payload: bytes, tokens: int) -> None:
+            if run.withdrawn:
+                return
+            run.work.take(payload, tokens)
+            if tokens:
+                self._tell(TokensArrived(stream_id, tokens))
+
+        try:
+            end = await self._engine.run(
+                stream_id, run.work.path, run.work.body, on_chunk, run.resume
+            )
+        except PomeloshiftError as exc:
+            run.engine_knows_it = False
+            if not self._was_stopped(run):
+                self._end(run)
+                run.work.fail(exc.report())
+            return
+        run.engine_knows_it = False
+        if self._was_stopped(run):
+            return
+        self._end(run)
+        if end.whole:
+            run.work.finish(end.status, end.content_type)
+        else:
+            run.work.fail(_cut_error())
+
+    def _was_stopped(self, run: _Run) -> bool:
+        return run.withdrawn or run.taken_back
+
+    def _end(self, run: _Run) -> None:
+        self._runs.pop(run.work.stream_id, None)
+        self._tell(StreamEnded(run.work.stream_id))
+
+    async def _take_back(self, run: _Run) -> None:
+        run.taken_back = True
+        run.cancelling = True
+        run.resume = await self._cancel(run) or run.resume
+        run.cancelling = False
+        if run.resume_wanted and not run.withdrawn:
+            run.resume_wanted = False
+            self._spawn(self._run(run))
+
+    def _resume(self, run: _Run) -> None:
+        if run.cancelling:
+            run.resume_wanted = True
+        else:
+            self._spawn(self._run(run))
+
+    async def _release(self, run: _Run) -> None:
+        self._runs.pop(run.work.stream_id, None)
+        run.withdrawn = True
+        resume = run.resume
+        if run.engine_knows_it:
+            resume = await self._cancel(run) or resume
+        self._tell(StreamEnded(run.work.stream_id))
+        run.work.release(resume)
+
+    async def _cancel(self, run: _Run) -> bytes:
+        try:
+            return await self._engine.cancel(run.work.stream_id)
+        except PomeloshiftError as exc:
+            logger.warning(
+                "event=cancel_failed stream={} code={}",
+                run.work.stream_id,
+                exc.code.value,
+            )
+            return b""
+
+    def _spawn(self, coroutine: Any) -> None:
+        Deferred.fromCoroutine(coroutine).addErrback(_log_failure)
+
+
+def _log_failure(failure: Any) -> None:
+    logger.error("event=lane_failure error={!r}", failure.value)
+
+
+def _cut_error() -> ErrorReport:
+    return ErrorReport(
+        ErrorCode.BACKEND_SERVER_LOST, "the engine's answer was cut", Ran.YES
+    )
--- /dev/null
+++ b/src/pomeloshift/sidecar/_online_work.py
@@ -0,0 +1,75 @@
+"""An attempt of an online request as work for an engine."""
+
+from collections.abc import Callable
+
+from ..admission import StreamOffered
+from ..attempts import AttemptRegistry
+from ..errors import ErrorCode, ErrorReport, Ran
+from ..wire import AttemptRequest, Frame
+from ._answer_assembler import AnswerAssembler, request_stream
+
+STREAM_CONTENT_TYPE = "text/event-stream"
+JSON_CONTENT_TYPE = "application/json"
+STATUS_OK = 200
+
+
+class OnlineWork:
+    """Turns the engine's events into numbered frames of the attempt.
+
+    The engine is always asked to stream, because admission measures tokens; an
+    attempt without streaming gets one frame with the joined answer.
+    """
+
+    def __init__(
+        self,
+        req: AttemptRequest,
+        registry: AttemptRegistry,
+        publish: Callable[[Frame], None],
+    ) -> None:
+        self._req = req
+        self._registry = registry
+        self._publish = publish
+        self._assembler = None if req.stream else AnswerAssembler()
+        self.stream_id = req.attempt_id
+        self.path = req.path
+        self.body = req.body if req.stream else request_stream(req.body)
+
+    def offer(self, now: float) -> StreamOffered:
+        """Returns the event that offers this attempt to admission."""
+        return StreamOffered(
+            self.stream_id,
+            self._req.priority,
+            self._req.prompt_tokens,
+            self._req.max_tokens,
+            now + self._req.deadline_s,
+            self._req.workspace,
+        )
+
+    def take(self, payload: bytes, tokens: int) -> None:
+        """Publishes the events as a frame, or keeps them for the joined answer."""
+        if self._assembler is not None:
+            self._assembler.feed(payload)
+            return
+        self._append(payload, tokens, STREAM_CONTENT_TYPE)
+
+    def finish(self, status: int, content_type: str) -> None:
+        """Publishes what is left and the last frame."""
+        if self._assembler is not None and status == STATUS_OK:
+            self._append(self._assembler.answer(), 0, JSON_CONTENT_TYPE)
+        self._publish(self._registry.finish(self.stream_id))
+
+    def fail(self, error: ErrorReport) -> None:
+        """Publishes the error as the last frame."""
+        self._publish(self._registry.fail(self.stream_id, error))
+
+    def release(self, resume: bytes) -> None:
+        """Ends the attempt, because an online attempt is never given back."""
+        self.fail(
+            ErrorReport(ErrorCode.DRAINING, "the attempt was stopped", Ran.YES, 1.0)
+        )
+
+    def _append(self, payload: bytes, tokens: int, content_type: str) -> None:
+        frame = self._registry.append(
+            self.stream_id, payload, tokens, STATUS_OK, content_type
+        )
+        self._publish(frame)
