Add incarnation, alone and fingerprint to attempts, first-token time to routes

Additive change of two shared messages. Cause: a restarted sidecar has an empty registry and must not answer 'not run' for what its earlier incarnation ran; suspects have to run one at a time at a sidecar that several entries use; the router needs the first-token target to judge when the local fleet is too slow. All fields have defaults, so that present senders stay valid.

--- a/src/pomeloshift/routing/_messages.py
+++ b/src/pomeloshift/routing/_messages.py
@@ -12,6 +12,8 @@
     ``prefix`` is a digest of the prompt's beginning, empty if there is none.
     ``excluded`` names backend servers that this request must not go to.
     ``body_bytes`` estimates what the request and its answer put on the link.
+    ``first_token_s`` is the longest acceptable wait for the first token in seconds;
+    0 leaves only the deadline.
     """
 
     service: str
@@ -23,6 +25,7 @@
     body_bytes: int = 0
     excluded: frozenset[str] = frozenset()
     alone: bool = False
+    first_token_s: float = 0.0
 
 
 @attrs.frozen
--- a/src/pomeloshift/wire/_attempt.py
+++ b/src/pomeloshift/wire/_attempt.py
@@ -14,6 +14,11 @@
     when the message was sent. ``path`` is the engine's path and ``body`` its body.
     With ``join_only`` the sidecar never starts the attempt; it answers
     ``attempt_unknown`` with ``ran: no`` and refuses that id from then on.
+
+    ``incarnation`` is the sidecar's when the attempt was first sent, 0 if that is
+    not known: a later incarnation cannot tell what an earlier one ran. Of attempts
+    with ``alone``, which may crash their backend server, a sidecar runs one at a
+    time. ``fingerprint`` identifies equal requests, however often they are sent.
     """
 
     attempt_id: str
@@ -34,3 +39,6 @@
     content_type: str = "application/json"
     headers: dict[str, str] = attrs.field(factory=dict)
     config_version: int = 0
+    incarnation: int = 0
+    alone: bool = False
+    fingerprint: str = ""
