--- /dev/null
+++ b/src/pomeloshift/attempts/_registry_config.py
@@ -0,0 +1,20 @@
+"""The limits of a sidecar's attempt registry."""
+
+import attrs
+from attrs import validators as v
+
+
+@attrs.frozen
+class RegistryConfig:
+    """Bounds on what a registry remembers.
+
+    An ended attempt can be joined for ``keep_s`` seconds. After that only its id is
+    kept, for ``id_s`` seconds, so that a late copy of the order is not run.
+    """
+
+    keep_s: float = attrs.field(default=30.0, validator=v.gt(0))
+    id_s: float = attrs.field(default=600.0, validator=v.gt(0))
+    max_running: int = attrs.field(default=4096, validator=v.ge(1))
+    max_ids: int = attrs.field(default=100_000, validator=v.ge(1))
+    max_ended_bytes: int = attrs.field(default=8 * 1024 * 1024, validator=v.ge(0))
+    max_attempt_bytes: int = attrs.field(default=4 * 1024 * 1024, validator=v.ge(1))
