--- /dev/null
+++ b/src/pomeloshift/standins/log/_settings.py
@@ -0,0 +1,20 @@
+"""Settings of the log stand-in."""
+
+import attrs
+from attrs import validators as v
+
+
+@attrs.frozen
+class LogSettings:
+    """Limits of the log service.
+
+    ``appends_per_s`` is the ceiling over all streams, ``burst`` the number of
+    appends that may come at once, ``retention_s`` the age in seconds at which a
+    record expires, and ``max_records`` the number of records kept for each stream.
+    """
+
+    appends_per_s: float = attrs.field(default=300.0, validator=v.gt(0))
+    burst: float = attrs.field(default=60.0, validator=v.ge(1))
+    retention_s: float = attrs.field(default=86400.0, validator=v.gt(0))
+    max_records: int = attrs.field(default=10_000_000, validator=v.ge(1))
+    max_page_bytes: int = attrs.field(default=4_194_304, validator=v.ge(1))
