Add the configuration service of entries

Cause: an accepted configuration has to be in force everywhere within seconds, survive expiry and outages of the log, and never revert. Change: ConfigService follows the stream (one reader a region polls every 0.5 s, the others every 2 s beside pushes and pulls), publishes with a base version, settles lost answers by reading, repeats the version in force before it expires, restores a version that the log lost, and asks peers during an outage. Conclusion: ready to be wired into the entry.

--- /dev/null
+++ b/src/pomeloshift/entry/config/__init__.py
@@ -0,0 +1,12 @@
+"""Follows, publishes and spreads the configuration in an entry."""
+
+from ._errors import ConfigNotReadyError, ConfigOutcomeUnknownError
+from ._service import ConfigService
+from ._timing import ConfigTiming
+
+__all__ = [
+    "ConfigNotReadyError",
+    "ConfigOutcomeUnknownError",
+    "ConfigService",
+    "ConfigTiming",
+]
--- /dev/null
+++ b/src/pomeloshift/entry/config/_service.py
@@ -0,0 +1,259 @@
+"""The configuration service of an entry."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from random import Random
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred, ensureDeferred
+
+from ...config import (
+    ConfigHolder,
+    ConfigPublished,
+    ConfigState,
+    Configuration,
+    decode_configuration,
+    encode_configuration,
+)
+from ...errors import PomeloshiftError
+from ...log import LogStore
+from ...model import Instance, InstanceRole, InstanceState
+from ...net import Clock
+from ...wire import ConfigDocument
+from ._keeper import Keeper
+from ._publisher import Publisher
+from ._reader import choose_reader
+from ._stream import ConfigStream
+from ._timing import ConfigTiming
+
+Pull = Callable[[str], Awaitable[ConfigDocument]]
+
+
+class ConfigService:
+    """Follows the configuration stream, applies what is newer and publishes.
+
+        service = ConfigService(name, log, clock, reactor, rng, region, entries)
+        service.on_change(apply)
+        service.start()
+        version = await service.publish(cfg, base_version=service.version, author="a")
+
+    ``entries`` returns the entries of the live list. One live entry of each region
+    reads the stream often; the others learn of changes from pushes (`offer`) and
+    from versions named in exchanges (`observe_version`), which they fetch with
+    ``pull``, and read the stream themselves now and then.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        log: LogStore,
+        clock: Clock,
+        reactor: Any,
+        rng: Random,
+        region: str,
+        entries: Callable[[], Sequence[Instance]],
+        *,
+        pull: Pull | None = None,
+        timing: ConfigTiming | None = None,
+    ) -> None:
+        timing = timing or ConfigTiming()
+        self._name = name
+        self._clock = clock
+        self._reactor = reactor
+        self._rng = rng
+        self._region = region
+        self._entries = entries
+        self._pull = pull
+        self._timing = timing
+        self._holder = ConfigHolder()
+        self._stream = ConfigStream(log)
+        self._keeper = Keeper(name, self._stream, self._holder, rng, timing)
+        self._publisher = Publisher(
+            self._stream, clock, self._sleep, timing.publish_limit_s
+        )
+        self._callbacks: list[Callable[[Configuration, int], None]] = []
+        self._poll_call: Any = None
+        self._running = False
+        self._pulling = False
+        self._backoff_s = 0.0
+
+    @property
+    def current(self) -> Configuration | None:
+        """The configuration in force here, or `None` before there is one."""
+        return self._holder.current
+
+    @property
+    def version(self) -> int:
+        """The version in force here; 0 before there is one."""
+        return self._holder.version
+
+    @property
+    def state(self) -> ConfigState:
+        """The fold of the stream, with history and outcomes."""
+        return self._stream.state
+
+    def document(self) -> ConfigDocument:
+        """Returns the configuration in force in the form sent to peers."""
+        return ConfigDocument(self._holder.version, self._holder.document)
+
+    def on_change(self, callback: Callable[[Configuration, int], None]) -> None:
+        """Calls ``callback`` with each configuration applied from now on."""
+        self._callbacks.append(callback)
+
+    def offer(self, document: ConfigDocument) -> bool:
+        """Applies a peer's configuration if it is newer; tells whether it was."""
+        try:
+            changed = self._holder.offer(document.version, document.document)
+        except PomeloshiftError as exc:
+            logger.error("event=config_unreadable version={}", document.version)
+            logger.debug("event=config_unreadable cause={!r}", exc.message)
+            return False
+        if changed:
+            self._announce()
+        return changed
+
+    def observe_version(self, peer: str, version: int) -> None:
+        """Notes the version that a peer named and fetches it if it is newer."""
+        if self._holder.observe(peer, version):
+            self._fetch_newer()
+
+    def start(self) -> None:
+        """Begins to follow the stream."""
+        self._running = True
+        self._schedule(0.0)
+
+    def stop(self) -> None:
+        """Ceases to follow the stream."""
+        self._running = False
+        if self._poll_call is not None and self._poll_call.active():
+            self._poll_call.cancel()
+
+    async def publish(
+        self,
+        cfg: Configuration | bytes,
+        base_version: int,
+        author: str,
+        note: str = "",
+    ) -> int:
+        """Publishes a configuration and returns its version.
+
+        Raises `ConfigDocumentError` for bytes that are not a configuration,
+        `ConfigConflictError` if ``base_version`` is not in force any more, and
+        `ConfigOutcomeUnknownError` if the log did not confirm in time.
+        """
+        document = cfg if isinstance(cfg, bytes) else encode_configuration(cfg)
+        decode_configuration(document)
+        record_id = f"{self._name}-{self._rng.getrandbits(64):016x}"
+        now = self._clock.wall()
+        body = ConfigPublished(base_version, document, author, note, now)
+        try:
+            version = await self._publisher.publish(body, record_id)
+        finally:
+            self._apply_state()
+        logger.info("event=config_published version={} author={}", version, author)
+        return version
+
+    async def refresh(self) -> None:
+        """Reads the stream to its end and applies what is newer."""
+        await self._stream.catch_up()
+        self._apply_state()
+
+    def _apply_state(self) -> None:
+        entry = self._stream.state.current
+        if entry is not None:
+            self.offer(ConfigDocument(entry.version, entry.document))
+
+    def _announce(self) -> None:
+        cfg = self._holder.current
+        if cfg is None:
+            return
+        logger.info("event=config_applied version={}", self._holder.version)
+        for callback in list(self._callbacks):
+            callback(cfg, self._holder.version)
+
+    def _schedule(self, delay_s: float) -> None:
+        if self._running:
+            self._poll_call = self._reactor.callLater(delay_s, self._start_poll)
+
+    def _start_poll(self) -> None:
+        ensureDeferred(self._poll())
+
+    async def _poll(self) -> None:
+        try:
+            await self.refresh()
+            self._backoff_s = 0.0
+            if self._is_keeper():
+                await self._keeper.keep(self._clock.monotonic())
+        except PomeloshiftError as exc:
+            logger.warning("event=config_poll_failed code={}", exc.code.value)
+            self._backoff_s = min(
+                max(2 * self._backoff_s, self._timing.poll_s),
+                self._timing.max_backoff_s,
+            )
+            await self._ask_any_peer()
+        except Exception:
+            logger.exception("event=config_poll_failed")
+        finally:
+            self._schedule(self._next_delay())
+
+    def _next_delay(self) -> float:
+        interval = self._timing.poll_s
+        if self.version and not self._is_reader():
+            interval = self._timing.follower_poll_s
+        interval = max(interval, self._backoff_s)
+        return interval * (0.75 + 0.5 * self._rng.random())
+
+    def _is_reader(self) -> bool:
+        names = self._live_names(self._region)
+        return choose_reader(f"config/{self._region}", names) in (None, self._name)
+
+    def _is_keeper(self) -> bool:
+        names = self._live_names(None)
+        return choose_reader("config-checkpoint", names) in (None, self._name)
+
+    def _live_names(self, region: str | None) -> list[str]:
+        return [
+            entry.name
+            for entry in self._entries()
+            if entry.role is InstanceRole.ENTRY
+            and entry.state is InstanceState.LIVE
+            and region in (None, entry.place.region)
+        ]
+
+    def _fetch_newer(self) -> None:
+        if not self._pulling:
+            self._pulling = True
+            ensureDeferred(self._pull_newer())
+
+    async def _pull_newer(self) -> None:
+        try:
+            while (peer := self._holder.next_pull()) is not None:
+                await self._pull_from(peer)
+        finally:
+            self._pulling = False
+
+    async def _ask_any_peer(self) -> None:
+        """Takes the configuration from a peer if this process has none yet."""
+        peers = [name for name in self._live_names(None) if name != self._name]
+        if self.version == 0 and self._pull is not None and peers:
+            await self._pull_from(self._rng.choice(peers))
+
+    async def _pull_from(self, peer: str) -> None:
+        try:
+            if self._pull is None:
+                await self.refresh()
+            else:
+                self.offer(await self._pull(peer))
+        except PomeloshiftError as exc:
+            logger.info(
+                "event=config_pull_failed peer={} code={}", peer, exc.code.value
+            )
+        except Exception:
+            logger.exception("event=config_pull_failed peer={}", peer)
+        finally:
+            self._holder.forget(peer)
+
+    async def _sleep(self, seconds: float) -> None:
+        fired: Deferred[None] = Deferred()
+        self._reactor.callLater(seconds, fired.callback, None)
+        await fired
--- /dev/null
+++ b/tests/test_config_service.py
@@ -0,0 +1,248 @@
+from random import Random
+
+import attrs
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from pomeloshift.config import (
+    CONFIG_STREAM,
+    ConfigConflictError,
+    ConfigDocumentError,
+    Configuration,
+)
+from pomeloshift.entry.config import (
+    ConfigNotReadyError,
+    ConfigOutcomeUnknownError,
+    ConfigService,
+    ConfigTiming,
+)
+from pomeloshift.log import LogUnavailableError
+from pomeloshift.model import Instance, InstanceRole, Place
+from pomeloshift.standins.log import LogFaults, LogModel, LogSettings, MemoryLog
+
+FIRST = Configuration("vezi")
+SECOND = Configuration("vezi", result_retention_s=60.0)
+TIMING = ConfigTiming(checkpoint_s=100.0, restore_s=20.0)
+
+
+class VirtualClock:
+    def __init__(self, reactor):
+        self.monotonic = reactor.seconds
+        self.wall = reactor.seconds
+
+
+@attrs.define
+class Fleet:
+    """Several entries with one log, in virtual time."""
+
+    reactor: Clock
+    model: LogModel
+    log: MemoryLog
+    entries: list = attrs.field(factory=list)
+    services: dict = attrs.field(factory=dict)
+
+    def add(self, name, *, pull=True, region="gorenjska"):
+        place = Place(region, f"{region}-a")
+        self.entries.append(Instance(name, InstanceRole.ENTRY, place, "h:1"))
+        service = ConfigService(
+            name,
+            self.log,
+            VirtualClock(self.reactor),
+            self.reactor,
+            Random(name),
+            region,
+            lambda: self.entries,
+            pull=self.pull if pull else None,
+            timing=TIMING,
+        )
+        self.services[name] = service
+        service.start()
+        return service
+
+    async def pull(self, peer):
+        return self.services[peer].document()
+
+    def advance(self, seconds):
+        for _ in range(int(seconds * 10)):
+            self.reactor.advance(0.1)
+
+    def result(self, coroutine, seconds=30.0):
+        deferred = ensureDeferred(coroutine)
+        outcome = []
+        deferred.addBoth(outcome.append)
+        self.advance(seconds)
+        if hasattr(outcome[0], "raiseException"):
+            outcome[0].raiseException()
+        return outcome[0]
+
+
+@pytest.fixture
+def fleet():
+    reactor = Clock()
+    model = LogModel(LogSettings(retention_s=10_000.0), Random(1))
+    return Fleet(reactor, model, MemoryLog(model, reactor.seconds))
+
+
+def test_publication_reaches_every_entry_within_seconds(fleet):
+    services = [fleet.add(f"e{n}", region="gorenjska") for n in range(4)]
+    seen = []
+    services[3].on_change(lambda cfg, version: seen.append((cfg, version)))
+    assert fleet.result(services[0].publish(FIRST, 0, "ana"), 3.0) == 1
+    assert [s.version for s in services] == [1] * 4
+    assert seen == [(FIRST, 1)]
+
+
+def test_racing_publications_have_one_winner(fleet):
+    one, two = fleet.add("e1"), fleet.add("e2")
+    fleet.result(one.publish(FIRST, 0, "ana"))
+    outcomes = []
+    for service, author in ((one, "ana"), (two, "bor")):
+        deferred = ensureDeferred(service.publish(SECOND, 1, author))
+        deferred.addBoth(outcomes.append)
+    fleet.advance(5.0)
+    assert outcomes[0] == 2
+    assert outcomes[1].check(ConfigConflictError)
+    assert outcomes[1].value.current_version == 2
+    assert one.version == two.version == 2
+
+
+def test_racing_appends_on_one_base_have_one_winner(fleet):
+    one, two = fleet.add("e1"), fleet.add("e2")
+    log = fleet.log
+    raced = []
+
+    class RacingLog:
+        read = log.read
+
+        async def append(self, stream, payloads):
+            if not raced:
+                raced.append(await two.publish(SECOND, 0, "bor"))
+            return await log.append(stream, payloads)
+
+    one._stream._log = RacingLog()
+    with pytest.raises(ConfigConflictError):
+        fleet.result(one.publish(FIRST, 0, "ana"))
+    assert raced == [1]
+    assert one.current == two.current == SECOND
+
+
+def test_lost_answer_is_settled_by_reading(fleet):
+    service = fleet.add("e1")
+    fleet.model.faults = LogFaults(lost_answers=1)
+    assert fleet.result(service.publish(FIRST, 0, "ana")) == 1
+    assert fleet.model.lost_answers == 1
+    assert fleet.model.read(CONFIG_STREAM, 0, 9, 0.0).next_offset == 1
+
+
+def test_lost_answer_with_the_log_down_afterwards_is_unknown(fleet):
+    service = fleet.add("e1")
+    log = fleet.log
+
+    class DyingLog:
+        read = log.read
+
+        async def append(self, stream, payloads):
+            fleet.model.faults = LogFaults(lost_answers=1)
+            try:
+                return await log.append(stream, payloads)
+            finally:
+                fleet.model.faults = LogFaults(is_down=True)
+
+    service._stream._log = DyingLog()
+    with pytest.raises(ConfigOutcomeUnknownError) as caught:
+        fleet.result(service.publish(FIRST, 0, "ana"))
+    assert caught.value.ran.value == "unknown"
+    fleet.model.faults = LogFaults()
+    fleet.advance(10.0)
+    assert service.version == 1
+    assert service.state.outcome_of(caught.value.record_id) == 1
+
+
+def test_log_that_is_down_appends_nothing(fleet):
+    service = fleet.add("e1")
+    fleet.model.faults = LogFaults(is_down=True)
+    with pytest.raises(LogUnavailableError):
+        fleet.result(service.publish(FIRST, 0, "ana"))
+    assert fleet.model.appends == 0
+
+
+def test_unreadable_document_is_never_published(fleet):
+    service = fleet.add("e1")
+    with pytest.raises(ConfigDocumentError):
+        fleet.result(service.publish(b"\xc1", 0, "ana"))
+    assert fleet.model.appends == 0
+
+
+def test_new_entry_takes_the_configuration_from_a_peer_during_an_outage(fleet):
+    first = fleet.add("e1")
+    fleet.result(first.publish(FIRST, 0, "ana"))
+    fleet.model.faults = LogFaults(is_down=True)
+    late = fleet.add("e2")
+    fleet.advance(3.0)
+    assert late.version == 1
+    assert late.current == FIRST
+
+
+def test_version_named_by_a_peer_is_pulled(fleet):
+    ahead, behind = fleet.add("e1"), fleet.add("e2")
+    behind.stop()
+    fleet.result(ahead.publish(FIRST, 0, "ana"))
+    assert behind.version == 0
+    behind.observe_version("e1", 1)
+    fleet.advance(0.1)
+    assert behind.version == 1
+
+
+def test_version_named_by_a_peer_is_read_from_the_log_without_a_pull(fleet):
+    ahead, behind = fleet.add("e1"), fleet.add("e2", pull=False)
+    behind.stop()
+    fleet.result(ahead.publish(FIRST, 0, "ana"))
+    behind.observe_version("gone", 1)
+    fleet.advance(0.1)
+    assert behind.version == 1
+
+
+def test_checkpoint_keeps_the_version_past_the_expiry_of_its_record(fleet):
+    service = fleet.add("e1")
+    fleet.result(service.publish(FIRST, 0, "ana"))
+    fleet.advance(150.0)
+    fleet.model.expire_before(CONFIG_STREAM, 1)
+    late = fleet.add("e2", pull=False)
+    fleet.advance(5.0)
+    assert late.version == 1
+    assert late.state.complete
+    assert fleet.result(late.publish(SECOND, 1, "bor")) > 1
+
+
+def test_only_one_entry_writes_checkpoints(fleet):
+    services = [fleet.add(f"e{n}") for n in range(3)]
+    fleet.result(services[0].publish(FIRST, 0, "ana"))
+    appended = fleet.model.appends
+    fleet.advance(350.0)
+    assert fleet.model.appends - appended == 3
+
+
+def test_version_that_the_log_lost_is_restored_from_an_instance(fleet):
+    service = fleet.add("e1")
+    fleet.result(service.publish(FIRST, 0, "ana"))
+    service.stop()
+    fleet.model.expire_before(CONFIG_STREAM, 1)
+    survivor = fleet.add("e2")
+    with pytest.raises(ConfigNotReadyError):
+        fleet.result(survivor.publish(SECOND, 1, "bor"), 5.0)
+    survivor.offer(service.document())
+    fleet.entries.pop(0)
+    fleet.advance(40.0)
+    assert survivor.state.complete
+    assert survivor.state.version == 1
+    assert fleet.result(survivor.publish(SECOND, 1, "bor")) > 1
+
+
+def test_older_offer_never_reverts(fleet):
+    service = fleet.add("e1")
+    fleet.result(service.publish(FIRST, 0, "ana"))
+    old = service.document()
+    fleet.result(service.publish(SECOND, 1, "ana"))
+    assert not service.offer(old)
+    assert service.current == SECOND
