--- /dev/null
+++ b/src/pomeloshift/questionnaire/_people.py
@@ -0,0 +1,55 @@
+"""Answers about callers, their workspaces, and operators."""
+
+import attrs
+from attrs import validators as v
+
+from ..settings import setting
+from ._choices import Importance, Role
+
+
+@attrs.frozen
+class KeyAnswers:
+    """A key by its salted digest; `pomeloshift questionnaire key` makes one."""
+
+    key_id: str = setting(
+        "Which id does the key begin with? Letters, digits, - and _ only.",
+        validator=v.matches_re(r"[A-Za-z0-9_-]+"),
+    )
+    salt: str = setting("What is its salt?", validator=v.min_len(8))
+    digest: str = setting(
+        "What is its salted SHA-256 digest, in 64 hexadecimal digits?",
+        validator=v.matches_re(r"[0-9a-f]{64}"),
+    )
+
+
+@attrs.frozen
+class WorkspaceAnswers:
+    """A team that shares limits and keys."""
+
+    name: str = setting("What is this workspace called?", validator=v.min_len(1))
+    applications: tuple[str, ...] = setting(
+        "Which applications does it use? Name at least one.", validator=v.min_len(1)
+    )
+    callers: str = setting("Who calls from it?", default="")
+    busiest_minute_requests: float = setting(
+        "How many requests does it send in its busiest minute? Above 0.",
+        default=600.0,
+        validator=v.gt(0),
+    )
+    importance: Importance = setting(
+        "How important is it when there is not room for all: low, normal or high?",
+        default=Importance.NORMAL,
+    )
+    keys: tuple[KeyAnswers, ...] = setting("Which keys may it use?", default=())
+
+
+@attrs.frozen
+class OperatorAnswers:
+    """A person who may look at or change the deployment."""
+
+    name: str = setting("What is this operator called?", validator=v.min_len(1))
+    key: KeyAnswers = setting("Which token does this operator use?")
+    role: Role = setting(
+        "May this operator look (viewer), run (operator) or change all (admin)?",
+        default=Role.VIEWER,
+    )
