Add the router: zone, region, paid link, affinity, power of two choices

Cause: entries have to choose among backend servers on lagging reports. Change: Router with rendezvous subsets, bounded prefix affinity, loads that are trusted less as the report ages, own work since the report, byte budgets for the paid link by class, suspicion with back-off, silent servers as a last resort.

--- /dev/null
+++ b/src/pomeloshift/routing/_link_budget.py
@@ -0,0 +1,32 @@
+"""The bytes that one class of work may send over the paid link."""
+
+import attrs
+
+
+@attrs.define
+class LinkBudget:
+    """A token bucket in bytes."""
+
+    bytes_per_s: float
+    burst_bytes: float
+    _level: float = attrs.field(init=False)
+    _filled_at: float | None = attrs.field(init=False, default=None)
+
+    def __attrs_post_init__(self) -> None:
+        self._level = self.burst_bytes
+
+    def allows(self, size: int, now: float) -> bool:
+        """Tells whether ``size`` bytes may be sent; a large size may take all."""
+        self._fill(now)
+        return self._level >= min(size, self.burst_bytes) and self._level > 0
+
+    def spend(self, size: int, now: float) -> None:
+        """Takes ``size`` bytes, also below zero."""
+        self._fill(now)
+        self._level -= size
+
+    def _fill(self, now: float) -> None:
+        if self._filled_at is not None:
+            gained = max(0.0, now - self._filled_at) * self.bytes_per_s
+            self._level = min(self.burst_bytes, self._level + gained)
+        self._filled_at = now
--- /dev/null
+++ b/src/pomeloshift/routing/_router.py
@@ -0,0 +1,187 @@
+"""The choice of a backend server at one entry."""
+
+from collections.abc import Callable, Iterable
+from random import Random
+
+from ..model import Instance, Place, Priority
+from ..wire import SidecarReport
+from ._backend_server import BackendServer
+from ._config import RouterConfig
+from ._fleet import Fleet
+from ._link_budget import LinkBudget
+from ._messages import Route, RouteQuery
+from ._pick import Pick
+
+
+class Router:
+    """Prefers the entry's zone, then its region, and crosses the paid link last.
+
+    router = Router(RouterConfig(name="entry-1"), place, Random(7))
+    router.observe_report(report, now)
+    route = router.choose(query, now)
+    """
+
+    def __init__(self, cfg: RouterConfig, place: Place, rng: Random) -> None:
+        self._cfg = cfg
+        self._rng = rng
+        self._fleet = Fleet(cfg, place)
+        self._now = 0.0
+        self._budgets = {
+            Priority.ONLINE: _budget(cfg.link_online_bytes_per_s, cfg),
+            Priority.BATCH: _budget(cfg.link_batch_bytes_per_s, cfg),
+        }
+
+    def observe_report(self, report: SidecarReport, now: float) -> None:
+        """Takes a heartbeat of a sidecar."""
+        self._now = max(self._now, now)
+        self._fleet.take_report(report, now)
+
+    def observe_instances(self, instances: Iterable[Instance], now: float) -> None:
+        """Takes the live list, which lags."""
+        self._now = max(self._now, now)
+        self._fleet.take_instances(instances, now)
+
+    def mark_leaving(self, name: str) -> None:
+        """Takes a backend server out until it starts again."""
+        server = self._fleet.get(name)
+        if server is not None:
+            server.leaving = True
+
+    def mark_suspect(self, name: str, now: float) -> None:
+        """Takes a backend server out for a while after a failed connection."""
+        server = self._fleet.get(name)
+        if server is not None:
+            server.suspect(now, self._cfg)
+
+    def clear(self, name: str) -> None:
+        """Ends the suspicion against a backend server that answered."""
+        server = self._fleet.get(name)
+        if server is not None:
+            server.clear()
+            server.heard_at = self._now
+
+    def started(self, name: str, tokens: int) -> None:
+        """Counts work that this entry sent to a backend server."""
+        self._count(name, tokens)
+
+    def finished(self, name: str, tokens: int) -> None:
+        """Counts work that ended there."""
+        self._count(name, -tokens)
+
+    def incarnation(self, name: str) -> int:
+        """Returns the last known incarnation of a sidecar, 0 if none is known."""
+        server = self._fleet.get(name)
+        return 0 if server is None else server.incarnation
+
+    def knows_service(self, service: str) -> bool:
+        """Tells whether any backend server runs the service."""
+        return any(self._fleet.tiers(service))
+
+    def choose(self, query: RouteQuery, now: float) -> Route | None:
+        """Returns where to send a request, or `None` if no server may take it."""
+        self._now = max(self._now, now)
+        zone, region, remote = (
+            self._usable(tier, query) for tier in self._fleet.tiers(query.service)
+        )
+        local = self._choose_local(query, zone, region)
+        if local is not None and self._is_fast_enough(local, query):
+            return Route(local.instance)
+        if local is None:
+            local = self._choose_unheard(query)
+        paid = self._choose_paid(query, remote, local)
+        if paid is not None:
+            return Route(paid.instance, paid=True)
+        local = local or self._choose_lost(query)
+        return None if local is None else Route(local.instance)
+
+    def _choose_local(
+        self,
+        query: RouteQuery,
+        zone: list[BackendServer],
+        region: list[BackendServer],
+    ) -> BackendServer | None:
+        pick = Pick(self._cfg, self._rng, self._now)
+        near = pick.pick(zone, query.prefix)
+        if near is not None and self._load(near) <= self._cfg.spill_load:
+            return near
+        far = pick.pick(region, query.prefix)
+        if near is None or far is None:
+            return near or far
+        return far if self._load(far) < self._load(near) else near
+
+    def _choose_paid(
+        self,
+        query: RouteQuery,
+        remote: list[BackendServer],
+        local: BackendServer | None,
+    ) -> BackendServer | None:
+        budget = self._budgets[query.priority]
+        if not remote or not budget.allows(query.body_bytes, self._now):
+            return None
+        paid = Pick(self._cfg, self._rng, self._now).pick(remote, query.prefix)
+        if paid is None or not _is_better(paid, local, self._cfg):
+            return None
+        budget.spend(query.body_bytes, self._now)
+        return paid
+
+    def _choose_unheard(self, query: RouteQuery) -> BackendServer | None:
+        """Falls back to local servers that have not reported yet."""
+        return self._choose_silent(query, lambda server: server.heard_at is None)
+
+    def _choose_lost(self, query: RouteQuery) -> BackendServer | None:
+        """Falls back to local servers whose reports have stopped."""
+        return self._choose_silent(query, lambda server: server.heard_at is not None)
+
+    def _choose_silent(
+        self, query: RouteQuery, accepts: Callable[[BackendServer], bool]
+    ) -> BackendServer | None:
+        zone, region, _ = self._fleet.tiers(query.service)
+        usable = [
+            server
+            for server in zone + region
+            if self._is_usable(server, query)
+            and self._is_silent(server)
+            and accepts(server)
+        ]
+        return Pick(self._cfg, self._rng, self._now).pick(usable, query.prefix)
+
+    def _usable(
+        self, tier: list[BackendServer], query: RouteQuery
+    ) -> list[BackendServer]:
+        return [
+            server
+            for server in tier
+            if self._is_usable(server, query) and not self._is_silent(server)
+        ]
+
+    def _is_usable(self, server: BackendServer, query: RouteQuery) -> bool:
+        excluded = server.instance.name in query.excluded
+        return not excluded and server.is_usable(self._now)
+
+    def _is_silent(self, server: BackendServer) -> bool:
+        return server.is_silent(self._now, self._cfg.silent_s)
+
+    def _is_fast_enough(self, server: BackendServer, query: RouteQuery) -> bool:
+        wait_s = server.wait_s(self._cfg)
+        if query.priority is Priority.ONLINE and query.first_token_s > 0:
+            return wait_s <= min(query.first_token_s, query.deadline_s)
+        itl_s = server.load.itl_s or self._cfg.default_itl_s
+        return wait_s + query.max_tokens * itl_s <= query.deadline_s
+
+    def _load(self, server: BackendServer) -> float:
+        return server.online_tokens() / server.capacity_tokens(self._cfg)
+
+    def _count(self, name: str, tokens: int) -> None:
+        server = self._fleet.get(name)
+        if server is not None:
+            server.own.add(tokens, self._now)
+
+
+def _budget(bytes_per_s: float, cfg: RouterConfig) -> LinkBudget:
+    return LinkBudget(bytes_per_s, bytes_per_s * cfg.link_burst_s)
+
+
+def _is_better(
+    paid: BackendServer, local: BackendServer | None, cfg: RouterConfig
+) -> bool:
+    return local is None or paid.wait_s(cfg) < local.wait_s(cfg)
