Add group commit, the follower of a stream and checkpoints in parts

Cause: the log takes several hundred appends a second for the whole fleet and may lose its answers. Change: GroupCommitter keeps one append in flight a stream, repeats ambiguous ones with the same record ids and is settled by an answer or a read; StreamFollower takes own appends without a read where nothing lies between; checkpoints come in parts with an end marker and a digest. Conclusion: both cores run on plain calls and can be driven in virtual time.

--- a/src/pomeloshift/log/__init__.py
+++ b/src/pomeloshift/log/__init__.py
@@ -1,6 +1,23 @@
 """Records and streams of the platform's append-only log."""
 
+from ._checkpoint import (
+    Checkpoint,
+    CheckpointAssembler,
+    CheckpointEnd,
+    CheckpointPart,
+    checkpoint_records,
+)
 from ._codec import RecordCodec, RecordError
+from ._commit_limits import CommitLimits
+from ._commit_messages import (
+    CommitEffect,
+    RecordRefused,
+    RecordSettled,
+    RecordUnknown,
+    StartAppend,
+)
+from ._committer import CommitBufferFullError, GroupCommitter
+from ._follower import StreamFollower
 from ._record import Record
 from ._store import (
     AppendOutcomeUnknownError,
@@ -14,6 +31,14 @@
 
 __all__ = [
     "AppendOutcomeUnknownError",
+    "Checkpoint",
+    "CheckpointAssembler",
+    "CheckpointEnd",
+    "CheckpointPart",
+    "CommitBufferFullError",
+    "CommitEffect",
+    "CommitLimits",
+    "GroupCommitter",
     "LogExpiredError",
     "LogPage",
     "LogRateLimitedError",
@@ -22,5 +47,11 @@
     "Record",
     "RecordCodec",
     "RecordError",
+    "RecordRefused",
+    "RecordSettled",
+    "RecordUnknown",
+    "StartAppend",
     "StoredRecord",
+    "StreamFollower",
+    "checkpoint_records",
 ]
