--- a/src/pomeloshift/demo/_relay.py
+++ b/src/pomeloshift/demo/_relay.py
@@ -66,13 +66,16 @@
 
     def write(self, data: bytes) -> None:
         """Sends data that the other side received."""
-        if self.transport is not None and not self._ended:
-            self.transport.write(data)
+        if not self._ended:
+            self._stream().write(data)
 
     def close(self) -> None:
         """Closes this side once what was written has left."""
-        if self.transport is not None and not self._ended:
-            self.transport.loseConnection()
+        if not self._ended:
+            self._stream().loseConnection()
+
+    def _stream(self) -> Any:
+        return self.transport
 
     def _forward(self, data: bytes) -> None:
         assert self.peer is not None
--- a/src/pomeloshift/sidecar/_attempts_resource.py
+++ b/src/pomeloshift/sidecar/_attempts_resource.py
@@ -93,10 +93,10 @@
         self._check_key(req)
         attempt = _decode(req, AttemptRequest)
         refusal = self._refusal()
-        if refusal is not None and not self._registry.knows(attempt.attempt_id):
+        if refusal is not None and not self._knows(attempt):
             return _refuse(req, refusal)
         opened = self._registry.open(attempt, self._clock.monotonic())
-        if opened.kind is OpenedKind.REFUSED:
+        if opened.error is not None:
             return _refuse(req, opened.error)
         if opened.kind is OpenedKind.STARTED:
             self._start(attempt)
@@ -127,6 +127,13 @@
         closed.addBoth(lambda _: done.callback(None))
         return done
 
+    def _knows(self, attempt: AttemptRequest) -> bool:
+        if attempt.join_only:
+            return True
+        return bool(self._registry.is_running(attempt.attempt_id)) or bool(
+            self._registry.frames_from(attempt.attempt_id, 0)
+        )
+
     def _check_key(self, req: Request) -> None:
         sent = req.getHeader(KEY_HEADER) or ""
         if not hmac.compare_digest(sent, self._internal_key):
--- a/src/pomeloshift/sidecar/_batch_puller.py
+++ b/src/pomeloshift/sidecar/_batch_puller.py
@@ -6,12 +6,12 @@
 
 import attrs
 from loguru import logger
-from twisted.internet.defer import Deferred
 
 from ..errors import PomeloshiftError
 from ..model import Instance
 from ..net import Clock
 from ..net._control_client import ControlClient
+from ..net._loops import spawn
 from ..wire import (
     GrantedItem,
     ItemGrants,
@@ -101,10 +101,10 @@
         """Starts a pull or a delivery that is due."""
         now = self._clock.monotonic()
         if self._demands and not self._pulling and now >= self._paused_until:
-            _spawn(self._pull())
+            spawn(self._pull())
         has_news = bool(self._outcomes or self._releases)
         if has_news and not self._sending and now >= self._send_paused_until:
-            _spawn(self._deliver())
+            spawn(self._deliver())
 
     async def _pull(self) -> None:
         self._pulling = True
@@ -225,10 +225,3 @@
         )
         await self._control.ask(entry.control_address, message, ASK_TIMEOUT_S)
         del self._releases[: len(releases)]
-
-
-def _spawn(coroutine: Any) -> None:
-    def log_failure(failure: Any) -> None:
-        logger.error("event=batch_pull_failure error={!r}", failure.value)
-
-    Deferred.fromCoroutine(coroutine).addErrback(log_failure)
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -1,10 +1,9 @@
 """Carries admission's effects to one engine and the engine's tokens back."""
 
-from typing import Any, Protocol
+from typing import Protocol
 
 import attrs
 from loguru import logger
-from twisted.internet.defer import Deferred
 
 from ..admission import (
     Admission,
@@ -20,9 +19,11 @@
     Tick,
     TokensArrived,
 )
+from ..config import ServiceConfig
 from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
 from ..model import LoadReport
 from ..net import Clock
+from ..net._loops import spawn
 from ._engine_client import EngineClient
 from ._work import Work
 
@@ -76,6 +77,18 @@
         """Returns the lane's load."""
         return self._admission.load(self._clock.monotonic())
 
+    async def is_alive(self) -> bool:
+        """Tells whether the engine answers."""
+        return await self._engine.alive()
+
+    async def close(self) -> None:
+        """Closes the connections to the engine."""
+        await self._engine.close()
+
+    def configure(self, service: ServiceConfig) -> None:
+        """Applies the targets and the batch weight of a newer configuration."""
+        self._admission.configure(service)
+
     def offer(self, work: Work, resume: bytes = b"") -> None:
         """Takes new work; admission decides when it runs."""
         self._runs[work.stream_id] = _Run(work, resume)
@@ -88,7 +101,7 @@
             return
         run.withdrawn = True
         if run.engine_knows_it:
-            self._spawn(self._cancel(run))
+            spawn(self._cancel(run))
         self._tell(StreamEnded(stream_id))
 
     def tick(self) -> None:
@@ -98,12 +111,10 @@
     def release_batch(self) -> list[str]:
         """Gives all batch work back and returns the stream ids."""
         batch = [
-            run
-            for run in self._runs.values()
-            if run.work.stream_id.startswith("item-")
+            run for run in self._runs.values() if run.work.stream_id.startswith("item-")
         ]
         for run in batch:
-            self._spawn(self._release(run))
+            spawn(self._release(run))
         return [run.work.stream_id for run in batch]
 
     def _tell(self, event: AdmissionEvent) -> None:
@@ -119,13 +130,13 @@
             return
         match effect:
             case StartStream():
-                self._spawn(self._run(run))
+                spawn(self._run(run))
             case ResumeStream():
                 self._resume(run)
             case TakeBackStream():
-                self._spawn(self._take_back(run))
+                spawn(self._take_back(run))
             case ReleaseStream():
-                self._spawn(self._release(run))
+                spawn(self._release(run))
             case ShedStream():
                 del self._runs[run.work.stream_id]
                 run.work.fail(effect.error)
@@ -175,13 +186,13 @@
         run.cancelling = False
         if run.resume_wanted and not run.withdrawn:
             run.resume_wanted = False
-            self._spawn(self._run(run))
+            spawn(self._run(run))
 
     def _resume(self, run: _Run) -> None:
         if run.cancelling:
             run.resume_wanted = True
         else:
-            self._spawn(self._run(run))
+            spawn(self._run(run))
 
     async def _release(self, run: _Run) -> None:
         self._runs.pop(run.work.stream_id, None)
@@ -203,13 +214,6 @@
             )
             return b""
 
-    def _spawn(self, coroutine: Any) -> None:
-        Deferred.fromCoroutine(coroutine).addErrback(_log_failure)
-
-
-def _log_failure(failure: Any) -> None:
-    logger.error("event=lane_failure error={!r}", failure.value)
-
 
 def _cut_error() -> ErrorReport:
     return ErrorReport(
--- a/src/pomeloshift/sidecar/_online_work.py
+++ b/src/pomeloshift/sidecar/_online_work.py
@@ -1,12 +1,10 @@
 """An attempt of an online request as work for an engine."""
 
-from collections.abc import Callable
-
 from ..admission import StreamOffered
-from ..attempts import AttemptRegistry
 from ..errors import ErrorCode, ErrorReport, Ran
-from ..wire import AttemptRequest, Frame
+from ..wire import AttemptRequest
 from ._answer_assembler import AnswerAssembler, request_stream
+from ._frame_sink import FrameSink
 
 STREAM_CONTENT_TYPE = "text/event-stream"
 JSON_CONTENT_TYPE = "application/json"
@@ -20,15 +18,9 @@
     attempt without streaming gets one frame with the joined answer.
     """
 
-    def __init__(
-        self,
-        req: AttemptRequest,
-        registry: AttemptRegistry,
-        publish: Callable[[Frame], None],
-    ) -> None:
+    def __init__(self, req: AttemptRequest, sink: FrameSink) -> None:
         self._req = req
-        self._registry = registry
-        self._publish = publish
+        self._sink = sink
         self._assembler = None if req.stream else AnswerAssembler()
         self.stream_id = req.attempt_id
         self.path = req.path
@@ -43,6 +35,7 @@
             self._req.max_tokens,
             now + self._req.deadline_s,
             self._req.workspace,
+            self._req.alone,
         )
 
     def take(self, payload: bytes, tokens: int) -> None:
@@ -54,22 +47,18 @@
 
     def finish(self, status: int, content_type: str) -> None:
         """Publishes what is left and the last frame."""
-        if self._assembler is not None and status == STATUS_OK:
+        if self._assembler is not None:
             self._append(self._assembler.answer(), 0, JSON_CONTENT_TYPE)
-        self._publish(self._registry.finish(self.stream_id))
+        self._sink.finish(self.stream_id)
 
     def fail(self, error: ErrorReport) -> None:
         """Publishes the error as the last frame."""
-        self._publish(self._registry.fail(self.stream_id, error))
+        self._sink.fail(self.stream_id, error)
 
     def release(self, resume: bytes) -> None:
         """Ends the attempt, because an online attempt is never given back."""
-        self.fail(
-            ErrorReport(ErrorCode.DRAINING, "the attempt was stopped", Ran.YES, 1.0)
-        )
+        message = "the backend server stopped the attempt"
+        self.fail(ErrorReport(ErrorCode.DRAINING, message, Ran.YES))
 
     def _append(self, payload: bytes, tokens: int, content_type: str) -> None:
-        frame = self._registry.append(
-            self.stream_id, payload, tokens, STATUS_OK, content_type
-        )
-        self._publish(frame)
+        self._sink.append(self.stream_id, payload, tokens, STATUS_OK, content_type)
--- /dev/null
+++ b/src/pomeloshift/sidecar/_plain_lane.py
@@ -0,0 +1,91 @@
+"""Passes calls to a plain service that runs beside the sidecar."""
+
+from typing import Any
+
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, ConnectionRefusedError
+from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
+
+from ..errors import ErrorCode, ErrorReport, Ran
+from ..model import LoadReport
+from ..wire import AttemptRequest
+from ._frame_sink import FrameSink
+
+CONNECT_TIMEOUT_S = 2.0
+NEVER_SENT = (ConnectError, ConnectionRefusedError, RequestNotSent)
+FORWARDED_HEADERS = ("idempotency-key", "accept")
+
+
+class PlainLane:
+    """The calls of one plain service.
+
+    Each call is sent once: the connection pool does not repeat requests, and a call
+    whose answer was lost ends with ``ran: unknown``.
+    """
+
+    def __init__(self, base_url: str, sink: FrameSink, reactor: Any) -> None:
+        self._base_url = base_url.rstrip("/")
+        self._sink = sink
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.retryAutomatically = False
+        agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._http = HTTPClient(agent)
+        self._running: dict[str, Deferred[None]] = {}
+        self._sequence = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no call is running."""
+        return not self._running
+
+    def load(self) -> LoadReport:
+        """Returns the number of running calls as load."""
+        self._sequence += 1
+        running = len(self._running)
+        return LoadReport(
+            online_streams=running, online_tokens=running, sequence=self._sequence
+        )
+
+    def offer(self, req: AttemptRequest) -> None:
+        """Sends the call to the service."""
+        call = Deferred.fromCoroutine(self._call(req))
+        self._running[req.attempt_id] = call
+        call.addErrback(self._fail, req.attempt_id)
+        call.addBoth(lambda _: self._running.pop(req.attempt_id, None))
+
+    def withdraw(self, attempt_id: str) -> None:
+        """Leaves the call alone, because cancelling would not undo it."""
+
+    async def close(self) -> None:
+        """Closes the idle connections."""
+        await self._pool.closeCachedConnections()
+
+    async def _call(self, req: AttemptRequest) -> None:
+        headers: dict[bytes | str, bytes | str] = {
+            name: value
+            for name, value in req.headers.items()
+            if name.lower() in FORWARDED_HEADERS
+        }
+        headers["content-type"] = req.content_type
+        headers["x-request-id"] = req.request_id
+        response = await self._http.request(
+            req.method,
+            self._base_url + req.path,
+            headers=headers,
+            data=req.body or None,
+            timeout=req.deadline_s,
+        )
+        body = await response.content()
+        kinds = response.headers.getRawHeaders("content-type", [""])
+        self._sink.append(req.attempt_id, body, 0, response.code, kinds[0])
+        self._sink.finish(req.attempt_id)
+
+    def _fail(self, failure: Any, attempt_id: str) -> None:
+        never_sent = failure.check(*NEVER_SENT) is not None
+        error = ErrorReport(
+            ErrorCode.BACKEND_SERVER_LOST,
+            f"the service gave no answer: {failure.type.__name__}",
+            Ran.NO if never_sent else Ran.UNKNOWN,
+        )
+        self._sink.fail(attempt_id, error)
--- /dev/null
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -0,0 +1,263 @@
+"""The sidecar process: the only way to a backend server's engines."""
+
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from loguru import logger
+from twisted.internet.task import deferLater
+
+from ..admission import Admission, AdmissionConfig
+from ..attempts import AttemptRegistry
+from ..config import ConfigHolder, ServiceConfig, ServiceKind
+from ..errors import ErrorCode, ErrorReport, Ran
+from ..model import Instance, InstanceRole, LoadReport
+from ..net import Clock
+from ..net._control_client import ControlClient
+from ..net._list_client import LiveListClient
+from ..net._loops import Loops
+from ..net._serve import Listener, serve
+from ..settings import SidecarSettings
+from ..wire import AttemptRequest, ConfigDocument, SidecarReport
+from ._attempts_resource import AttemptsResource, Subscribers
+from ._batch_puller import BatchPuller
+from ._engine_client import EngineClient
+from ._engine_lane import EngineLane
+from ._entry_link import EntryLink
+from ._entry_links import EntryLinks
+from ._frame_sink import FrameSink
+from ._online_work import OnlineWork
+from ._plain_lane import PlainLane
+
+TICK_S = 0.01
+LIST_INTERVAL_S = 0.5
+REGISTRY_EXPIRY_S = 1.0
+ENGINE_CHECK_S = 0.5
+REFUSED_RETRY_AFTER_S = 1.0
+DRAIN_POLL_S = 0.05
+MILLISECONDS_PER_S = 1000
+
+
+class Sidecar:
+    """Runs attempts and batch items on the engines beside it.
+
+    ``list_client`` shows the live list as this instance sees it.
+    """
+
+    def __init__(
+        self,
+        settings: SidecarSettings,
+        list_client: LiveListClient,
+        reactor: Any,
+        clock: Clock,
+        rng: Random,
+    ) -> None:
+        self._settings = settings
+        self._list_client = list_client
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._incarnation = int(clock.wall() * MILLISECONDS_PER_S)
+        self._config = ConfigHolder()
+        self._registry = AttemptRegistry(incarnation=self._incarnation)
+        self._subscribers = Subscribers()
+        self._sink = FrameSink(self._registry, self._subscribers.publish)
+        self._control = ControlClient(settings.internal_key.encode(), reactor)
+        self._links = EntryLinks(settings.place, self._connect_entry)
+        self._draining = False
+        self._engine_alive = True
+        self._sequence = 0
+        self._loops = Loops(reactor)
+        self._lane_of_attempt: dict[str, EngineLane | PlainLane] = {}
+
+    @property
+    def config_version(self) -> int:
+        """The version of the configuration in force here."""
+        return self._config.version
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new work is refused."""
+        return self._draining
+
+    async def start(self) -> None:
+        """Listens, and reports to entries from now on."""
+        resource = AttemptsResource(
+            self._registry,
+            self._subscribers,
+            self._clock,
+            self._settings.internal_key,
+            self._start_attempt,
+            self._stop_attempt,
+            self._refusal,
+        ).resource
+        self.listener: Listener = serve(
+            self._reactor, resource, self._settings.host, self._settings.port
+        )
+        host = self._settings.reachable_host
+        self.instance = Instance(
+            self._settings.name,
+            InstanceRole.BACKEND_SERVER,
+            self._settings.place,
+            f"{host}:{self.listener.port}",
+            service=self._settings.service,
+        )
+        self._puller = BatchPuller(
+            self.instance,
+            self._incarnation,
+            self._control,
+            self._links.entries,
+            self._clock,
+            self._rng,
+        )
+        self._lanes = self._make_lanes()
+        self._loops.repeat(self._tick, TICK_S)
+        self._loops.repeat(self._read_list, LIST_INTERVAL_S)
+        self._loops.repeat(self._links.beat, self._settings.heartbeat_interval_s)
+        self._loops.repeat(self._expire, REGISTRY_EXPIRY_S)
+        self._loops.repeat(self._check_engines, ENGINE_CHECK_S)
+        logger.info(
+            "event=sidecar_started instance={} address={}",
+            self.instance.name,
+            self.instance.address,
+        )
+
+    async def drain(self) -> None:
+        """Refuses new work, gives batch work back and waits for running streams."""
+        if not self._draining:
+            logger.info("event=drain_started instance={}", self.instance.name)
+        self._draining = True
+        self._puller.stop()
+        self._links.beat()
+        for lane in self._lanes:
+            if isinstance(lane, EngineLane):
+                lane.release_batch()
+        give_up_at = self._clock.monotonic() + self._settings.drain_limit_s
+        while not self._is_idle() and self._clock.monotonic() < give_up_at:
+            await deferLater(self._reactor, DRAIN_POLL_S)
+        logger.info("event=drain_ended instance={}", self.instance.name)
+
+    async def stop(self) -> None:
+        """Closes everything; streams that still run are cut off."""
+        self._loops.stop()
+        await self.listener.stop()
+        await self._control.close()
+        for lane in self._lanes:
+            await lane.close()
+
+    def _make_lanes(self) -> Sequence[EngineLane | PlainLane]:
+        engines = self._settings.engines
+        if self._settings.kind is ServiceKind.PLAIN:
+            return [PlainLane(e.url, self._sink, self._reactor) for e in engines]
+        return [
+            EngineLane(
+                engine.name,
+                EngineClient(engine.url, self._reactor),
+                Admission(AdmissionConfig()),
+                self._puller,
+                self._clock,
+            )
+            for engine in engines
+        ]
+
+    def _connect_entry(self, entry: Instance) -> EntryLink:
+        return EntryLink(entry, self._control, self._report, self._offer_config)
+
+    def _report(self) -> SidecarReport:
+        self._sequence += 1
+        return SidecarReport(
+            self.instance,
+            self._incarnation,
+            self._sequence,
+            self._config.version,
+            _sum_loads([lane.load() for lane in self._lanes], self._sequence),
+            draining=self._draining,
+            engine_alive=self._engine_alive,
+            running=self._puller.running_leases,
+        )
+
+    def _offer_config(self, document: ConfigDocument) -> None:
+        if not self._config.offer(document.version, document.document):
+            return
+        logger.info(
+            "event=config_applied instance={} version={}",
+            self.instance.name,
+            document.version,
+        )
+        service = self._service()
+        for lane in self._lanes:
+            if isinstance(lane, EngineLane) and service is not None:
+                lane.configure(service)
+        self._links.beat()
+
+    def _service(self) -> ServiceConfig | None:
+        cfg = self._config.current
+        return None if cfg is None else cfg.service(self._settings.service)
+
+    def _refusal(self) -> ErrorReport | None:
+        if self._draining:
+            message = "the backend server is leaving"
+            return ErrorReport(ErrorCode.DRAINING, message, Ran.NO, 0.0)
+        if not self._engine_alive:
+            message = "the backend server's engine does not answer"
+            return ErrorReport(ErrorCode.NO_BACKEND_SERVER, message, Ran.NO, 0.0)
+        return None
+
+    def _start_attempt(self, req: AttemptRequest) -> None:
+        lane = min(self._lanes, key=lambda lane: lane.load().online_tokens)
+        self._lane_of_attempt[req.attempt_id] = lane
+        if isinstance(lane, PlainLane):
+            lane.offer(req)
+        else:
+            lane.offer(OnlineWork(req, self._sink))
+
+    def _stop_attempt(self, attempt_id: str) -> None:
+        now = self._clock.monotonic()
+        if self._registry.abandon(attempt_id, now):
+            lane = self._lane_of_attempt.pop(attempt_id, None)
+            if lane is not None:
+                lane.withdraw(attempt_id)
+
+    def _tick(self) -> None:
+        for lane in self._lanes:
+            if isinstance(lane, EngineLane):
+                lane.tick()
+        self._puller.tick()
+
+    def _expire(self) -> None:
+        self._registry.expire(self._clock.monotonic())
+        running = set(self._registry.running)
+        for attempt_id in set(self._lane_of_attempt) - running:
+            del self._lane_of_attempt[attempt_id]
+
+    async def _read_list(self) -> None:
+        self._links.observe(await self._list_client.instances())
+
+    async def _check_engines(self) -> None:
+        lanes = [lane for lane in self._lanes if isinstance(lane, EngineLane)]
+        if not lanes:
+            return
+        answers = [await lane.is_alive() for lane in lanes]
+        alive = any(answers)
+        if alive != self._engine_alive:
+            self._engine_alive = alive
+            logger.warning(
+                "event=engine_state instance={} alive={}", self.instance.name, alive
+            )
+            self._links.beat()
+
+    def _is_idle(self) -> bool:
+        return all(lane.is_idle for lane in self._lanes) and self._puller.is_settled
+
+
+def _sum_loads(loads: Sequence[LoadReport], sequence: int) -> LoadReport:
+    return LoadReport(
+        online_streams=sum(load.online_streams for load in loads),
+        batch_streams=sum(load.batch_streams for load in loads),
+        online_tokens=sum(load.online_tokens for load in loads),
+        batch_tokens=sum(load.batch_tokens for load in loads),
+        queued_online=sum(load.queued_online for load in loads),
+        itl_s=max((load.itl_s for load in loads), default=0.0),
+        capacity_tokens=sum(load.capacity_tokens for load in loads),
+        sequence=sequence,
+    )
