Add the core of an online request at an entry

Cause: a request has to survive silent connections, lost and leaving backend servers without running an unrepeatable call twice and without mixing answers.

--- a/src/pomeloshift/attempts/__init__.py
+++ b/src/pomeloshift/attempts/__init__.py
@@ -1,14 +1,68 @@
 """Runs each attempt of a request at most once and delivers its answer in order."""
 
+from ._chooser import Budget, Chooser, Target
+from ._effects import (
+    AbandonAttempt,
+    CloseConnection,
+    Complete,
+    Deliver,
+    Fail,
+    OnlineEffect,
+    OpenAttempt,
+    ServerFailed,
+    ServerFault,
+    SetTimer,
+)
 from ._errors import NotRunningError
+from ._events import (
+    AttemptAccepted,
+    AttemptRefused,
+    CallerGone,
+    CallerPaused,
+    CallerResumed,
+    ConnectionLost,
+    FrameArrived,
+    OnlineEvent,
+    Started,
+    Timer,
+)
+from ._online_config import OnlineConfig
+from ._online_order import OnlineOrder
+from ._online_request import OnlineRequest
 from ._opened import Opened, OpenedKind
 from ._registry import AttemptRegistry
 from ._registry_config import RegistryConfig
 
 __all__ = [
+    "AbandonAttempt",
+    "AttemptAccepted",
+    "AttemptRefused",
     "AttemptRegistry",
+    "Budget",
+    "CallerGone",
+    "CallerPaused",
+    "CallerResumed",
+    "Chooser",
+    "CloseConnection",
+    "Complete",
+    "ConnectionLost",
+    "Deliver",
+    "Fail",
+    "FrameArrived",
     "NotRunningError",
+    "OnlineConfig",
+    "OnlineEffect",
+    "OnlineEvent",
+    "OnlineOrder",
+    "OnlineRequest",
+    "OpenAttempt",
     "Opened",
     "OpenedKind",
     "RegistryConfig",
+    "ServerFailed",
+    "ServerFault",
+    "SetTimer",
+    "Started",
+    "Target",
+    "Timer",
 ]
--- /dev/null
+++ b/src/pomeloshift/attempts/_online_order.py
@@ -0,0 +1,29 @@
+"""What a caller asked for, as the entry runs it."""
+
+import attrs
+
+
+@attrs.frozen
+class OnlineOrder:
+    """A request that passed authentication and limits.
+
+    ``deadline_at`` is on the clock of ``now`` and bounds the time to the first byte
+    of the answer. ``fingerprint`` is the same for equal requests of a workspace.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    method: str
+    path: str
+    body: bytes
+    deadline_at: float
+    prompt_tokens: int = 1
+    max_tokens: int = 1
+    idempotent: bool = True
+    stream: bool = False
+    content_type: str = "application/json"
+    headers: dict[str, str] = attrs.field(factory=dict)
+    fingerprint: str = ""
+    alone: bool = False
+    config_version: int = 0
--- /dev/null
+++ b/src/pomeloshift/attempts/_online_request.py
@@ -0,0 +1,426 @@
+"""Runs one online request at an entry: attempts, connections and retries."""
+
+from enum import Enum
+from random import Random
+
+import attrs
+
+from ..errors import ErrorCode, ErrorReport, Ran
+from ..wire import AttemptRequest, Frame
+from ._chooser import Budget, Chooser, Target
+from ._continuity import Continuity, ContinuityError
+from ._effects import (
+    AbandonAttempt,
+    CloseConnection,
+    Complete,
+    Deliver,
+    Fail,
+    OnlineEffect,
+    OpenAttempt,
+    ServerFailed,
+    ServerFault,
+    SetTimer,
+)
+from ._events import (
+    AttemptAccepted,
+    AttemptRefused,
+    CallerGone,
+    CallerPaused,
+    CallerResumed,
+    ConnectionLost,
+    FrameArrived,
+    OnlineEvent,
+    Started,
+    Timer,
+)
+from ._online_config import OnlineConfig
+from ._online_order import OnlineOrder
+from ._verdict import Verdict, judge, worse
+
+MAX_CRASHES = 2
+
+
+class Phase(Enum):
+    """What the request waits for."""
+
+    NEW = "new"
+    OPENING = "opening"
+    STREAMING = "streaming"
+    WAITING = "waiting"
+    DONE = "done"
+
+
+class OnlineRequest:
+    """One caller's request from its admission to its whole answer or its error.
+
+    An attempt is one run at one backend server. It may use several connections,
+    one after another; events of earlier ones are ignored.
+    """
+
+    def __init__(
+        self,
+        order: OnlineOrder,
+        chooser: Chooser,
+        budget: Budget,
+        rng: Random,
+        cfg: OnlineConfig | None = None,
+    ) -> None:
+        self._order = order
+        self._chooser = chooser
+        self._budget = budget
+        self._rng = rng
+        self._cfg = cfg or OnlineConfig()
+        self._phase = Phase.NEW
+        self._target: Target | None = None
+        self._attempts = 0
+        self._connection = 0
+        self._sequence = 0
+        self._sent = False
+        self._reconnects = 0
+        self._retries = 0
+        self._crashes = 0
+        self._alone = order.alone
+        self._last_error: ErrorReport | None = None
+        self._excluded: frozenset[str] = frozenset()
+        self._ran = Ran.NO
+        self._continuity = Continuity()
+        self._stall_s = self._cfg.stall_s
+        self._limit_at = order.deadline_at
+        self._paused = False
+        self._timer = 0
+        self._out: list[OnlineEffect] = []
+
+    @property
+    def is_done(self) -> bool:
+        """Tells whether the request has ended."""
+        return self._phase is Phase.DONE
+
+    @property
+    def attempt_id(self) -> str:
+        """The id of the current attempt."""
+        return f"{self._order.request_id}.{self._attempts}"
+
+    def handle(self, event: OnlineEvent, now: float) -> list[OnlineEffect]:
+        """Takes an event and returns what has to be done, in order."""
+        if self._phase is not Phase.DONE and not self._is_outdated(event):
+            self._dispatch(event, now)
+        effects, self._out = self._out, []
+        return effects
+
+    def _is_outdated(self, event: OnlineEvent) -> bool:
+        if isinstance(event, Timer):
+            return event.number != self._timer
+        connection = getattr(event, "connection", None)
+        if connection is None:
+            return False
+        waiting = self._phase not in (Phase.OPENING, Phase.STREAMING)
+        return waiting or connection != self._connection
+
+    def _dispatch(self, event: OnlineEvent, now: float) -> None:
+        match event:
+            case Started():
+                self._begin_attempt(now)
+            case AttemptAccepted():
+                self._accept(now)
+            case FrameArrived(frame=frame):
+                self._take_frame(frame, now)
+            case AttemptRefused(error=error):
+                self._take_error(error, now, refused=True)
+            case ConnectionLost(sent=sent):
+                self._lose_connection(sent, now)
+            case Timer():
+                self._take_timer(now)
+            case CallerPaused():
+                self._pause(now)
+            case CallerResumed():
+                self._resume(now)
+            case CallerGone():
+                self._leave_attempt()
+                self._phase = Phase.DONE
+
+    # Attempts and connections.
+
+    def _begin_attempt(self, now: float) -> None:
+        self._target = self._chooser.choose(self._excluded, self._alone, now)
+        if self._target is None:
+            self._miss_server(now)
+            return
+        self._attempts += 1
+        self._sequence = 0
+        self._sent = False
+        self._reconnects = 0
+        self._stall_s = self._cfg.stall_s
+        self._continuity.restart()
+        self._open(now, join_only=False)
+
+    def _miss_server(self, now: float) -> None:
+        if self._alone:
+            self._wait(self._cfg.suspect_wait_s, now)
+            return
+        if self._last_error is not None:
+            self._finish_failed(self._last_error)
+            return
+        self._fail_with(ErrorCode.NO_BACKEND_SERVER, "no backend server is available")
+
+    def _open(self, now: float, *, join_only: bool) -> None:
+        assert self._target is not None
+        self._connection += 1
+        self._phase = Phase.OPENING
+        order = self._order
+        request = AttemptRequest(
+            attempt_id=self.attempt_id,
+            request_id=order.request_id,
+            workspace=order.workspace,
+            service=order.service,
+            method=order.method,
+            path=order.path,
+            body=b"" if join_only else order.body,
+            prompt_tokens=order.prompt_tokens,
+            max_tokens=order.max_tokens,
+            deadline_s=max(0.0, self._limit_at - now),
+            idempotent=order.idempotent,
+            stream=order.stream,
+            next_sequence=self._sequence,
+            join_only=join_only,
+            content_type=order.content_type,
+            headers=order.headers,
+            config_version=order.config_version,
+            incarnation=self._target.incarnation,
+            alone=self._alone,
+            fingerprint=order.fingerprint,
+        )
+        self._out.append(OpenAttempt(self._connection, self._target.instance, request))
+        self._set_timer(now + self._cfg.accept_timeout_s)
+
+    def _accept(self, now: float) -> None:
+        if self._phase is Phase.OPENING:
+            self._phase = Phase.STREAMING
+            self._sent = True
+            self._set_timer(now + self._stall_s)
+
+    def _lose_connection(self, sent: bool, now: float) -> None:
+        if not sent:
+            self._lose_server(ServerFault.UNREACHABLE, now, exempt=True)
+            return
+        self._sent = True
+        self._reconnect(now)
+
+    def _reconnect(self, now: float) -> None:
+        """Calls the same sidecar again; the last time only to ask what it knows."""
+        self._out.append(CloseConnection(self._connection))
+        self._reconnects += 1
+        if self._reconnects > self._cfg.max_reconnects:
+            self._lose_server(ServerFault.UNREACHABLE, now, exempt=False)
+            return
+        is_last = self._reconnects == self._cfg.max_reconnects
+        self._open(now, join_only=is_last or not self._order.idempotent)
+
+    def _lose_server(self, fault: ServerFault, now: float, *, exempt: bool) -> None:
+        """Gives up the attempt; goes to another server where that is safe."""
+        ran = Ran.NO
+        if self._sequence:
+            ran = Ran.YES
+        elif self._sent:
+            ran = Ran.UNKNOWN
+        error = ErrorReport(
+            ErrorCode.BACKEND_SERVER_LOST,
+            "the backend server was lost",
+            ran,
+            self._cfg.retry_after_s,
+        )
+        if not self._sent:
+            self._report_server(fault)
+            self._retry(error, now, exempt=exempt)
+            return
+        self._leave_attempt()
+        self._end_attempt(error, fault, now, exempt=exempt)
+
+    def _leave_attempt(self) -> None:
+        if self._target is None:
+            return
+        if self._phase in (Phase.OPENING, Phase.STREAMING):
+            self._out.append(CloseConnection(self._connection))
+        if self._attempts:
+            instance = self._target.instance
+            self._out.append(AbandonAttempt(instance, self.attempt_id))
+
+    def _report_server(self, fault: ServerFault) -> None:
+        assert self._target is not None
+        self._out.append(ServerFailed(self._target.instance, fault))
+
+    # Frames.
+
+    def _take_frame(self, frame: Frame, now: float) -> None:
+        if frame.attempt_id != self.attempt_id or frame.sequence < self._sequence:
+            return
+        if frame.sequence > self._sequence or not _has_valid_total(frame):
+            self._reconnect(now)
+            return
+        if frame.error is not None:
+            self._take_error(frame.error, now, refused=False)
+            return
+        self._accept(now)
+        self._sequence += 1
+        self._reconnects = 0
+        self._stall_s = self._cfg.stall_s
+        self._ran = Ran.YES
+        try:
+            self._deliver(frame, now)
+        except ContinuityError:
+            self._leave_attempt()
+            self._fail_with(
+                ErrorCode.BACKEND_SERVER_LOST,
+                "the backend server was lost and the answer cannot be continued",
+            )
+            return
+        if frame.total is not None:
+            self._complete()
+
+    def _deliver(self, frame: Frame, now: float) -> None:
+        if frame.sequence == 0:
+            self._continuity.check_status(frame.status)
+        payload = self._continuity.replay(frame.payload)
+        self._set_timer(now + self._stall_s)
+        if not payload and self._continuity.delivered_any:
+            return
+        self._continuity.deliver(payload)
+        self._limit_at = max(self._limit_at, now + self._cfg.idle_limit_s)
+        self._out.append(
+            Deliver(payload, frame.status, frame.content_type, frame.tokens)
+        )
+
+    def _complete(self) -> None:
+        if self._continuity.is_replaying:
+            self._fail_with(
+                ErrorCode.BACKEND_SERVER_LOST, "the answer cannot be continued"
+            )
+            return
+        self._phase = Phase.DONE
+        self._out.append(Complete())
+
+    # Errors and retries.
+
+    def _take_error(self, error: ErrorReport, now: float, *, refused: bool) -> None:
+        self._out.append(CloseConnection(self._connection))
+        if refused and self._sequence:
+            error = attrs.evolve(error, ran=Ran.YES)
+        fault = _fault_of(error)
+        crash = fault is ServerFault.CRASHED
+        self._end_attempt(error, fault, now, exempt=crash)
+
+    def _end_attempt(
+        self,
+        error: ErrorReport,
+        fault: ServerFault | None,
+        now: float,
+        *,
+        exempt: bool,
+    ) -> None:
+        self._ran = worse(self._ran, error.ran)
+        if fault is not None:
+            self._report_server(fault)
+        if _may_have_crashed(error):
+            self._crashes += 1
+            self._alone = True
+            if self._crashes >= MAX_CRASHES:
+                self._finish_failed(error)
+                return
+        self._retry(error, now, exempt=exempt)
+
+    def _retry(self, error: ErrorReport, now: float, *, exempt: bool) -> None:
+        self._last_error = error
+        verdict = judge(error, idempotent=self._order.idempotent)
+        if verdict is Verdict.FINAL:
+            self._finish_failed(error)
+            return
+        if verdict is Verdict.ELSEWHERE and self._target is not None:
+            self._excluded |= {self._target.instance.name}
+        self._retries += 1
+        if self._alone and error.ran is Ran.NO:
+            self._excluded = frozenset()
+            self._wait(self._cfg.suspect_wait_s, now)
+            return
+        if self._retries > self._cfg.max_retries:
+            self._finish_failed(error)
+            return
+        if not exempt and not self._budget.try_spend(now):
+            self._finish_failed(error)
+            return
+        self._back_off(now)
+
+    def _back_off(self, now: float) -> None:
+        if self._retries == 1 and not self._alone:
+            self._begin_attempt(now)
+            return
+        longest = self._cfg.backoff_s * 2**self._retries
+        self._wait(min(longest, self._cfg.max_backoff_s), now)
+
+    def _wait(self, longest_s: float, now: float) -> None:
+        self._phase = Phase.WAITING
+        self._set_timer(now + self._rng.uniform(0.2, 1.0) * longest_s)
+
+    def _fail_with(self, code: ErrorCode, message: str) -> None:
+        error = ErrorReport(code, message, self._ran, self._cfg.retry_after_s)
+        self._finish_failed(error)
+
+    def _finish_failed(self, error: ErrorReport) -> None:
+        self._phase = Phase.DONE
+        error = attrs.evolve(error, ran=worse(self._ran, error.ran))
+        if error.code is ErrorCode.ATTEMPT_UNKNOWN:
+            error = attrs.evolve(error, code=ErrorCode.OUTCOME_UNKNOWN)
+        self._out.append(Fail(error, self._continuity.delivered_any))
+
+    # Time.
+
+    def _take_timer(self, now: float) -> None:
+        if self._paused:
+            self._leave_attempt()
+            self._fail_with(ErrorCode.CANCELLED, "the caller stopped reading")
+        elif now >= self._limit_at:
+            self._expire()
+        elif self._phase is Phase.WAITING:
+            self._begin_attempt(now)
+        elif self._phase in (Phase.OPENING, Phase.STREAMING):
+            if self._phase is Phase.STREAMING:
+                self._stall_s *= 2
+                self._reconnects = 0
+            self._sent = True
+            self._reconnect(now)
+
+    def _expire(self) -> None:
+        if self._phase in (Phase.OPENING, Phase.STREAMING):
+            self._ran = worse(self._ran, Ran.UNKNOWN)
+        self._leave_attempt()
+        self._fail_with(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
+
+    def _pause(self, now: float) -> None:
+        self._limit_at = max(self._limit_at, now + self._cfg.caller_stall_s)
+        self._set_timer(now + self._cfg.caller_stall_s)
+        self._paused = True
+
+    def _resume(self, now: float) -> None:
+        self._paused = False
+        self._set_timer(now + self._stall_s)
+
+    def _set_timer(self, at: float) -> None:
+        if self._paused:
+            return
+        self._timer += 1
+        self._out.append(SetTimer(self._timer, min(at, self._limit_at)))
+
+
+def _has_valid_total(frame: Frame) -> bool:
+    return frame.total is None or frame.total == frame.sequence + 1
+
+
+def _may_have_crashed(error: ErrorReport) -> bool:
+    """Tells whether the request may have brought its backend server down."""
+    if error.code is ErrorCode.ATTEMPT_UNKNOWN:
+        return error.ran is Ran.UNKNOWN
+    return error.code is ErrorCode.BACKEND_SERVER_LOST and error.ran is not Ran.NO
+
+
+def _fault_of(error: ErrorReport) -> ServerFault | None:
+    if error.code is ErrorCode.DRAINING:
+        return ServerFault.LEAVING
+    return ServerFault.CRASHED if _may_have_crashed(error) else None
--- /dev/null
+++ b/src/pomeloshift/attempts/_verdict.py
@@ -0,0 +1,46 @@
+"""What an error of an attempt allows the entry to do next."""
+
+from enum import Enum
+
+from ..errors import ErrorCode, ErrorReport, Ran
+
+# Errors that the request itself causes; another server would answer the same.
+FINAL_CODES = frozenset(
+    {
+        ErrorCode.INVALID_REQUEST,
+        ErrorCode.BODY_TOO_LARGE,
+        ErrorCode.UNKNOWN_MODEL,
+        ErrorCode.UNKNOWN_SERVICE,
+        ErrorCode.NOT_FOUND,
+        ErrorCode.DEADLINE_EXCEEDED,
+        ErrorCode.QUARANTINED,
+        ErrorCode.CANCELLED,
+        ErrorCode.IDEMPOTENCY_CONFLICT,
+    }
+)
+
+_RANK = {Ran.NO: 0, Ran.UNKNOWN: 1, Ran.YES: 2}
+
+
+class Verdict(Enum):
+    """Whether and where a request may be tried again."""
+
+    FINAL = "final"
+    ANYWHERE = "anywhere"
+    ELSEWHERE = "elsewhere"
+
+
+def judge(error: ErrorReport, *, idempotent: bool) -> Verdict:
+    """Tells what may be done after an attempt ended with ``error``."""
+    if error.code in FINAL_CODES:
+        return Verdict.FINAL
+    if error.ran is not Ran.NO and not idempotent:
+        return Verdict.FINAL
+    if error.code is ErrorCode.ATTEMPT_UNKNOWN and error.ran is Ran.NO:
+        return Verdict.ANYWHERE
+    return Verdict.ELSEWHERE
+
+
+def worse(first: Ran, second: Ran) -> Ran:
+    """Returns the statement that covers two attempts of one request."""
+    return max(first, second, key=_RANK.__getitem__)
