--- a/src/pomeloshift/admission/__init__.py
+++ b/src/pomeloshift/admission/__init__.py
@@ -1,5 +1,7 @@
 """Decides which streams a backend server's engine runs, and when."""
 
+from ._admission import Admission
+from ._config import AdmissionConfig, admission_config
 from ._messages import (
     AdmissionEffect,
     AdmissionEvent,
@@ -14,8 +16,11 @@
     Tick,
     TokensArrived,
 )
+from ._prompt_tokens import count_prompt_tokens, prompt_text
 
 __all__ = [
+    "Admission",
+    "AdmissionConfig",
     "AdmissionEffect",
     "AdmissionEvent",
     "BatchWanted",
@@ -28,4 +33,7 @@
     "TakeBackStream",
     "Tick",
     "TokensArrived",
+    "admission_config",
+    "count_prompt_tokens",
+    "prompt_text",
 ]
