Add the metrics of entries and sidecars with a catalogue

Cause: operators need the same names on every process, and the page that lists them must not drift from the code.

--- /dev/null
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -0,0 +1,206 @@
+"""All metrics of the system; docs/operations/metrics.md lists the same."""
+
+from ._spec import MetricKind, MetricSpec
+
+COUNTER = MetricKind.COUNTER
+GAUGE = MetricKind.GAUGE
+HISTOGRAM = MetricKind.HISTOGRAM
+ENTRY = ("entry",)
+SIDECAR = ("sidecar",)
+
+FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 1.5, 2.5, 5.0, 10.0)
+BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0)
+LOG_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
+PAUSE_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0)
+
+CATALOGUE = (
+    MetricSpec(
+        "requests_total",
+        COUNTER,
+        "Requests that ended; the outcome is ok or the code of the error.",
+        ("service", "class", "outcome"),
+    ),
+    MetricSpec(
+        "open_requests",
+        GAUGE,
+        "Requests that have not ended.",
+        ("service", "class"),
+    ),
+    MetricSpec(
+        "first_token_seconds",
+        HISTOGRAM,
+        "Time from the arrival of a request to the first token of its answer.",
+        ("service", "class"),
+        buckets=FIRST_TOKEN_BUCKETS_S,
+    ),
+    MetricSpec(
+        "between_tokens_seconds",
+        HISTOGRAM,
+        "Mean time between tokens of an answer.",
+        ("service", "class"),
+        buckets=BETWEEN_TOKENS_BUCKETS_S,
+    ),
+    MetricSpec(
+        "tokens_total",
+        COUNTER,
+        "Tokens of answers that were passed on.",
+        ("service", "class"),
+    ),
+    MetricSpec(
+        "retries_total",
+        COUNTER,
+        "Attempts after the first one, by what ended the one before.",
+        ("service", "reason"),
+        ENTRY,
+    ),
+    MetricSpec(
+        "joins_total",
+        COUNTER,
+        "Attempts that were taken up again over a new connection.",
+        ("service",),
+    ),
+    MetricSpec(
+        "cross_region_bytes_total",
+        COUNTER,
+        "Bytes sent and received over the paid link.",
+        ("class",),
+        ENTRY,
+    ),
+    MetricSpec(
+        "instances",
+        GAUGE,
+        "Instances in this process's view of the fleet.",
+        ("role", "state"),
+        ENTRY,
+    ),
+    MetricSpec(
+        "quarantined_requests",
+        GAUGE,
+        "Fingerprints of requests that crashed backend servers and are refused.",
+        (),
+    ),
+    MetricSpec(
+        "config_version",
+        GAUGE,
+        "Version of the configuration in force here.",
+    ),
+    MetricSpec(
+        "config_changes_total",
+        COUNTER,
+        "Configurations that were applied.",
+    ),
+    MetricSpec(
+        "log_operations_total",
+        COUNTER,
+        "Operations of the log service; the outcome is ok or the code of the error.",
+        ("operation", "outcome"),
+        ENTRY,
+    ),
+    MetricSpec(
+        "log_operation_seconds",
+        HISTOGRAM,
+        "Time until the log service answered.",
+        ("operation",),
+        ENTRY,
+        LOG_BUCKETS_S,
+    ),
+    MetricSpec(
+        "log_records_total",
+        COUNTER,
+        "Records appended to the log.",
+        (),
+        ENTRY,
+    ),
+    MetricSpec(
+        "jobs",
+        GAUGE,
+        "Batch jobs of the owned partitions by state.",
+        ("state",),
+        ENTRY,
+    ),
+    MetricSpec(
+        "batch_items_total",
+        COUNTER,
+        "Batch items that ended; the outcome is ok or the code of the error.",
+        ("service", "outcome"),
+        ENTRY,
+    ),
+    MetricSpec(
+        "batch_items_waiting",
+        GAUGE,
+        "Batch items of the owned partitions that wait to be run.",
+        ("service",),
+        ENTRY,
+    ),
+    MetricSpec(
+        "streams",
+        GAUGE,
+        "Streams that the engines run.",
+        ("class",),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "queued_streams",
+        GAUGE,
+        "Streams that wait for admission.",
+        ("class",),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "taken_back_total",
+        COUNTER,
+        "Batch streams that were cancelled at the engine to make room.",
+        (),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "shed_total",
+        COUNTER,
+        "Streams that were refused before any of them ran.",
+        ("class",),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "engine_orders_total",
+        COUNTER,
+        "Orders to engines; the outcome is ok or the code of the error.",
+        ("order", "outcome"),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "engines_alive",
+        GAUGE,
+        "Engines of this backend server that answer.",
+        (),
+        SIDECAR,
+    ),
+    MetricSpec(
+        "leases_dropped_total",
+        COUNTER,
+        "Leases dropped because the process was paused longer than they last.",
+        (),
+    ),
+    MetricSpec(
+        "control_messages_total",
+        COUNTER,
+        "Control messages between processes, by type and direction.",
+        ("type", "direction"),
+    ),
+    MetricSpec(
+        "loop_pause_seconds",
+        HISTOGRAM,
+        "Time by which the event loop was late.",
+        (),
+        buckets=PAUSE_BUCKETS_S,
+    ),
+    MetricSpec(
+        "resident_bytes",
+        GAUGE,
+        "Resident memory of the process.",
+    ),
+    MetricSpec(
+        "cpu_seconds_total",
+        COUNTER,
+        "Processor time of the process.",
+    ),
+)
