Add the command line, the process runner and health checks

Cause: every role runs as a process of its own, and as part of one in the demo. Change: commands for entry, sidecar, stand-ins and benches; SIGTERM drains, a second signal ends at once; health, readiness and control handling of entries. Before: a version command.

--- a/src/pomeloshift/cli/_main.py
+++ b/src/pomeloshift/cli/_main.py
@@ -1,18 +1,23 @@
 """Entry point of the command line."""
 
+import sys
+
 import fire
 
 from .. import __version__
+from ..errors import PomeloshiftError
+from ._commands import Commands
 
-
-class Commands:
-    """Serves online and batch inference on one fleet."""
-
-    def version(self) -> str:
-        """Prints the version."""
-        return __version__
+EXIT_FAILURE = 1
 
 
 def main() -> None:
     """Runs the command that the process's arguments name."""
-    fire.Fire(Commands, name="pomeloshift")
+    if sys.argv[1:] in (["--version"], ["version"]):
+        print(f"pomeloshift {__version__}")
+        return
+    try:
+        fire.Fire(Commands, name="pomeloshift")
+    except PomeloshiftError as exc:
+        print(f"error {exc.code.value}: {exc.message}", file=sys.stderr)
+        sys.exit(EXIT_FAILURE)
--- /dev/null
+++ b/src/pomeloshift/net/_process.py
@@ -0,0 +1,79 @@
+"""Runs one role as a process until it is told to stop."""
+
+import signal
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from loguru import logger
+
+from ._logging import configure_logging
+from ._loops import spawn
+from ._reactor import install_reactor
+
+
+class Role(Protocol):
+    """A role that can be started, drained and stopped."""
+
+    async def start(self) -> None:
+        """Starts to serve."""
+
+    async def drain(self) -> None:
+        """Takes no new work and waits until the work under way has ended."""
+
+    async def stop(self) -> None:
+        """Closes everything."""
+
+
+def run_process(make_role: Callable[[Any], Role], log_level: str) -> int:
+    """Runs the role that ``make_role`` builds and returns the exit code.
+
+    ``make_role`` takes the reactor. SIGTERM and SIGINT drain the role and end the
+    process; a second signal ends it without waiting.
+    """
+    configure_logging(log_level)
+    reactor = install_reactor()
+    runner = _Runner(reactor, make_role)
+    reactor.callWhenRunning(runner.start)
+    reactor.run()
+    return runner.exit_code
+
+
+class _Runner:
+    def __init__(self, reactor: Any, make_role: Callable[[Any], Role]) -> None:
+        self._reactor = reactor
+        self._make_role = make_role
+        self._role: Role | None = None
+        self._stopping = False
+        self.exit_code = 0
+
+    def start(self) -> None:
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+        spawn(self._start())
+
+    async def _start(self) -> None:
+        try:
+            self._role = self._make_role(self._reactor)
+            await self._role.start()
+        except Exception as exc:
+            logger.opt(exception=exc).error("event=start_failed")
+            self.exit_code = 1
+            self._reactor.stop()
+
+    def _on_signal(self, number: int, frame: Any) -> None:
+        self._reactor.callFromThread(self._begin_stop)
+
+    def _begin_stop(self) -> None:
+        if self._stopping or self._role is None:
+            self._reactor.stop()
+            return
+        self._stopping = True
+        spawn(self._stop(self._role))
+
+    async def _stop(self, role: Role) -> None:
+        try:
+            await role.drain()
+            await role.stop()
+        finally:
+            if self._reactor.running:
+                self._reactor.stop()
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -18,6 +18,7 @@
     TakeBackStream,
     Tick,
     TokensArrived,
+    admission_config,
 )
 from ..config import ServiceConfig
 from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
@@ -87,7 +88,7 @@
 
     def configure(self, service: ServiceConfig) -> None:
         """Applies the targets and the batch weight of a newer configuration."""
-        self._admission.configure(service)
+        self._admission.reconfigure(admission_config(service))
 
     def offer(self, work: Work, resume: bytes = b"") -> None:
         """Takes new work; admission decides when it runs."""
--- a/src/pomeloshift/standins/engine/_settings.py
+++ b/src/pomeloshift/standins/engine/_settings.py
@@ -19,6 +19,8 @@
     number is refused only with ``checks_fencing``.
     """
 
+    host: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=[v.ge(0), v.le(65535)])
     name: str = attrs.field(default="engine-1", validator=v.min_len(1))
     models: tuple[str, ...] = attrs.field(default=("vezi-lm",))
     decode_slots: int = attrs.field(default=128, validator=v.ge(1))
--- a/src/pomeloshift/standins/log/_settings.py
+++ b/src/pomeloshift/standins/log/_settings.py
@@ -13,6 +13,8 @@
     record expires, and ``max_records`` the number of records kept for each stream.
     """
 
+    host: str = "127.0.0.1"
+    port: int = attrs.field(default=0, validator=[v.ge(0), v.le(65535)])
     appends_per_s: float = attrs.field(default=300.0, validator=v.gt(0))
     burst: float = attrs.field(default=60.0, validator=v.ge(1))
     retention_s: float = attrs.field(default=86400.0, validator=v.gt(0))
