Let a pull name the leases that its sidecar holds

Cause: grants whose answer was lost would be renewed for ever, and a new owner does not know what is running. Change: ItemPull gets an optional field `held`; without it nothing changes. Conclusion: an additive change of a shared message.

--- a/src/pomeloshift/wire/_messages.py
+++ b/src/pomeloshift/wire/_messages.py
@@ -55,6 +55,8 @@
     """A sidecar asks a partition owner for batch work it has room for.
 
     ``nonce`` names the pull, so that a repeated pull returns the same grants.
+    ``held`` names the leases that the sidecar still works on or whose results are
+    not acknowledged; only these are renewed. `None` renews all of the instance's.
     """
 
     instance: str
@@ -64,6 +66,7 @@
     service: str
     tokens: int
     max_items: int
+    held: tuple[str, ...] | None = None
 
 
 @attrs.frozen
