Track crash suspects; let a registry tell which attempts it knows

Cause: one request that crashes each backend server must not be run a third time. Change: SuspectTracker counts distinct crashes by fingerprint, merges what other entries know in any order, clears what finishes and quarantines with an expiry. The continuity check also masks ids, which differ between runs.

--- a/src/pomeloshift/attempts/__init__.py
+++ b/src/pomeloshift/attempts/__init__.py
@@ -32,6 +32,9 @@
 from ._opened import Opened, OpenedKind
 from ._registry import AttemptRegistry
 from ._registry_config import RegistryConfig
+from ._strikes import Standing, Strikes
+from ._suspect_config import SuspectConfig
+from ._suspects import SuspectTracker
 
 __all__ = [
     "AbandonAttempt",
@@ -62,7 +65,11 @@
     "ServerFailed",
     "ServerFault",
     "SetTimer",
+    "Standing",
     "Started",
+    "Strikes",
+    "SuspectConfig",
+    "SuspectTracker",
     "Target",
     "Timer",
 ]
--- a/src/pomeloshift/attempts/_continuity.py
+++ b/src/pomeloshift/attempts/_continuity.py
@@ -6,8 +6,8 @@
 
 EVENT_END = b"\n\n"
 
-# Engines put the time of the run into every piece of a streamed answer.
-_RUN_TIME = re.compile(rb'"created": ?\d+')
+# Engines put the time and the id of the run into every piece of a streamed answer.
+_RUN_FIELDS = re.compile(rb'"created": ?\d+|"id": ?"[^"\\]*"')
 
 
 class ContinuityError(Exception):
@@ -79,7 +79,7 @@
 
 
 def _mask(payload: bytes) -> bytes:
-    return _RUN_TIME.sub(b'"created":0', payload)
+    return _RUN_FIELDS.sub(b'"masked":0', payload)
 
 
 def _event_end(payload: bytes, start: int) -> int:
--- a/src/pomeloshift/attempts/_registry.py
+++ b/src/pomeloshift/attempts/_registry.py
@@ -47,6 +47,10 @@
         record = self._records.get(attempt_id)
         return record is not None and not record.ended
 
+    def knows(self, attempt_id: str) -> bool:
+        """Tells whether the attempt was started, abandoned or asked about before."""
+        return attempt_id in self._records or attempt_id in self._closed
+
     def open(self, req: AttemptRequest, now: float) -> Opened:
         """Starts or joins an attempt, or refuses it with a typed error."""
         error = self._refusal(req, now)
--- /dev/null
+++ b/src/pomeloshift/attempts/_strikes.py
@@ -0,0 +1,43 @@
+"""The crashes that one request was running at, as entries tell each other."""
+
+from enum import Enum
+
+import attrs
+
+
+class Standing(Enum):
+    """How a request may be run."""
+
+    CLEAR = "clear"
+    SUSPECT = "suspect"
+    QUARANTINED = "quarantined"
+
+
+@attrs.frozen
+class Strikes:
+    """What is known of one fingerprint.
+
+    A crash is named by the backend server and its sidecar's incarnation, so that
+    two entries that see the same crash count it once. ``cleared`` holds those that
+    the request cannot have caused, because it finished later. ``ttl_s`` is the time
+    in seconds for which this holds.
+    """
+
+    fingerprint: str
+    crashes: frozenset[str] = frozenset()
+    cleared: frozenset[str] = frozenset()
+    ttl_s: float = 0.0
+
+    @property
+    def count(self) -> int:
+        """The number of crashes that the request may have caused."""
+        return len(self.crashes - self.cleared)
+
+    def merge(self, other: "Strikes") -> "Strikes":
+        """Returns what both know; the order of merging makes no difference."""
+        return attrs.evolve(
+            self,
+            crashes=self.crashes | other.crashes,
+            cleared=self.cleared | other.cleared,
+            ttl_s=max(self.ttl_s, other.ttl_s),
+        )
--- /dev/null
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -0,0 +1,123 @@
+"""Finds the requests that crash backend servers."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import attrs
+
+from ._strikes import Standing, Strikes
+from ._suspect_config import SuspectConfig
+
+
+class SuspectTracker:
+    """What an entry knows of requests that ran on crashed backend servers.
+
+    All that ran on a crashed server is suspect. A suspect runs again only where no
+    other suspect runs, and a copy of it nowhere else at the same time; so a second
+    crash shows which request it was, and that one is quarantined.
+    """
+
+    def __init__(self, cfg: SuspectConfig | None = None) -> None:
+        self._cfg = cfg or SuspectConfig()
+        self._strikes: dict[str, tuple[Strikes, float]] = {}
+        self._running: dict[str, Counter[str]] = {}
+        self._changed: set[str] = set()
+
+    def standing(self, fingerprint: str, now: float) -> Standing:
+        """Tells how a request may be run."""
+        known = self._strikes.get(fingerprint)
+        if known is None or known[1] <= now or not known[0].count:
+            return Standing.CLEAR
+        if known[0].count >= self._cfg.quarantine_crashes:
+            return Standing.QUARANTINED
+        return Standing.SUSPECT
+
+    def quarantined_for(self, fingerprint: str, now: float) -> float:
+        """Returns the seconds for which a quarantine goes on."""
+        known = self._strikes.get(fingerprint)
+        return max(0.0, known[1] - now) if known is not None else 0.0
+
+    def started(self, fingerprint: str, server: str) -> None:
+        """Notes that a copy of the request runs at a backend server."""
+        self._running.setdefault(fingerprint, Counter())[server] += 1
+
+    def ended(self, fingerprint: str, server: str) -> None:
+        """Notes that a copy no longer runs there, for whatever reason."""
+        servers = self._running.get(fingerprint)
+        if servers is None:
+            return
+        servers[server] -= 1
+        if servers[server] <= 0:
+            del servers[server]
+        if not servers:
+            del self._running[fingerprint]
+
+    def finished(self, fingerprint: str, now: float) -> None:
+        """Clears a request that was answered."""
+        known = self._strikes.get(fingerprint)
+        if known is None:
+            return
+        strikes = attrs.evolve(known[0], cleared=known[0].crashes)
+        self._keep(strikes, known[1])
+
+    def crashed(
+        self, fingerprint: str, server: str, incarnation: int, now: float
+    ) -> None:
+        """Notes that a backend server crashed while the request ran on it."""
+        crash = f"{server}/{incarnation}"
+        strikes = Strikes(fingerprint, frozenset({crash}), ttl_s=self._cfg.quarantine_s)
+        self.merge((strikes,), now)
+        self._changed.add(fingerprint)
+
+    def servers_running(self, fingerprint: str) -> frozenset[str]:
+        """Returns where copies of the request run now."""
+        return frozenset(self._running.get(fingerprint, ()))
+
+    def servers_with_suspects(self, now: float) -> frozenset[str]:
+        """Returns the backend servers that run a suspect now."""
+        return frozenset(
+            server
+            for fingerprint, servers in self._running.items()
+            if self.standing(fingerprint, now) is not Standing.CLEAR
+            for server in servers
+        )
+
+    def merge(self, notices: Iterable[Strikes], now: float) -> None:
+        """Takes what another entry knows."""
+        for notice in notices:
+            until = now + min(notice.ttl_s, self._cfg.quarantine_s)
+            known = self._strikes.get(notice.fingerprint)
+            if known is not None and known[1] > now:
+                merged = known[0].merge(notice)
+                until = max(until, known[1])
+            else:
+                merged = notice
+            self._keep(merged, until)
+
+    def take_changes(self, now: float) -> tuple[Strikes, ...]:
+        """Returns what has changed here since the last call, for other entries."""
+        changed, self._changed = self._changed, set()
+        return tuple(s for s in self.notices(now) if s.fingerprint in changed)
+
+    def notices(self, now: float) -> tuple[Strikes, ...]:
+        """Returns all that is known, for an entry that has just started."""
+        return tuple(
+            attrs.evolve(strikes, ttl_s=until - now)
+            for strikes, until in self._strikes.values()
+            if until > now
+        )
+
+    def expire(self, now: float) -> None:
+        """Forgets what no longer holds."""
+        for fingerprint in [k for k, (_, at) in self._strikes.items() if at <= now]:
+            del self._strikes[fingerprint]
+
+    def _keep(self, strikes: Strikes, until: float) -> None:
+        fingerprint = strikes.fingerprint
+        known = self._strikes.pop(fingerprint, None)
+        if known is None or known[0].cleared != strikes.cleared:
+            self._changed.add(fingerprint)
+        self._strikes[fingerprint] = (strikes, until)
+        if len(self._strikes) > self._cfg.max_suspects:
+            oldest = next(iter(self._strikes))
+            del self._strikes[oldest]
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -98,9 +98,7 @@
     def release_batch(self) -> list[str]:
         """Gives all batch work back and returns the stream ids."""
         batch = [
-            run
-            for run in self._runs.values()
-            if run.work.stream_id.startswith("item-")
+            run for run in self._runs.values() if run.work.stream_id.startswith("item-")
         ]
         for run in batch:
             self._spawn(self._release(run))
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,83 @@
+import itertools
+
+import pytest
+
+from pomeloshift.attempts import Standing, Strikes, SuspectConfig, SuspectTracker
+
+
+@pytest.fixture
+def tracker():
+    return SuspectTracker(SuspectConfig(quarantine_s=100.0))
+
+
+def test_second_crash_quarantines_until_the_expiry(tracker):
+    assert tracker.standing("f", 0.0) is Standing.CLEAR
+    tracker.crashed("f", "s1", 1, 0.0)
+    assert tracker.standing("f", 0.0) is Standing.SUSPECT
+    tracker.crashed("f", "s2", 1, 50.0)
+    assert tracker.standing("f", 149.0) is Standing.QUARANTINED
+    assert tracker.quarantined_for("f", 149.0) == 1.0
+    assert tracker.standing("f", 150.0) is Standing.CLEAR
+
+
+def test_one_crash_seen_twice_counts_once(tracker):
+    for _ in range(3):
+        tracker.crashed("f", "s1", 1, 0.0)
+    assert tracker.standing("f", 0.0) is Standing.SUSPECT
+    tracker.crashed("f", "s1", 2, 0.0)
+    assert tracker.standing("f", 0.0) is Standing.QUARANTINED
+
+
+def test_finishing_clears_the_innocent(tracker):
+    tracker.crashed("f", "s1", 1, 0.0)
+    tracker.finished("f", 1.0)
+    assert tracker.standing("f", 1.0) is Standing.CLEAR
+    tracker.crashed("f", "s2", 1, 2.0)
+    assert tracker.standing("f", 2.0) is Standing.SUSPECT
+
+
+def test_servers_that_run_suspects_are_known(tracker):
+    tracker.started("f", "s1")
+    tracker.started("f", "s1")
+    tracker.started("g", "s2")
+    assert tracker.servers_with_suspects(0.0) == frozenset()
+    tracker.crashed("f", "s9", 1, 0.0)
+    assert tracker.servers_with_suspects(0.0) == {"s1"}
+    tracker.ended("f", "s1")
+    assert tracker.servers_running("f") == {"s1"}
+    tracker.ended("f", "s1")
+    assert tracker.servers_running("f") == frozenset()
+
+
+def test_notices_merge_alike_in_any_order_and_however_often():
+    notices = (
+        Strikes("f", frozenset({"s1/1"}), ttl_s=10.0),
+        Strikes("f", frozenset({"s1/1", "s2/1"}), frozenset({"s1/1"}), 20.0),
+        Strikes("g", frozenset({"s1/1"}), ttl_s=10.0),
+    )
+    results = set()
+    for order in itertools.permutations(notices * 2):
+        tracker = SuspectTracker()
+        tracker.merge(order, 0.0)
+        results.add(frozenset(tracker.notices(0.0)))
+    assert len(results) == 1
+
+
+def test_clearing_reaches_an_entry_that_knows_the_crash(tracker):
+    other = SuspectTracker()
+    tracker.crashed("f", "s1", 1, 0.0)
+    other.merge(tracker.take_changes(0.0), 0.0)
+    assert other.standing("f", 0.0) is Standing.SUSPECT
+    assert tracker.take_changes(0.0) == ()
+    tracker.finished("f", 1.0)
+    other.merge(tracker.take_changes(1.0), 1.0)
+    assert other.standing("f", 1.0) is Standing.CLEAR
+
+
+def test_memory_is_bounded_and_expires():
+    tracker = SuspectTracker(SuspectConfig(max_suspects=10, quarantine_s=5.0))
+    for n in range(50):
+        tracker.crashed(str(n), "s1", 1, 0.0)
+    assert len(tracker.notices(0.0)) == 10
+    tracker.expire(5.0)
+    assert tracker.notices(0.0) == ()
