Add the administration API with roles, audit and an OpenAPI document

Cause: operators publish, issue and revoke keys, drain instances, and look after jobs of all workspaces without access to the processes. Change: /admin/v1 serves 19 routes from one table that also yields the served OpenAPI document; three roles; only salted digests are kept; every change is logged and appended in groups to the audit stream. Keys issued or revoked since outlast the publication of a questionnaire (additive fields issued_by and revoked_keys in the configuration). Only admins may change keys or roles, also by publishing. The shared internal key allows the first publication only. Conclusion: takes views of fleet, jobs and quarantine as Protocols, ready to be wired.

--- /dev/null
+++ b/src/pomeloshift/admin/_api.py
@@ -0,0 +1,247 @@
+"""The administration API of an entry."""
+
+import re
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import attrs
+from klein import Klein
+from twisted.web.server import Request
+from werkzeug.exceptions import HTTPException
+
+from ..config import Configuration, decode_configuration
+from ..errors import PomeloshiftError
+from ..net._http import InvalidRequestError, respond_json
+from . import _messages as m
+from ._access import AdminNotFoundError, Role
+from ._answers import answers_failures, read_message, respond_failure
+from ._audit import AuditLog
+from ._authenticate import OperatorGate
+from ._config_admin import ConfigAdmin
+from ._config_service import ConfigPublisher
+from ._key_admin import KeyAdmin
+from ._openapi import describe
+from ._operator import Operator
+from ._route import Route
+from ._routes import ROUTES
+from ._views import FleetView, JobsView, QuarantinedView
+
+DEFAULT_JOBS = 100
+MAX_JOBS = 1000
+
+
+@attrs.frozen
+class AdminCall:
+    """One request with its operator, its body and its path arguments."""
+
+    operator: Operator
+    body: Any
+    arguments: dict[str, str]
+    query: dict[str, str]
+
+
+class AdminApi:
+    """Serves all routes under ``/admin/v1`` as ``resource``.
+
+    ``gate`` tells operators, ``config`` publishes, and the views give access to the
+    rest of the entry. ``new_secret`` returns long random hexadecimal text.
+    """
+
+    def __init__(
+        self,
+        gate: OperatorGate,
+        config: ConfigPublisher,
+        fleet: FleetView,
+        jobs: JobsView,
+        quarantined: QuarantinedView,
+        audit: AuditLog,
+        new_secret: Callable[[], str],
+    ) -> None:
+        self._gate = gate
+        self._service = config
+        self._config = ConfigAdmin(config)
+        self._keys = KeyAdmin(config, new_secret)
+        self._fleet = fleet
+        self._jobs = jobs
+        self._quarantined = quarantined
+        self._audit = audit
+        self._app = Klein()
+        for route in ROUTES:
+            self._add(route)
+        handles: Any = self._app.handle_errors(HTTPException)
+        handles(_answer_http_exception)
+
+    @property
+    def resource(self) -> Any:
+        """The resource to serve; its routes have their full paths."""
+        return self._app.resource()
+
+    async def get_openapi(self, call: AdminCall) -> Any:
+        """Returns the description of this API."""
+        return describe(ROUTES)
+
+    async def get_deployment(self, call: AdminCall) -> Any:
+        """Returns what is deployed."""
+        return self._config.deployment()
+
+    async def get_status(self, call: AdminCall) -> Any:
+        """Returns whether the version in force has reached all instances."""
+        cfg = self._service.current
+        version = self._service.version
+        instances = self._fleet.instances()
+        lacking = [i.name for i in instances if i.config_version < version]
+        return m.StatusView(
+            cfg.deployment if cfg is not None else "",
+            version,
+            len(instances),
+            tuple(sorted(lacking)),
+            cfg is not None,
+        )
+
+    async def get_configuration(self, call: AdminCall) -> Any:
+        """Returns the configuration in force."""
+        return _without_digests(self._config.in_force())
+
+    async def publish_configuration(self, call: AdminCall) -> Any:
+        """Publishes a questionnaire."""
+        version = await self._config.publish(call.operator, call.body)
+        return m.PublishAnswer(version)
+
+    async def list_versions(self, call: AdminCall) -> Any:
+        """Returns the recent versions."""
+        return self._config.versions()
+
+    async def get_version(self, call: AdminCall) -> Any:
+        """Returns the configuration of a recent version."""
+        version = _whole_number("version", call.arguments["version"])
+        return _without_digests(decode_configuration(self._config.document(version)))
+
+    async def list_workspaces(self, call: AdminCall) -> Any:
+        """Returns all workspaces."""
+        return self._config.workspaces()
+
+    async def list_keys(self, call: AdminCall) -> Any:
+        """Returns all keys in force."""
+        return self._keys.list()
+
+    async def issue_key(self, call: AdminCall) -> Any:
+        """Issues a key or a token."""
+        return await self._keys.issue(call.operator.name, call.body)
+
+    async def revoke_key(self, call: AdminCall) -> Any:
+        """Revokes a key."""
+        key_id = call.arguments["key_id"]
+        return m.ChangeAnswer(await self._keys.revoke(call.operator.name, key_id))
+
+    async def rotate_key(self, call: AdminCall) -> Any:
+        """Replaces a key by a new one."""
+        return await self._keys.rotate(call.operator.name, call.arguments["key_id"])
+
+    async def list_instances(self, call: AdminCall) -> Any:
+        """Returns all instances."""
+        return m.InstanceList(tuple(self._fleet.instances()))
+
+    async def drain_instance(self, call: AdminCall) -> Any:
+        """Orders an instance to drain."""
+        name = call.arguments["name"]
+        return m.DrainAnswer(name, await self._fleet.drain(name))
+
+    async def list_jobs(self, call: AdminCall) -> Any:
+        """Returns the newest batch jobs."""
+        limit = _whole_number("limit", call.query.get("limit", str(DEFAULT_JOBS)))
+        if not 1 <= limit <= MAX_JOBS:
+            raise InvalidRequestError(f"limit must be from 1 to {MAX_JOBS}")
+        workspace = call.query.get("workspace", "")
+        return m.JobList(tuple(await self._jobs.list_jobs(workspace, limit)))
+
+    async def get_job(self, call: AdminCall) -> Any:
+        """Returns a batch job."""
+        return await self._jobs.get_job(call.arguments["job_id"])
+
+    async def cancel_job(self, call: AdminCall) -> Any:
+        """Cancels a batch job."""
+        return await self._jobs.cancel_job(call.arguments["job_id"])
+
+    async def list_quarantined(self, call: AdminCall) -> Any:
+        """Returns all quarantined requests."""
+        return m.QuarantineList(tuple(self._quarantined.quarantined()))
+
+    async def release_quarantined(self, call: AdminCall) -> Any:
+        """Lifts a quarantine."""
+        await self._quarantined.release(call.arguments["fingerprint"])
+        return m.Done()
+
+    def _add(self, route: Route) -> None:
+        handler: Callable[[AdminCall], Awaitable[Any]] = getattr(self, route.name)
+
+        @answers_failures
+        async def handle(req: Request, **arguments: str) -> bytes:
+            operator = self._identify(req, route)
+            body = read_message(req, route.request) if route.request else None
+            call = AdminCall(operator, body, arguments, _query(req))
+            if not route.audit:
+                answer = await handler(call)
+            else:
+                answer = await self._audited(route, call, handler)
+            return respond_json(req, answer, route.status)
+
+        path = re.sub(r"\{(\w+)\}", r"<\1>", route.full_path)
+        self._app.route(path, methods=[route.method], endpoint=route.name)(handle)
+
+    def _identify(self, req: Request, route: Route) -> Operator:
+        if route.role is None:
+            return _NOBODY
+        header = req.getHeader("authorization")
+        operator = self._gate.identify(header, self._service.version)
+        operator.require(route.role)
+        return operator
+
+    async def _audited(
+        self,
+        route: Route,
+        call: AdminCall,
+        handler: Callable[[AdminCall], Awaitable[Any]],
+    ) -> Any:
+        target = " ".join(call.arguments.values()) or "-"
+        outcome = "internal"
+        try:
+            answer = await handler(call)
+            outcome = "ok"
+            return answer
+        except PomeloshiftError as exc:
+            outcome = exc.code.value
+            raise
+        finally:
+            self._audit.write(call.operator.name, route.audit, target, outcome)
+
+
+def _query(req: Request) -> dict[str, str]:
+    arguments: dict[bytes, list[bytes]] = req.args or {}
+    return {name.decode(): values[-1].decode() for name, values in arguments.items()}
+
+
+def _whole_number(name: str, text: str) -> int:
+    if not text.isascii() or not text.isdigit():
+        raise InvalidRequestError(f"{name} must be a whole number")
+    return int(text)
+
+
+def _without_digests(cfg: Configuration) -> Configuration:
+    return attrs.evolve(
+        cfg,
+        api_keys=tuple(attrs.evolve(k, salt="", digest="") for k in cfg.api_keys),
+        operator_keys=tuple(
+            attrs.evolve(k, salt="", digest="") for k in cfg.operator_keys
+        ),
+    )
+
+
+def _answer_http_exception(req: Request, failure: Any) -> bytes:
+    error = failure.value
+    if error.code == 404:
+        return respond_failure(req, AdminNotFoundError("there is no such path"))
+    message = f"{req.method.decode()} is not possible here"
+    return respond_failure(req, InvalidRequestError(message))
+
+
+_NOBODY = Operator("", Role.VIEWER)
--- /dev/null
+++ b/src/pomeloshift/admin/_authenticate.py
@@ -0,0 +1,43 @@
+"""Tells which operator sent a request."""
+
+import hmac
+from typing import Protocol
+
+from ..config import OperatorKeyConfig
+from ._access import Role
+from ._operator import Operator
+
+FIRST_OPERATOR = "first-publication"
+
+
+class OperatorAuth(Protocol):
+    """Checks operators' tokens; the entry's authenticator is one."""
+
+    def operator_for(self, authorization: str | None) -> OperatorKeyConfig:
+        """Returns the token's record or raises an ``unauthenticated`` failure."""
+
+
+class OperatorGate:
+    """Authenticates operators.
+
+    Before the first configuration there are no operators; the key that the system's
+    processes share then allows everything, so that one can be published.
+    """
+
+    def __init__(self, auth: OperatorAuth, internal_key: str) -> None:
+        self._auth = auth
+        self._internal_key = internal_key
+
+    def identify(self, authorization: str | None, version: int) -> Operator:
+        """Returns the operator; ``version`` is the configuration's in force."""
+        if version == 0 and self._is_internal(authorization):
+            return Operator(FIRST_OPERATOR, Role.ADMIN)
+        key = self._auth.operator_for(authorization)
+        return Operator(key.operator, Role(key.role))
+
+    def _is_internal(self, authorization: str | None) -> bool:
+        expected = f"Bearer {self._internal_key}"
+        given = authorization or ""
+        return bool(self._internal_key) and hmac.compare_digest(
+            given.encode(), expected.encode()
+        )
--- /dev/null
+++ b/src/pomeloshift/admin/_route.py
@@ -0,0 +1,34 @@
+"""A route of the administration API with all that its description needs."""
+
+import attrs
+
+from ..errors import ErrorCode
+from ._access import Role
+
+PREFIX = "/admin/v1"
+
+
+@attrs.frozen
+class Route:
+    """One method of one path.
+
+    ``role`` is the least role that may use it, `None` where no token is needed.
+    ``audit`` is the name of the change in audit entries, empty for reads.
+    """
+
+    name: str
+    method: str
+    path: str
+    summary: str
+    role: Role | None
+    answer: type
+    request: type | None = None
+    query: tuple[str, ...] = ()
+    status: int = 200
+    audit: str = ""
+    errors: tuple[ErrorCode, ...] = ()
+
+    @property
+    def full_path(self) -> str:
+        """The path with the API's prefix."""
+        return PREFIX + self.path
--- a/src/pomeloshift/config/__init__.py
+++ b/src/pomeloshift/config/__init__.py
@@ -20,6 +20,7 @@
 )
 from ._holder import ConfigHolder
 from ._keys import digest_key, format_token, make_api_key, make_operator_key
+from ._merge import merge_keys
 from ._published import CONFIG_STREAM, ConfigCheckpoint, ConfigPublished
 from ._state import REFUSED, ConfigState
 from ._version import ConfigVersion
@@ -50,4 +51,5 @@
     "format_token",
     "make_api_key",
     "make_operator_key",
+    "merge_keys",
 ]
--- a/src/pomeloshift/config/_configuration.py
+++ b/src/pomeloshift/config/_configuration.py
@@ -62,12 +62,17 @@
 
 @attrs.frozen
 class ApiKeyConfig:
-    """A caller's key; only the salt and the digest of the key are kept."""
+    """A caller's key; only the salt and the digest of the key are kept.
+
+    ``issued_by`` names the operator who issued it over the administration API; it is
+    empty for keys from the questionnaire.
+    """
 
     key_id: str
     workspace: str
     salt: str
     digest: str
+    issued_by: str = ""
 
 
 @attrs.frozen
@@ -79,6 +84,7 @@
     role: str = attrs.field(validator=v.in_(("viewer", "operator", "admin")))
     salt: str
     digest: str
+    issued_by: str = ""
 
 
 @attrs.frozen
@@ -109,7 +115,11 @@
 
 @attrs.frozen
 class Configuration:
-    """A whole configuration; one version of it is in force at any time."""
+    """A whole configuration; one version of it is in force at any time.
+
+    Keys whose ids are in ``revoked_keys`` are never accepted again, whatever a later
+    questionnaire says.
+    """
 
     deployment: str
     regions: tuple[RegionConfig, ...] = ()
@@ -120,6 +130,7 @@
     backend_servers: tuple[BackendServerConfig, ...] = ()
     link: LinkConfig = LinkConfig()
     result_retention_s: float = attrs.field(default=604800.0, validator=v.gt(0))
+    revoked_keys: tuple[str, ...] = ()
 
     def service(self, name: str) -> ServiceConfig | None:
         """Returns the service of that name, or `None`."""
--- a/src/pomeloshift/config/_state.py
+++ b/src/pomeloshift/config/_state.py
@@ -6,7 +6,7 @@
 from ._published import ConfigCheckpoint, ConfigPublished
 from ._version import ConfigVersion
 
-HISTORY_LENGTH = 100
+HISTORY_LENGTH = 20
 REMEMBERED_OUTCOMES = 200
 REFUSED = 0
 
--- a/src/pomeloshift/questionnaire/_generate_people.py
+++ b/src/pomeloshift/questionnaire/_generate_people.py
@@ -70,6 +70,7 @@
                     trace.note(
                         f"{path}.digest", key.owner.digest, key.source("digest")
                     ),
+                    trace.note(f"{path}.issued_by", "", key.source("key_id")),
                 )
             )
     return tuple(keys)
@@ -89,6 +90,7 @@
                 trace.note(f"{path}.role", role, operator.source("role")),
                 trace.note(f"{path}.salt", key.owner.salt, key.source("salt")),
                 trace.note(f"{path}.digest", key.owner.digest, key.source("digest")),
+                trace.note(f"{path}.issued_by", "", key.source("key_id")),
             )
         )
     return tuple(keys)
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,398 @@
+import json
+import re
+from random import Random
+
+import attrs
+import msgspec
+import pytest
+import treq
+
+from _loop import shared_loop
+from pomeloshift.admin import (
+    AUDIT_STREAM,
+    ROUTES,
+    AdminApi,
+    AdminNotFoundError,
+    AuditEntry,
+    AuditLog,
+    InstanceView,
+    JobView,
+    OperatorGate,
+    QuarantineView,
+)
+from pomeloshift.admin._openapi import describe
+from pomeloshift.config import Configuration, make_operator_key
+from pomeloshift.entry._auth import Authenticator, UnauthenticatedError
+from pomeloshift.entry.config import ConfigService
+from pomeloshift.log import RecordCodec
+from pomeloshift.net import SystemClock
+from pomeloshift.net._serve import serve
+from pomeloshift.questionnaire import (
+    KeyAnswers,
+    OperatorAnswers,
+    Role,
+    load_example,
+    render_answers,
+)
+from pomeloshift.standins.log import LogFaults, LogModel, LogSettings, MemoryLog
+
+INTERNAL_KEY = "internal-key-of-the-tests"
+SECRETS = {"viewer": "v" * 32, "operator": "o" * 32, "admin": "a" * 32}
+
+
+def operators():
+    found = []
+    for role, secret in SECRETS.items():
+        key = make_operator_key(f"op-{role}", role, role, secret, salt="salt-1234")
+        answers = KeyAnswers(key.key_id, key.salt, key.digest)
+        found.append(OperatorAnswers(role, answers, Role(role)))
+    return tuple(found)
+
+
+def questionnaire(**changes):
+    answers = attrs.evolve(load_example("vezi"), operators=operators())
+    return render_answers(attrs.evolve(answers, **changes))
+
+
+class FakeFleet:
+    def __init__(self):
+        self.versions = {"e1": 99, "b1": 99}
+        self.drained = []
+
+    def instances(self):
+        return [
+            InstanceView(name, "entry", "r", "z", "h:1", "live", version)
+            for name, version in self.versions.items()
+        ]
+
+    async def drain(self, name):
+        if name not in self.versions:
+            raise AdminNotFoundError(f"there is no instance {name!r}")
+        self.drained.append(name)
+        return "draining"
+
+
+class FakeJobs:
+    def __init__(self):
+        self.jobs = {"j1": JobView("j1", "order-desk", "running", 9, 3, 0)}
+
+    async def list_jobs(self, workspace, limit):
+        found = [j for j in self.jobs.values() if workspace in ("", j.workspace)]
+        return found[:limit]
+
+    async def get_job(self, job_id):
+        if job_id not in self.jobs:
+            raise AdminNotFoundError(f"there is no job {job_id!r}")
+        return self.jobs[job_id]
+
+    async def cancel_job(self, job_id):
+        job = attrs.evolve(await self.get_job(job_id), state="cancelled")
+        self.jobs[job_id] = job
+        return job
+
+
+class FakeQuarantine:
+    def __init__(self):
+        self.found = {"f1": QuarantineView("f1", "vezi-lm", 2, 60.0)}
+
+    def quarantined(self):
+        return list(self.found.values())
+
+    async def release(self, fingerprint):
+        if self.found.pop(fingerprint, None) is None:
+            raise AdminNotFoundError(f"{fingerprint!r} is not quarantined")
+
+
+class Harness:
+    """An administration API on a loopback port with a log in memory."""
+
+    def __init__(self, loop):
+        self.loop = loop
+        clock = SystemClock()
+        self.model = LogModel(LogSettings(), Random(1))
+        log = MemoryLog(self.model, clock.monotonic)
+        rng = Random(2)
+        self.config = ConfigService(
+            "e1", log, clock, loop.reactor, rng, "gorenjska", lambda: []
+        )
+        self.auth = Authenticator(lambda: self.config.current)
+        new_secret = lambda: f"{rng.getrandbits(256):064x}"
+        self.audit = AuditLog("e1", log, clock, loop.reactor, new_secret)
+        self.fleet, self.jobs = FakeFleet(), FakeJobs()
+        self.quarantine = FakeQuarantine()
+        api = AdminApi(
+            OperatorGate(self.auth, INTERNAL_KEY),
+            self.config,
+            self.fleet,
+            self.jobs,
+            self.quarantine,
+            self.audit,
+            new_secret,
+        )
+        self.listener = loop.run(serve, loop.reactor, api.resource, "127.0.0.1")
+
+    def call(self, method, path, body=None, *, role="admin", token=None, raw=None):
+        token = token or f"op-{role}.{SECRETS.get(role, '')}"
+
+        async def send():
+            response = await treq.request(
+                method,
+                f"http://{self.listener.address}/admin/v1{path}",
+                headers={"Authorization": f"Bearer {token}"},
+                data=raw if raw is not None else json.dumps(body).encode(),
+                persistent=False,
+            )
+            return response.code, await response.content()
+
+        return self.loop.run(send)
+
+    def ok(self, method, path, body=None, **options):
+        route = find_route(method, path)
+        status, content = self.call(method, path, body, **options)
+        assert status == route.status, content
+        if route.answer is not dict:
+            msgspec.json.decode(content, type=route.answer)
+        return json.loads(content)
+
+    def error(self, method, path, body=None, **options):
+        status, content = self.call(method, path, body, **options)
+        error = json.loads(content)["error"]
+        route = find_route(method, path)
+        if route is not None:
+            assert status in described_statuses(route), (status, route)
+        return error
+
+    def publish(self, base, text=None, **options):
+        body = {"base_version": base, "questionnaire": text or questionnaire()}
+        return self.ok("POST", "/configuration", body, **options)["version"]
+
+
+def find_route(method, path):
+    path = path.partition("?")[0]
+    for route in ROUTES:
+        pattern = re.sub(r"\{\w+\}", "[^/]+", route.path)
+        if route.method == method and re.fullmatch(pattern, path):
+            return route
+    return None
+
+
+def described_statuses(route):
+    operation = describe([route])["paths"][route.full_path][route.method.lower()]
+    return {int(status) for status in operation["responses"]}
+
+
+@pytest.fixture
+def empty():
+    loop = shared_loop()
+    harness = Harness(loop)
+    yield harness
+    loop.run(harness.listener.stop)
+
+
+@pytest.fixture
+def admin(empty):
+    empty.publish(0, token=INTERNAL_KEY)
+    return empty
+
+
+def test_first_configuration_is_published_with_the_internal_key(empty):
+    assert empty.error("GET", "/status")["code"] == "unauthenticated"
+    assert empty.ok("GET", "/status", token=INTERNAL_KEY)["version"] == 0
+    assert empty.publish(0, token=INTERNAL_KEY) == 1
+    error = empty.error("GET", "/status", token=INTERNAL_KEY)
+    assert error["code"] == "unauthenticated"
+
+
+def test_versions_history_and_conflict(admin):
+    text = questionnaire(results_kept_days=3.0)
+    assert admin.publish(1, text, role="operator") == 2
+    error = admin.error(
+        "POST", "/configuration", {"base_version": 1, "questionnaire": text}
+    )
+    assert error["code"] == "config_conflict"
+    assert error["current_version"] == 2
+    assert error["ran"] == "no"
+    versions = admin.ok("GET", "/configuration/versions")["versions"]
+    assert [(v["version"], v["author"], v["in_force"]) for v in versions] == [
+        (2, "operator", True),
+        (1, "first-publication", False),
+    ]
+    old = admin.ok("GET", "/configuration/versions/1")
+    assert old["result_retention_s"] == 7 * 86400
+    assert admin.ok("GET", "/configuration")["result_retention_s"] == 3 * 86400
+    assert admin.error("GET", "/configuration/versions/9")["code"] == "not_found"
+
+
+def test_faults_of_a_questionnaire_come_all_at_once(admin):
+    text = questionnaire().replace('"kind": "plain"', '"kind": 1')
+    text = text.replace('"results_kept_days": 7', '"results_kept_days": -1')
+    error = admin.error(
+        "POST", "/configuration", {"base_version": 1, "questionnaire": text}
+    )
+    assert error["code"] == "invalid_answers"
+    assert {fault["path"] for fault in error["faults"]} == {
+        "services[1].kind",
+        "results_kept_days",
+    }
+
+
+def test_salts_and_digests_are_not_shown(admin):
+    for path in ("/configuration", "/configuration/versions/1", "/keys"):
+        assert b"salt-1234" not in admin.call("GET", path)[1]
+
+
+def test_issued_key_works_and_revoked_key_does_not(admin):
+    issued = admin.ok("POST", "/keys", {"workspace": "order-desk"})
+    bearer = f"Bearer {issued['token']}"
+    assert admin.auth.workspace_for(bearer) == "order-desk"
+    assert issued["token"].encode() not in admin.config.document().document
+    admin.ok("DELETE", f"/keys/{issued['key_id']}")
+    with pytest.raises(UnauthenticatedError):
+        admin.auth.workspace_for(bearer)
+    assert admin.error("DELETE", f"/keys/{issued['key_id']}")["code"] == "not_found"
+
+
+def test_rotated_key_is_replaced(admin):
+    issued = admin.ok("POST", "/keys", {"operator": "eva", "role": "operator"})
+    rotated = admin.ok("POST", f"/keys/{issued['key_id']}/rotate")
+    with pytest.raises(UnauthenticatedError):
+        admin.auth.operator_for(f"Bearer {issued['token']}")
+    key = admin.auth.operator_for(f"Bearer {rotated['token']}")
+    assert (key.operator, key.role, key.issued_by) == ("eva", "operator", "admin")
+
+
+def test_issued_and_revoked_keys_outlast_a_publication(admin):
+    issued = admin.ok("POST", "/keys", {"workspace": "order-desk"})
+    version = admin.ok("DELETE", "/keys/stations-1")["version"]
+    admin.publish(version, questionnaire(results_kept_days=3.0), role="operator")
+    ids = [key["key_id"] for key in admin.ok("GET", "/keys")["keys"]]
+    assert issued["key_id"] in ids
+    assert "stations-1" not in ids
+
+
+def test_key_changes_survive_a_race_for_the_version(admin):
+    publish = admin.config.publish
+    raced = []
+
+    async def race(cfg, base, author, note=""):
+        if not raced:
+            raced.append(await publish(Configuration("x"), base, "rival"))
+            raced.append(await publish(cfg, raced[0], "rival"))
+        return await publish(cfg, base, author, note)
+
+    admin.config.publish = race
+    issued = admin.ok("POST", "/keys", {"workspace": "order-desk"})
+    assert issued["version"] == raced[-1] + 1
+
+
+def test_roles_are_enforced(admin):
+    for route in ROUTES:
+        if route.role is None or route.role.value == "viewer":
+            continue
+        path = re.sub(r"\{\w+\}", "x", route.path)
+        error = admin.error(route.method, path, {}, role="viewer")
+        assert error["code"] == "forbidden", route
+    body = {"workspace": "order-desk"}
+    assert admin.error("POST", "/keys", body, role="operator")["code"] == "forbidden"
+
+
+def test_operator_cannot_make_itself_admin_by_publishing(admin):
+    promoted = tuple(attrs.evolve(o, role=Role.ADMIN) for o in operators())
+    body = {"base_version": 1, "questionnaire": questionnaire(operators=promoted)}
+    error = admin.error("POST", "/configuration", body, role="operator")
+    assert error["code"] == "forbidden"
+    assert admin.config.version == 1
+
+
+def test_status_names_the_instances_that_lag(admin):
+    admin.fleet.versions = {"e1": 1, "b1": 0, "b2": 1}
+    status = admin.ok("GET", "/status", role="viewer")
+    assert status["version"] == 1
+    assert status["lacking"] == ["b1"]
+
+
+def test_instances_jobs_and_quarantine(admin):
+    assert len(admin.ok("GET", "/instances", role="viewer")["instances"]) == 2
+    drained = admin.ok("POST", "/instances/b1/drain", role="operator")
+    assert drained == {"name": "b1", "state": "draining"}
+    assert admin.error("POST", "/instances/b9/drain")["code"] == "not_found"
+    assert len(admin.ok("GET", "/jobs", role="viewer")["jobs"]) == 1
+    assert admin.ok("GET", "/jobs?workspace=other&limit=5")["jobs"] == []
+    assert admin.ok("POST", "/jobs/j1/cancel")["state"] == "cancelled"
+    assert admin.ok("GET", "/jobs/j1")["state"] == "cancelled"
+    assert len(admin.ok("GET", "/quarantine")["requests"]) == 1
+    admin.ok("DELETE", "/quarantine/f1")
+    assert admin.error("DELETE", "/quarantine/f1")["code"] == "not_found"
+
+
+def test_deployment_and_workspaces(admin):
+    deployment = admin.ok("GET", "/deployment", role="viewer")
+    assert deployment["services"] == ["vezi-lm", "schedule-desk"]
+    workspaces = admin.ok("GET", "/workspaces", role="viewer")["workspaces"]
+    assert workspaces[0]["keys"] == ["stations-1"]
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "raw"),
+    [
+        ("POST", "/configuration", b"{"),
+        ("POST", "/configuration", b'{"base_version": "1", "questionnaire": ""}'),
+        ("POST", "/keys", b"{}"),
+        ("POST", "/keys", b'{"workspace": "a", "operator": "b"}'),
+        ("POST", "/keys", b'{"operator": "b", "role": "king"}'),
+        ("GET", "/jobs?limit=0", b""),
+        ("GET", "/jobs?limit=x", b""),
+        ("PUT", "/keys", b""),
+    ],
+)
+def test_bad_requests_are_typed(admin, method, path, raw):
+    error = admin.error(method, path, raw=raw)
+    assert error["code"] == "invalid_request"
+
+
+def test_unknown_path_and_bad_token_are_typed(admin):
+    assert admin.error("GET", "/nothing")["code"] == "not_found"
+    assert admin.error("GET", "/status", token="x.y")["code"] == "unauthenticated"
+
+
+def test_publication_with_the_log_down_did_not_run(admin):
+    admin.model.faults = LogFaults(is_down=True)
+    body = {"base_version": 1, "questionnaire": questionnaire()}
+    error = admin.error("POST", "/configuration", body)
+    assert (error["code"], error["ran"]) == ("log_unavailable", "no")
+
+
+def test_every_change_is_audited(admin):
+    admin.ok("POST", "/instances/b1/drain", role="operator")
+    admin.error("POST", "/instances/b9/drain", role="operator")
+    admin.model.faults = LogFaults(is_down=True)
+    admin.ok("DELETE", "/quarantine/f1", role="operator")
+    admin.model.faults = LogFaults()
+    admin.loop.run(admin.audit.flush)
+    page = admin.model.read(AUDIT_STREAM, 0, 100, SystemClock().monotonic())
+    codec = RecordCodec([AuditEntry])
+    entries = [codec.decode(stored.data).body for stored in page.records]
+    assert [(e.operator, e.action, e.target, e.outcome) for e in entries] == [
+        ("first-publication", "publish", "-", "ok"),
+        ("operator", "drain", "b1", "ok"),
+        ("operator", "drain", "b9", "not_found"),
+        ("operator", "release_quarantined", "f1", "ok"),
+    ]
+
+
+def test_openapi_document_is_served_and_describes_every_route(admin, snapshot):
+    document = admin.ok("GET", "/openapi.json", token="none")
+    described = {
+        (method.upper(), path)
+        for path, operations in document["paths"].items()
+        for method in operations
+    }
+    assert described == {(route.method, route.full_path) for route in ROUTES}
+    references = set(re.findall(r'"#/components/schemas/(\w+)"', json.dumps(document)))
+    assert references <= set(document["components"]["schemas"])
+    summary = {
+        operation["operationId"]: sorted(operation["responses"])
+        for operations in document["paths"].values()
+        for operation in operations.values()
+    }
+    assert summary == snapshot
