Add the fold of a partition and the owner that leases its items

Cause: jobs, items and their results follow from the log alone; who runs what must never decide what is true. Change: records of files, jobs, claims, strikes and completions; PartitionState folds them, with bodies and results left in the log and only their offsets kept; PartitionOwner leases items by deadline and by fairness among workspaces, holds an item back until the record that follows from its end is applied, and fails poison items after two certain strikes. Conclusion: owners at the same time waste work only.

--- /dev/null
+++ b/src/pomeloshift/batch/_owner_records.py
@@ -0,0 +1,67 @@
+"""Makes the records that a partition's owner appends."""
+
+from ..errors import ErrorCode, ErrorReport, Ran
+from ..log import Record
+from ..wire import ItemOutcome
+from ._lease import Lease
+from ._records import (
+    AttemptStarted,
+    AttemptWithdrawn,
+    ItemCompleted,
+    ItemStruck,
+    JobCancelled,
+)
+
+UNKNOWN_OUTCOME = ErrorReport(
+    ErrorCode.OUTCOME_UNKNOWN,
+    "the item may not be repeated and the end of its run is not known",
+    Ran.UNKNOWN,
+)
+
+
+def claim_record(lease: Lease) -> Record:
+    """Returns the claim on the only run of an item."""
+    body = AttemptStarted(lease.job_id, lease.index, lease.lease_id, lease.instance)
+    return Record(f"{lease.lease_id}/start", body)
+
+
+def withdrawal_record(job_id: str, index: int, lease_id: str) -> Record:
+    """Returns the withdrawal of a claim whose run provably did not begin."""
+    return Record(f"{lease_id}/withdraw", AttemptWithdrawn(job_id, index, lease_id))
+
+
+def strike_record(
+    job_id: str, index: int, lease_id: str, is_certain: bool, wall: float
+) -> Record:
+    """Returns the record of a backend server lost while it ran an item."""
+    word = "lost" if is_certain else "silent"
+    body = ItemStruck(job_id, index, lease_id, is_certain, wall)
+    return Record(f"{lease_id}/{word}", body)
+
+
+def completion_record(outcome: ItemOutcome, wall: float) -> Record:
+    """Returns the record of an item's end."""
+    body = ItemCompleted(
+        outcome.job_id,
+        outcome.index,
+        outcome.lease_id,
+        outcome.status,
+        outcome.body,
+        outcome.output_tokens,
+        wall,
+        outcome.error,
+    )
+    return Record(f"{outcome.lease_id}/done", body)
+
+
+def unknown_outcome_record(
+    job_id: str, index: int, lease_id: str, wall: float
+) -> Record:
+    """Returns the end of an item whose only run has no known end."""
+    body = ItemCompleted(job_id, index, lease_id, 0, b"", 0, wall, UNKNOWN_OUTCOME)
+    return Record(f"{lease_id}/unknown", body)
+
+
+def cancel_record(job_id: str, wall: float) -> Record:
+    """Returns the record of a job's cancel."""
+    return Record(f"{job_id}/cancel", JobCancelled(job_id, wall))
--- /dev/null
+++ b/src/pomeloshift/batch/_ownership.py
@@ -0,0 +1,20 @@
+"""Chooses the entry that owns a partition."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def owner_of(partition: int, entry_names: Iterable[str]) -> str | None:
+    """Returns the owner of a partition by rendezvous hashing, `None` without entries.
+
+    An entry that joins or leaves changes the owner of about its own share of the
+    partitions only.
+    """
+    return max(
+        entry_names, key=lambda name: (_score(partition, name), name), default=None
+    )
+
+
+def _score(partition: int, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{partition}/{name}".encode())
--- /dev/null
+++ b/tests/test_jobs_owner.py
@@ -0,0 +1,323 @@
+import pytest
+
+from _partition import Partition, statuses
+from pomeloshift.batch import ItemStatus, LeasePhase, job_view
+from pomeloshift.errors import ErrorCode, ErrorReport, Ran
+from pomeloshift.wire import ItemOutcome, ItemPull, LeaseRelease
+
+LOST = ErrorReport(ErrorCode.BACKEND_SERVER_LOST, "lost")
+BUSY = ErrorReport(ErrorCode.OVERLOADED, "busy", Ran.NO)
+SLOW = ErrorReport(ErrorCode.DEADLINE_EXCEEDED, "slow")
+BAD = ErrorReport(ErrorCode.INVALID_REQUEST, "bad", Ran.NO)
+
+
+@pytest.fixture
+def partition():
+    return Partition()
+
+
+@pytest.fixture
+def owner(partition):
+    return partition.own()
+
+
+def indexes(decision):
+    return [lease.index for lease in decision.leases]
+
+
+def test_job_runs_to_its_end(partition, owner):
+    job_id = partition.add_job("k", items=5)
+    decision = partition.pull(owner)
+    assert indexes(decision) == [0, 1, 2, 3, 4]
+    for lease in decision.leases[:4]:
+        partition.finish(owner, lease)
+    partition.finish(owner, decision.leases[4], error=BAD)
+    job = owner.state.jobs[job_id]
+    assert (job.completed, job.failed, job.waiting) == (4, 1, 0)
+    assert job_view(job).status == "completed"
+    assert owner.leased == 0
+
+
+def test_repeated_pull_gets_the_same_leases_and_an_older_one_none(partition, owner):
+    partition.add_job("k", items=5)
+    first = partition.pull(owner, nonce=7, items=2)
+    assert partition.pull(owner, nonce=7, items=2).leases == first.leases
+    assert partition.pull(owner, nonce=6, items=2).leases == ()
+    assert indexes(partition.pull(owner, nonce=8, items=2)) == [2, 3]
+
+
+def test_pull_takes_no_more_tokens_than_there_is_room_for(partition, owner):
+    partition.add_job("k", items=5)
+    assert indexes(partition.pull(owner, tokens=250)) == [0, 1]
+
+
+def test_leases_whose_grant_was_lost_are_given_out_again(partition, owner):
+    partition.add_job("k", items=2)
+    first = partition.pull(owner, nonce=1)
+    again = partition.pull(owner, nonce=2, held=(first.leases[0].lease_id,))
+    assert indexes(again) == [1]
+
+
+def test_held_leases_live_on_and_others_run_out(partition, owner):
+    job_id = partition.add_job("k", items=2)
+    partition.pull(owner, now=0, instance="s1", items=1)
+    partition.pull(owner, now=0, instance="s2", items=1)
+    partition.pull(owner, now=9, instance="s1", nonce=2, items=0)
+    partition.append(owner.tick(11, 11))
+    assert owner.leased == 1
+    assert list(owner.state.jobs[job_id].strikes) == [1]
+    decision = partition.pull(owner, now=12, instance="s3")
+    assert indexes(decision) == [1]
+    assert decision.leases[0].is_alone
+
+
+def test_poison_item_fails_after_two_lost_backend_servers(partition, owner):
+    job_id = partition.add_job("k", items=3)
+    for round_number, instance in enumerate(("s1", "s2")):
+        decision = partition.pull(owner, instance=instance, items=1)
+        assert indexes(decision) == [0]
+        assert decision.leases[0].is_alone is (round_number == 1)
+        partition.append(owner.instance_lost(instance, 1, 0, 0))
+    assert statuses(owner, job_id) == ["FAILED", "WAITING", "WAITING"]
+    for lease in partition.pull(owner, instance="s3").leases:
+        partition.finish(owner, lease)
+    assert owner.state.jobs[job_id].waiting == 0
+
+
+def test_struck_item_is_not_leased_before_its_strike_is_durable(partition, owner):
+    partition.add_job("k", items=1)
+    partition.pull(owner, instance="s1")
+    records = owner.instance_lost("s1", 1, 0, 0)
+    assert partition.pull(owner, instance="s2").leases == ()
+    partition.append(records)
+    assert len(partition.pull(owner, instance="s2", nonce=2).leases) == 1
+
+
+def test_crash_reported_by_a_sidecar_counts_like_a_lost_one(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    for nonce in (1, 2):
+        (lease,) = partition.pull(owner, nonce=nonce).leases
+        partition.finish(owner, lease, error=LOST)
+    assert statuses(owner, job_id) == ["FAILED"]
+
+
+def test_silence_becomes_a_certain_strike_when_the_loss_is_known(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    for instance, now in (("s1", 0), ("s2", 20)):
+        partition.pull(owner, now=now, instance=instance)
+        partition.append(owner.tick(now + 11, now + 11))
+    assert statuses(owner, job_id) == ["WAITING"]
+    partition.append(owner.instance_lost("s1", 1, 32, 32))
+    assert statuses(owner, job_id) == ["WAITING"]
+    partition.append(owner.instance_lost("s2", 1, 32, 32))
+    assert statuses(owner, job_id) == ["FAILED"]
+
+
+def test_restart_of_a_sidecar_strikes_what_it_ran(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    partition.pull(owner, incarnation=1)
+    partition.pull(owner, incarnation=2, items=0)
+    assert len(owner.state.jobs[job_id].strikes[0]) == 1
+
+
+def test_refused_items_run_again_without_a_limit(partition, owner):
+    partition.add_job("k", items=1)
+    for nonce in range(20):
+        (lease,) = partition.pull(owner, nonce=nonce).leases
+        assert partition.finish(owner, lease, error=BUSY) is None
+
+
+def test_item_that_never_completes_fails_in_the_end(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    for nonce in (1, 2, 3):
+        (lease,) = partition.pull(owner, nonce=nonce).leases
+        partition.finish(owner, lease, error=SLOW)
+    assert statuses(owner, job_id) == ["FAILED"]
+
+
+def test_released_items_come_back_at_once_with_what_they_produced(partition, owner):
+    partition.add_job("k", items=2)
+    first = partition.pull(owner).leases
+    release = LeaseRelease("s1", tuple(le.lease_id for le in first), (b"so far",))
+    assert owner.release(release, 0, 0) == []
+    again = partition.pull(owner, instance="s2").leases
+    assert [owner.resume_of(lease) for lease in again] == [b"so far", b""]
+    assert not any(lease.is_alone for lease in again)
+
+
+def test_cancel_stops_leasing_at_once_and_first_record_wins(partition, owner):
+    job_id = partition.add_job("k", items=3)
+    first, second, _ = partition.pull(owner).leases
+    partition.finish(owner, first)
+    record = owner.cancel(job_id, 1.0)
+    assert partition.pull(owner, instance="s2").leases == ()
+    assert len(partition.pull(owner, nonce=2).cancelled) == 2
+    assert job_view(owner.state.jobs[job_id], True).status == "cancelling"
+    partition.append([record])
+    partition.finish(owner, second)
+    job = owner.state.jobs[job_id]
+    assert (job.completed, job_view(job).status) == (1, "cancelled")
+    assert owner.cancel(job_id, 2.0) is None
+
+
+def test_new_owner_stops_items_of_a_job_that_was_cancelled(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    (lease,) = partition.pull(owner).leases
+    partition.append([owner.cancel(job_id, 1.0)])
+    successor = partition.own("entry-2")
+    decision = partition.pull(successor, nonce=2, held=(lease.lease_id,))
+    assert decision.cancelled == (lease.lease_id,)
+
+
+def test_new_owner_takes_over_the_leases_that_sidecars_hold(partition, owner):
+    partition.add_job("k", items=3)
+    held = tuple(le.lease_id for le in partition.pull(owner, items=2).leases)
+    successor = partition.own("entry-2")
+    partition.pull(successor, nonce=2, items=0, held=held)
+    assert indexes(partition.pull(successor, instance="s2")) == [2]
+
+
+def test_two_owners_waste_work_and_keep_the_first_completion(partition, owner):
+    job_id = partition.add_job("k", items=2)
+    other = partition.own("entry-2")
+    mine = partition.pull(owner, instance="s1").leases
+    theirs = partition.pull(other, instance="s2").leases
+    assert [le.index for le in mine] == [le.index for le in theirs]
+    for ours, second in zip(mine, theirs, strict=True):
+        partition.finish(owner, ours, body=b'"first"')
+        assert partition.finish(other, second, body=b'"second"') is None
+    job = owner.state.jobs[job_id]
+    assert (job.completed, job.waiting) == (2, 0)
+    assert [partition.records[o].body.body for o in job.results] == [b'"first"'] * 2
+    assert other.leased == owner.leased == 0
+
+
+def test_item_that_may_not_be_repeated_is_handed_out_once(partition, owner):
+    job_id = partition.add_job("k", items=1, is_repeatable=False)
+    other = partition.own("entry-2")
+    for each in (owner, other):
+        assert partition.pull(each, may_claim=False).leases == ()
+    first = owner_pull(owner, "s1")
+    second = owner_pull(other, "s2")
+    assert first.leases[0].phase is LeasePhase.CLAIMING
+    partition.append(first.records)
+    partition.append(second.records)
+    assert owner.is_claimed(first.leases[0].lease_id, 0)
+    assert not other.is_claimed(second.leases[0].lease_id, 0)
+    assert partition.pull(other, instance="s3").leases == ()
+    partition.finish(owner, first.leases[0])
+    assert statuses(owner, job_id) == ["COMPLETED"]
+
+
+def owner_pull(owner, instance):
+    return owner.pull(ItemPull(instance, 1, 5, "r", "lm", 1000, 1), 0, 0)
+
+
+def claimed(partition, owner):
+    decision = partition.pull(owner)
+    (lease,) = decision.leases
+    assert owner.is_claimed(lease.lease_id, 0)
+    return lease
+
+
+@pytest.mark.parametrize("end", ["lost", "late", "released", "crashed", "passing"])
+def test_only_run_without_a_known_end_is_never_repeated(partition, owner, end):
+    job_id = partition.add_job("k", items=1, is_repeatable=False)
+    lease = claimed(partition, owner)
+    if end == "lost":
+        partition.append(owner.instance_lost("s1", 1, 0, 0))
+    elif end == "late":
+        partition.append(owner.tick(11, 11))
+    elif end == "released":
+        partition.append(owner.release(LeaseRelease("s1", (lease.lease_id,)), 0, 0))
+    else:
+        error = LOST if end == "crashed" else SLOW
+        partition.finish(owner, lease, error=error)
+    assert statuses(owner, job_id) == ["FAILED"]
+    result = partition.records[owner.state.jobs[job_id].results[0]].body
+    assert result.error.code is ErrorCode.OUTCOME_UNKNOWN
+    assert result.error.ran is Ran.UNKNOWN
+    assert partition.pull(owner, instance="s2").leases == ()
+
+
+def test_only_run_that_did_not_begin_may_begin_later(partition, owner):
+    job_id = partition.add_job("k", items=1, is_repeatable=False)
+    lease = claimed(partition, owner)
+    partition.finish(owner, lease, error=BUSY)
+    decision = partition.pull(owner, nonce=2)
+    assert owner.is_claimed(decision.leases[0].lease_id, 0)
+    partition.finish(owner, decision.leases[0])
+    assert statuses(owner, job_id) == ["COMPLETED"]
+
+
+def test_claim_that_lands_after_its_lease_was_dropped_is_withdrawn(partition, owner):
+    partition.add_job("k", items=1, is_repeatable=False)
+    decision = owner_pull(owner, "s1")
+    owner.abandon(decision.leases[0].lease_id, 0)
+    partition.append(decision.records)
+    assert partition.pull(owner, instance="s2").leases == ()
+    partition.append(owner.tick(0, 0))
+    assert len(partition.pull(owner, instance="s2", nonce=2).leases) == 1
+
+
+def test_new_owner_waits_for_the_runner_of_a_claim(partition, owner):
+    job_id = partition.add_job("k", items=2, is_repeatable=False)
+    leases = partition.pull(owner).leases
+    for lease in leases:
+        assert owner.is_claimed(lease.lease_id, 0)
+    successor = partition.own("entry-2")
+    successor.adopt_attempts(100.0)
+    assert partition.pull(successor, now=100.0, instance="s2").leases == ()
+    partition.finish(successor, leases[0], now=105.0)
+    partition.append(successor.tick(111.0, 111.0))
+    assert statuses(successor, job_id) == ["COMPLETED", "FAILED"]
+
+
+def test_small_job_due_sooner_is_not_starved_by_a_huge_one(partition, owner):
+    partition.add_job("huge", items=88_000, workspace="a")
+    small = partition.add_job("small", items=20, workspace="b", window_s=600)
+    decision = partition.pull(owner, items=20, tokens=100_000)
+    assert [lease.job_id for lease in decision.leases].count(small) >= 10
+    rest = partition.pull(owner, items=20, tokens=100_000, nonce=2)
+    served = [le.job_id for le in decision.leases + rest.leases]
+    assert served.count(small) == 20
+
+
+def test_workspaces_with_equal_deadlines_share_by_weight(partition, owner):
+    jobs = {
+        name: partition.add_job(name, items=1000, workspace=name, window_s=3600)
+        for name in ("a", "b")
+    }
+    granted = partition.pull(
+        owner, items=400, tokens=100_000, shares={"a": 1.0, "b": 1.0}
+    )
+    served = [le.job_id for le in granted.leases]
+    assert abs(served.count(jobs["a"]) - served.count(jobs["b"])) <= 2
+
+
+def test_workspace_with_a_short_window_leaves_the_others_half(partition, owner):
+    partition.add_job("eager", items=1000, workspace="a", window_s=60)
+    patient = partition.add_job("patient", items=1000, workspace="b")
+    granted = partition.pull(owner, items=100, tokens=100_000)
+    served = [le.job_id for le in granted.leases]
+    assert served.count(patient) == 50
+
+
+def test_outcome_of_a_lease_granted_elsewhere_completes_the_item(partition, owner):
+    job_id = partition.add_job("k", items=1)
+    (lease,) = partition.pull(owner).leases
+    successor = partition.own("entry-2")
+    partition.finish(successor, lease)
+    assert statuses(successor, job_id) == ["COMPLETED"]
+    assert owner.leased == 0
+    assert owner.state.jobs[job_id].status[0] == ItemStatus.COMPLETED
+
+
+def test_lease_runs_again_when_the_record_of_its_end_was_not_taken(partition, owner):
+    partition.add_job("k", items=1)
+    (lease,) = partition.pull(owner).leases
+    outcome = ItemOutcome(0, lease.job_id, 0, lease.lease_id, 200, b"{}", 1)
+    assert owner.outcome(outcome, 0, 0) is not None
+    owner.reopen(lease.lease_id, 5)
+    assert owner.tick(14, 14) == []
+    assert owner.outcome(outcome, 14, 14) is not None
