Choose items over all partitions of an entry with one order

Cause: an entry that owns several partitions would have served them in turn, whatever their jobs' deadlines. Change: pull_all takes stock in each owner, chooses once over all their queues and leases in each; PartitionOwner.pull is the case of one. Conclusion: the order holds per entry, not per partition.

--- a/src/pomeloshift/batch/__init__.py
+++ b/src/pomeloshift/batch/__init__.py
@@ -1,6 +1,8 @@
 """Jobs, their items, and the state that is folded from the log."""
 
+from ._chooser import ChoiceRules
 from ._decisions import PullDecision
+from ._dispatch import DispatchOrder
 from ._errors import (
     IdempotencyConflictError,
     InvalidJobError,
@@ -31,7 +33,7 @@
 )
 from ._lease import Lease, LeaseName, LeasePhase, parse_lease_id
 from ._outcomes import OutcomeKind, outcome_kind
-from ._owner import PartitionOwner
+from ._owner import PartitionOwner, pull_all
 from ._owner_settings import OwnerSettings
 from ._ownership import owner_of
 from ._records import (
@@ -59,6 +61,8 @@
     "AttemptStarted",
     "AttemptWithdrawn",
     "Carried",
+    "ChoiceRules",
+    "DispatchOrder",
     "FileChunkStored",
     "FileCreated",
     "FileDeleted",
@@ -107,6 +111,7 @@
     "partition_of_file",
     "partition_of_job",
     "partition_stream",
+    "pull_all",
     "request_digest",
     "result_line",
     "window_seconds",
--- a/src/pomeloshift/batch/_chooser.py
+++ b/src/pomeloshift/batch/_chooser.py
@@ -1,6 +1,6 @@
-"""Chooses items for a pull."""
+"""Chooses items for a pull, over the partitions of one owner."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 
 import attrs
 
@@ -13,18 +13,31 @@
 
 @attrs.frozen
 class ChosenItem:
-    """An item that was taken out of its queue."""
+    """An item that was taken out of the queue at ``position`` of the sequence."""
 
+    position: int
     job: JobState
     index: int
 
 
-class ItemChooser:
-    """Holds the queues of the jobs that are not over and chooses among them."""
+@attrs.frozen
+class ChoiceRules:
+    """What limits a choice.
+
+    ``shares`` holds the workspaces' shares. Without ``may_claim`` no item is chosen
+    that may not be repeated, and without ``may_grant`` none at all.
+    """
+
+    shares: Mapping[str, float] = attrs.field(factory=dict)
+    may_claim: bool = True
+    may_grant: bool = True
+
+
+class ItemQueues:
+    """The queues of a partition's jobs that are not over."""
 
     def __init__(self, state: PartitionState) -> None:
         self._queues: dict[str, JobQueue] = {}
-        self._order = DispatchOrder()
         for job in state.jobs.values():
             self.open(job)
 
@@ -37,41 +50,14 @@
         """Drops a job that is over."""
         self._queues.pop(job_id, None)
 
-    def queue(self, job_id: str) -> JobQueue | None:
+    def get(self, job_id: str) -> JobQueue | None:
         """Returns the queue of a job that is not over."""
         return self._queues.get(job_id)
 
-    def choose(
-        self,
-        pull: ItemPull,
-        now: float,
-        excluded: frozenset[str],
-        shares: Mapping[str, float],
-        may_claim: bool,
-    ) -> Iterator[ChosenItem]:
-        """Takes out items for a pull, within its tokens and number of items."""
-        ready = self._ready(pull.service, now, excluded, may_claim)
-        room = pull.tokens
-        for _ in range(pull.max_items):
-            fitting = [job for job, index in ready.items() if job.tokens[index] <= room]
-            job = self._order.choose(fitting)
-            if job is None:
-                return
-            index = ready[job]
-            queue = self._queues[job.job_id]
-            queue.take(index)
-            room -= job.tokens[index]
-            self._order.served(job, job.tokens[index], shares)
-            yield ChosenItem(job, index)
-            following = queue.next_index(now)
-            if following is None:
-                del ready[job]
-            else:
-                ready[job] = following
-
-    def _ready(
-        self, service: str, now: float, excluded: frozenset[str], may_claim: bool
+    def ready(
+        self, service: str, now: float, excluded: set[str], may_claim: bool
     ) -> dict[JobState, int]:
+        """Returns the jobs that have an item to run, with the item's index."""
         ready = {}
         for job_id, queue in self._queues.items():
             job = queue.job
@@ -83,3 +69,37 @@
             if index is not None:
                 ready[job] = index
         return ready
+
+
+def choose_items(
+    all_queues: Sequence[tuple[ItemQueues, set[str]]],
+    order: DispatchOrder,
+    pull: ItemPull,
+    now: float,
+    rules: ChoiceRules,
+) -> Iterator[ChosenItem]:
+    """Takes out items for a pull, within its tokens and number of items.
+
+    Each sequence entry holds a partition's queues and the jobs being cancelled.
+    """
+    ready: dict[JobState, ChosenItem] = {}
+    for position, (queues, excluded) in enumerate(all_queues):
+        found = queues.ready(pull.service, now, excluded, rules.may_claim)
+        for found_job, index in found.items():
+            ready[found_job] = ChosenItem(position, found_job, index)
+    room = pull.tokens
+    for _ in range(pull.max_items):
+        fitting = [j for j, it in ready.items() if j.tokens[it.index] <= room]
+        job = order.choose(fitting)
+        if job is None:
+            return
+        item = ready.pop(job)
+        queue = all_queues[item.position][0].get(job.job_id)
+        assert queue is not None
+        queue.take(item.index)
+        room -= job.tokens[item.index]
+        order.served(job, job.tokens[item.index], rules.shares)
+        following = queue.next_index(now)
+        if following is not None:
+            ready[job] = attrs.evolve(item, index=following)
+        yield item
--- a/src/pomeloshift/batch/_decisions.py
+++ b/src/pomeloshift/batch/_decisions.py
@@ -18,3 +18,11 @@
     leases: tuple[Lease, ...] = ()
     records: tuple[Record, ...] = ()
     cancelled: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class PullStart:
+    """What taking stock gave: records, or the whole answer to a repeated pull."""
+
+    records: tuple[Record, ...] = ()
+    answer: PullDecision | None = None
--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -1,13 +1,14 @@
 """Decides which sidecar runs which item of a partition."""
 
-from collections.abc import Mapping
+from collections.abc import Sequence
 from random import Random
 from typing import Any
 
 from ..log import Record
 from ..wire import ItemOutcome, ItemPull, LeaseRelease
-from ._chooser import ItemChooser
-from ._decisions import PullDecision
+from ._chooser import ChoiceRules, ChosenItem, ItemQueues, choose_items
+from ._decisions import PullDecision, PullStart
+from ._dispatch import DispatchOrder
 from ._job_state import ItemStatus, JobState
 from ._lease import Lease, LeasePhase, lease_id_for, parse_lease_id
 from ._lease_table import LeaseTable
@@ -33,6 +34,7 @@
 from ._state import PartitionState
 
 OWNER_ID_BITS = 48
+NO_PULL: tuple[int, int, tuple[str, ...]] = (-1, -1, ())
 
 
 class PartitionOwner:
@@ -64,7 +66,8 @@
         self._id = f"{name}-{rng.getrandbits(OWNER_ID_BITS):012x}"
         self._granted = 0
         self._now = 0.0
-        self._chooser = ItemChooser(state)
+        self._queues = ItemQueues(state)
+        self._order = DispatchOrder()
         self._leases = LeaseTable()
         self._pulls: dict[str, tuple[int, int, tuple[str, ...]]] = {}
         self._cancelling: set[str] = set()
@@ -95,35 +98,44 @@
             lease.expires_at = now + self.settings.lease_s
 
     def pull(
-        self,
-        pull: ItemPull,
-        now: float,
-        wall: float,
-        shares: Mapping[str, float] | None = None,
-        may_claim: bool = True,
-        may_grant: bool = True,
+        self, pull: ItemPull, now: float, wall: float, rules: ChoiceRules | None = None
     ) -> PullDecision:
         """Leases items to a sidecar and renews the leases that it holds.
 
         A pull that repeats the nonce of the one before gets the same leases, and an
-        older one gets none. ``shares`` gives the workspaces' shares. Without
-        ``may_claim`` no item that may not be repeated is leased, and without
-        ``may_grant`` none at all.
+        older one gets none.
         """
+        return pull_all([self], self._order, pull, now, wall, rules)[0]
+
+    def begin_pull(self, pull: ItemPull, now: float, wall: float) -> PullStart:
+        """Takes stock of what a sidecar holds, before items are chosen."""
         self._now = now
-        known = self._pulls.get(pull.instance, (0, 0, ()))
+        known = self._pulls.get(pull.instance, NO_PULL)
         if (pull.incarnation, pull.nonce) < known[:2]:
-            return PullDecision()
+            return PullStart(answer=PullDecision())
         records = self._take_stock(pull, now, wall)
         if (pull.incarnation, pull.nonce) == known[:2]:
-            return self._repeat(pull, known[2], records)
-        leases = []
-        if may_grant:
-            leases = self._grant_all(pull, now, shares or {}, may_claim)
+            return PullStart(answer=self._repeat(pull, known[2], records))
+        return PullStart(tuple(records))
+
+    def end_pull(
+        self, pull: ItemPull, start: PullStart, items: list[ChosenItem], now: float
+    ) -> PullDecision:
+        """Leases the items that were chosen."""
+        if start.answer is not None:
+            return start.answer
+        leases = [self._grant(item.job, item.index, pull, now) for item in items]
         self._remember(pull, leases)
         claiming = (le for le in leases if le.phase is LeasePhase.CLAIMING)
-        records += [claim_record(lease) for lease in claiming]
-        return PullDecision(tuple(leases), tuple(records), self._cancelled_leases(pull))
+        claims = tuple(claim_record(lease) for lease in claiming)
+        return PullDecision(
+            tuple(leases), start.records + claims, self._cancelled_leases(pull)
+        )
+
+    @property
+    def choices(self) -> tuple[ItemQueues, set[str]]:
+        """The queues to choose from and the jobs that are being cancelled."""
+        return self._queues, self._cancelling
 
     def is_claimed(self, lease_id: str, now: float) -> bool:
         """Tells whether the claim of a lease is the first in the stream.
@@ -249,7 +261,7 @@
 
     def _follow(self, body: Any) -> None:
         if isinstance(body, JobCreated):
-            self._chooser.open(self.state.jobs[body.job_id])
+            self._queues.open(self.state.jobs[body.job_id])
         elif isinstance(body, ItemCompleted):
             self._settle(body.job_id, body.index)
         elif isinstance(body, ItemStruck):
@@ -276,7 +288,7 @@
             )
 
     def _follow_withdrawal(self, body: AttemptWithdrawn) -> None:
-        queue = self._chooser.queue(body.job_id)
+        queue = self._queues.get(body.job_id)
         if body.attempt_id in self._leases:
             self._settle_lease(body.attempt_id)
         elif queue is not None and not queue.is_out(body.index):
@@ -288,7 +300,7 @@
             self._drop(lease, self._now)
 
     def _settle(self, job_id: str, index: int) -> None:
-        queue = self._chooser.queue(job_id)
+        queue = self._queues.get(job_id)
         if queue is not None:
             queue.forget(index)
         self._tries.pop((job_id, index), None)
@@ -300,7 +312,7 @@
 
     def _close(self, job_id: str) -> None:
         self._cancelling.discard(job_id)
-        self._chooser.close(job_id)
+        self._queues.close(job_id)
         self._resumes.remove_job(job_id)
         for key in [key for key in self._tries if key[0] == job_id]:
             del self._tries[key]
@@ -310,7 +322,7 @@
 
     def _hold(self, outcome: ItemOutcome, lease: Lease | None) -> None:
         """Keeps an item from being leased until the outcome's record is applied."""
-        queue = self._chooser.queue(outcome.job_id)
+        queue = self._queues.get(outcome.job_id)
         if lease is None and queue is not None and not queue.is_out(outcome.index):
             key = (outcome.lease_id, outcome.job_id, outcome.index)
             lease = Lease(*key, "", 0, self._now)
@@ -344,7 +356,7 @@
         if name is None or name.partition != self.partition:
             return
         job = self._job_of_waiting(name.job_id, name.index)
-        queue = self._chooser.queue(name.job_id)
+        queue = self._queues.get(name.job_id)
         if job is None or queue is None or lease_id in self._leases:
             return
         if job.is_repeatable and not queue.is_out(name.index):
@@ -356,7 +368,7 @@
         expires_at = self._now + self.settings.lease_s
         lease = Lease(lease_id, job.job_id, index, instance, incarnation, expires_at)
         self._leases.add(lease)
-        queue = self._chooser.queue(job.job_id)
+        queue = self._queues.get(job.job_id)
         if queue is not None:
             queue.take(index)
 
@@ -378,13 +390,6 @@
         if len(self._pulls) > self.settings.remembered_pulls:
             del self._pulls[next(iter(self._pulls))]
 
-    def _grant_all(
-        self, pull: ItemPull, now: float, shares: Mapping[str, float], may_claim: bool
-    ) -> list[Lease]:
-        excluded = frozenset(self._cancelling)
-        chosen = self._chooser.choose(pull, now, excluded, shares, may_claim)
-        return [self._grant(item.job, item.index, pull, now) for item in chosen]
-
     def _grant(self, job: JobState, index: int, pull: ItemPull, now: float) -> Lease:
         self._granted += 1
         lease = Lease(
@@ -478,7 +483,7 @@
 
     def _drop(self, lease: Lease, now: float, is_at_once: bool = False) -> None:
         self._leases.remove(lease)
-        queue = self._chooser.queue(lease.job_id)
+        queue = self._queues.get(lease.job_id)
         if queue is not None:
             delay_s = 0.0 if is_at_once else self.settings.retry_delay_s
             queue.put_back(lease.index, now + delay_s)
@@ -490,6 +495,32 @@
         return job if job.status[index] == ItemStatus.WAITING else None
 
 
+def pull_all(
+    owners: Sequence[PartitionOwner],
+    order: DispatchOrder,
+    pull: ItemPull,
+    now: float,
+    wall: float,
+    rules: ChoiceRules | None = None,
+) -> list[PullDecision]:
+    """Serves one pull from several partitions, with one order over all their jobs.
+
+    Returns a decision for each owner, in their order.
+    """
+    rules = rules or ChoiceRules()
+    starts = [owner.begin_pull(pull, now, wall) for owner in owners]
+    chosen: list[list[ChosenItem]] = [[] for _ in owners]
+    may_choose = rules.may_grant and all(start.answer is None for start in starts)
+    if may_choose:
+        choices = [owner.choices for owner in owners]
+        for item in choose_items(choices, order, pull, now, rules):
+            chosen[item.position].append(item)
+    return [
+        owner.end_pull(pull, start, items, now)
+        for owner, start, items in zip(owners, starts, chosen, strict=True)
+    ]
+
+
 def _unrepeatable_outcome(
     outcome: ItemOutcome, kind: OutcomeKind, wall: float
 ) -> Record:
--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from pomeloshift.batch import (
+    ChoiceRules,
     ItemStatus,
     JobChunkStored,
     JobCreated,
@@ -92,7 +93,7 @@
             items,
             fields.pop("held", None),
         )
-        decision = owner.pull(pull, now, now, **fields)
+        decision = owner.pull(pull, now, now, ChoiceRules(**fields))
         self.append(decision.records)
         return decision
 
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -1,7 +1,13 @@
 import pytest
 
 from _partition import Partition, statuses
-from pomeloshift.batch import ItemStatus, LeasePhase, job_view
+from pomeloshift.batch import (
+    DispatchOrder,
+    ItemStatus,
+    LeasePhase,
+    job_view,
+    pull_all,
+)
 from pomeloshift.errors import ErrorCode, ErrorReport, Ran
 from pomeloshift.wire import ItemOutcome, ItemPull, LeaseRelease
 
@@ -295,6 +301,19 @@
     assert abs(served.count(jobs["a"]) - served.count(jobs["b"])) <= 2
 
 
+def test_one_order_holds_over_all_partitions_of_an_entry():
+    partitions = [Partition(), Partition()]
+    partitions[0].add_job("huge", items=88_000, workspace="a")
+    small = partitions[1].add_job("small", items=20, workspace="b", window_s=600)
+    owners = [each.own() for each in partitions]
+    order = DispatchOrder()
+    pull = ItemPull("s1", 1, 1, "r", "lm", 100_000, 40)
+    decisions = pull_all(owners, order, pull, 0, 0)
+    assert [len(decision.leases) for decision in decisions] == [20, 20]
+    assert {lease.job_id for lease in decisions[1].leases} == {small}
+    assert pull_all(owners, order, pull, 0, 0) == decisions
+
+
 def test_workspace_with_a_short_window_leaves_the_others_half(partition, owner):
     partition.add_job("eager", items=1000, workspace="a", window_s=60)
     patient = partition.add_job("patient", items=1000, workspace="b")
