Let admission apply another configuration while streams run

Cause: a published change of targets or weight must take effect without a restart. Change: Admission.reconfigure keeps what was learnt of the engine. Before: the settings were fixed at construction.

--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -49,10 +49,8 @@
         self.cfg = cfg
         self._roster = Roster()
         self._steps = StepModel()
-        weight = cfg.batch_weight
-        self._tail_ratio = 1.02 + 0.13 * weight
-        tail_quantile = 0.95 + 0.03 * weight
-        self._first_tokens = FirstTokenModel(self._steps, tail_quantile)
+        self._tail_ratio = _tail_ratio(cfg)
+        self._first_tokens = FirstTokenModel(self._steps, _tail_quantile(cfg))
         self._pace = PaceGoal(cfg.between_tokens_target_s, LATE_SHARE)
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
@@ -64,6 +62,13 @@
         self._online_tokens = FIRST_STREAM_TOKENS
         self._sequence = 0
 
+    def reconfigure(self, cfg: AdmissionConfig) -> None:
+        """Applies other settings; what was learnt of the engine is kept."""
+        self.cfg = cfg
+        self._tail_ratio = _tail_ratio(cfg)
+        self._first_tokens.tail_quantile = _tail_quantile(cfg)
+        self._pace.target_s = cfg.between_tokens_target_s
+
     def handle(self, event: AdmissionEvent, now: float) -> list[AdmissionEffect]:
         """Takes an event at ``now`` and returns what the shell has to do, in order."""
         if type(event) is TokensArrived:
@@ -303,3 +308,11 @@
             return []
         self._wanted_at = now
         return [BatchWanted(int(items * self._online_tokens), items)]
+
+
+def _tail_ratio(cfg: AdmissionConfig) -> float:
+    return 1.02 + 0.13 * cfg.batch_weight
+
+
+def _tail_quantile(cfg: AdmissionConfig) -> float:
+    return 0.95 + 0.03 * cfg.batch_weight
--- a/src/pomeloshift/cli/_roles.py
+++ b/src/pomeloshift/cli/_roles.py
@@ -54,9 +54,7 @@
 
         from ..net._serve import serve
 
-        self.listener = serve(
-            self.reactor, self.server.resource, self.host, self.port
-        )
+        self.listener = serve(self.reactor, self.server.resource, self.host, self.port)
         logger.info("event=standin_started address={}", self.listener.address)
 
     async def drain(self) -> None:
