Run all asynchronous tests on the process's one loop

Cause: test_control.py ran the asyncio loop in the main thread and test_log_client.py in a thread; in one worker process the second of them failed (6 of 16), and a test module that imports klein installed another reactor. Change to shared test code: conftest.py installs the reactor on import, and run_async uses the loop of tests/_loop.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,21 +1,23 @@
 import pytest
-from twisted.internet.defer import Deferred
+from _loop import shared_loop
 
 from pomeloshift.net import install_reactor
 
+# Before any test module imports a library that would install another reactor.
+install_reactor()
+
 
 @pytest.fixture(scope="session")
 def reactor():
-    return install_reactor()
+    return shared_loop().reactor
 
 
 @pytest.fixture
 def run_async(reactor):
-    """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
+    """Runs a coroutine that awaits deferreds on the process's one loop."""
 
     def run(coroutine):
-        loop = reactor._asyncioEventloop
-        return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
+        return shared_loop().run(lambda: coroutine)
 
     return run
 
