--- /dev/null
+++ b/src/pomeloshift/entry/_entry.py
@@ -0,0 +1,198 @@
+"""The entry process: callers' interfaces in front of the fleet."""
+
+from random import Random
+from typing import Any
+
+import attrs
+from loguru import logger
+from twisted.internet.task import deferLater
+
+from ..config import Configuration
+from ..log import LogStore
+from ..metrics import Metrics
+from ..model import Instance, InstanceRole, InstanceState
+from ..net import Clock
+from ..net._control_client import ControlClient
+from ..net._control_server import ControlServer
+from ..net._list_client import LiveListClient
+from ..net._log_client import LogClient
+from ..net._loops import Loops
+from ..net._serve import Listener, serve
+from ..routing import Router, RouterConfig
+from ..settings import EntrySettings
+from ..wire import ConfigDocument, ConfigPull
+from ._auth import Authenticator
+from ._control_handler import ControlHandler
+from ._fleet_observer import FleetObserver
+from ._health import HealthApi
+from ._root import PrefixRoot
+from .batch import FilesAndBatches, JobService
+from .config import ConfigService
+from .online import FinishedRequest, OnlineApi, OnlineService
+
+LOG_TIMEOUT_S = 5.0
+LIST_INTERVAL_S = 0.5
+CONFIG_PULL_TIMEOUT_S = 2.0
+DRAIN_POLL_S = 0.05
+
+
+class Entry:
+    """Serves callers, owns partitions of batch jobs and follows the configuration.
+
+    ``live_list`` shows the instances as this one reaches them, and ``log`` replaces
+    the client of the log service that the settings name.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        live_list: LiveListClient,
+        reactor: Any,
+        clock: Clock,
+        rng: Random,
+        log: LogStore | None = None,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._loops = Loops(reactor)
+        self._log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self.instance = Instance(
+            settings.name, InstanceRole.ENTRY, settings.place, "", ""
+        )
+        self.metrics = Metrics("entry", settings.name)
+        self._control = ControlClient(settings.internal_key.encode(), reactor)
+        self._router = Router(RouterConfig(name=settings.name), settings.place, rng)
+        self.fleet = FleetObserver(
+            live_list, self._router, clock, lambda: self.instance
+        )
+        self.config = ConfigService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            settings.place.region,
+            self.fleet.entries,
+            pull=self._pull_config,
+        )
+        self.auth = Authenticator(lambda: self.config.current)
+        self.jobs = JobService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            self.fleet.entries,
+            lambda: self.config.current,
+            settings.partitions,
+            settings.internal_key,
+        )
+        self.online = OnlineService(
+            settings.name,
+            settings.place,
+            clock,
+            reactor,
+            rng,
+            self._router,
+            lambda: self.config.current,
+            settings.internal_key,
+            config_version=lambda: self.config.version,
+            on_finished=self._count_finished,
+        )
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether this entry has left readiness."""
+        return self.instance.state is InstanceState.LEAVING
+
+    async def start(self) -> None:
+        """Listens and begins to follow the log and the live list."""
+        settings = self._settings
+        handler = ControlHandler(
+            settings.name, self.config, self.jobs, self.fleet.observe
+        )
+        self._control_server = ControlServer(
+            f"tcp://{settings.host}:{settings.control_port}",
+            handler.handle,
+            settings.internal_key.encode(),
+            self._reactor,
+        )
+        self._control_server.start()
+        self.listener: Listener = serve(
+            self._reactor, self._root(), settings.host, settings.port
+        )
+        self.instance = attrs.evolve(
+            self.instance,
+            address=f"{settings.reachable_host}:{self.listener.port}",
+            control_address=self._control_server.url,
+        )
+        self.config.on_change(self._apply_config)
+        self.config.start()
+        self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
+        self.jobs.start()
+        logger.info(
+            "event=entry_started instance={} address={} control={}",
+            self.instance.name,
+            self.instance.address,
+            self.instance.control_address,
+        )
+
+    async def drain(self) -> None:
+        """Leaves readiness, lingers for the balancer and ends open requests."""
+        logger.info("event=drain_started instance={}", self.instance.name)
+        self.instance = attrs.evolve(self.instance, state=InstanceState.LEAVING)
+        await deferLater(self._reactor, self._settings.drain_linger_s)
+        await self.listener.stop_accepting()
+        give_up_at = self._clock.monotonic() + self._settings.drain_limit_s
+        while self.online.open_requests and self._clock.monotonic() < give_up_at:
+            await deferLater(self._reactor, DRAIN_POLL_S)
+        logger.info("event=drain_ended instance={}", self.instance.name)
+
+    async def stop(self) -> None:
+        """Closes everything at once."""
+        self._loops.stop()
+        self.config.stop()
+        await self.jobs.stop()
+        await self.listener.stop()
+        await self._control_server.stop()
+        await self._control.close()
+        await self.online.close()
+
+    def _root(self) -> PrefixRoot:
+        files_and_batches = FilesAndBatches(self.jobs, self.auth).resource
+        return PrefixRoot(
+            {
+                "/v1": OnlineApi(self.online, self.auth).resource,
+                "/v1/files": files_and_batches,
+                "/v1/batches": files_and_batches,
+                "/internal": self.jobs.internal_resource,
+            },
+            HealthApi(self._unready_reason, self._render_metrics).resource,
+        )
+
+    def _unready_reason(self) -> str:
+        if self.is_draining:
+            return "the entry is leaving"
+        if self.config.version == 0:
+            return "the entry has no configuration yet"
+        return ""
+
+    def _render_metrics(self) -> bytes:
+        body, _ = self.metrics.render()
+        return body
+
+    def _apply_config(self, cfg: Configuration, version: int) -> None:
+        self.metrics.set("config_version", version)
+
+    def _count_finished(self, finished: FinishedRequest) -> None:
+        pass
+
+    async def _pull_config(self, peer: str) -> ConfigDocument:
+        address = next(
+            entry.control_address
+            for entry in self.fleet.entries()
+            if entry.name == peer
+        )
+        pull = ConfigPull(self.config.version)
+        return await self._control.ask(address, pull, CONFIG_PULL_TIMEOUT_S)
--- /dev/null
+++ b/src/pomeloshift/entry/_fleet_observer.py
@@ -0,0 +1,68 @@
+"""What an entry knows of the instances around it."""
+
+from collections.abc import Callable, Sequence
+
+from ..model import Instance, InstanceRole, InstanceState
+from ..net import Clock
+from ..net._list_client import LiveListClient
+from ..routing import Router
+from ..wire import SidecarReport
+
+
+class FleetObserver:
+    """Feeds the live list and the heartbeats to the router.
+
+    ``own`` returns this entry's instance, which counts as live even while the list
+    does not show it yet.
+    """
+
+    def __init__(
+        self,
+        live_list: LiveListClient,
+        router: Router,
+        clock: Clock,
+        own: Callable[[], Instance],
+    ) -> None:
+        self._live_list = live_list
+        self._router = router
+        self._clock = clock
+        self._own = own
+        self._instances: tuple[Instance, ...] = ()
+        self._reports: dict[str, SidecarReport] = {}
+
+    async def read_list(self) -> None:
+        """Reads the live list once."""
+        self._instances = await self._live_list.instances()
+        self._router.observe_instances(self._instances, self._clock.monotonic())
+        shown = {instance.name for instance in self._instances}
+        self._reports = {k: v for k, v in self._reports.items() if k in shown}
+
+    def observe(self, report: SidecarReport) -> None:
+        """Takes a heartbeat of a sidecar."""
+        known = self._reports.get(report.instance.name)
+        if known is not None and known.incarnation > report.incarnation:
+            return
+        self._reports[report.instance.name] = report
+        self._router.observe_report(report, self._clock.monotonic())
+
+    def entries(self) -> Sequence[Instance]:
+        """Returns the entries that are live, this one included unless it leaves."""
+        own = self._own()
+        others = [
+            instance
+            for instance in self._instances
+            if instance.role is InstanceRole.ENTRY
+            and instance.state is InstanceState.LIVE
+            and instance.name != own.name
+        ]
+        if own.state is InstanceState.LIVE:
+            others.append(own)
+        return sorted(others, key=lambda instance: instance.name)
+
+    def instances(self) -> Sequence[Instance]:
+        """Returns the live list as it was read last."""
+        return self._instances
+
+    def reports(self) -> dict[str, SidecarReport]:
+        """Returns the latest heartbeat of each backend server by name."""
+        return self._reports
--- /dev/null
+++ b/src/pomeloshift/entry/calls/_claimer.py
@@ -0,0 +1,119 @@
+"""Claims calls by an append that is read back before the call runs."""
+
+from random import Random
+
+from twisted.internet.defer import DeferredLock
+
+from ...log import (
+    AppendOutcomeUnknownError,
+    LogExpiredError,
+    LogStore,
+    LogUnavailableError,
+    Record,
+    RecordCodec,
+    StreamFollower,
+)
+from ._claims import CallClaimed, CallClaims, ClaimState, claim_key
+from ._errors import CallConflictError, CallOutcomeUnknownError, ClaimUnsettledError
+
+PAGE_RECORDS = 1000
+RETRY_AFTER_S = 2.0
+
+
+class _Partition:
+    """One stream of claims and how far it was read."""
+
+    def __init__(self, stream: str) -> None:
+        self.follower = StreamFollower(stream)
+        self.claims = CallClaims()
+        self.lock = DeferredLock()
+
+
+class CallClaimer:
+    """Claims unrepeatable calls across all entries and resends.
+
+    Of all claims of a key the first in the log wins. The entry whose claim won runs
+    the call; every other one answers that the outcome is unknown. Claims are kept as
+    long as the log keeps their records.
+    """
+
+    def __init__(self, name: str, log: LogStore, partitions: int, rng: Random) -> None:
+        self._name = name
+        self._log = log
+        self._rng = rng
+        self._codec = RecordCodec([CallClaimed])
+        self._partitions = [_Partition(f"calls-{n:03d}") for n in range(partitions)]
+
+    async def claim(
+        self, workspace: str, service: str, key: str, fingerprint: str
+    ) -> None:
+        """Returns if this is the first claim of the key.
+
+        Raises `CallConflictError` for a key that was used with another call,
+        `CallOutcomeUnknownError` for a call that was claimed before, and a log error
+        or `ClaimUnsettledError` with ``ran: no`` if the log does not confirm.
+        """
+        body = CallClaimed(claim_key(workspace, service, key), fingerprint)
+        number = int.from_bytes(body.key[:4], "big") % len(self._partitions)
+        partition = self._partitions[number]
+        await self._catch_up(partition)
+        record_id = f"{self._name}-{self._rng.getrandbits(64):016x}"
+        state = partition.claims.state_of(record_id, body)
+        if state is None:
+            state = await self._append(partition, record_id, body)
+        _check(state, key)
+
+    async def _append(
+        self, partition: _Partition, record_id: str, body: CallClaimed
+    ) -> ClaimState | None:
+        payload = self._codec.encode(Record(record_id, body))
+        try:
+            await self._log.append(partition.follower.stream, [payload])
+        except AppendOutcomeUnknownError as exc:
+            raise _unsettled() from exc
+        try:
+            await self._catch_up(partition)
+        except LogUnavailableError as exc:
+            raise _unsettled() from exc
+        return partition.claims.state_of(record_id, body)
+
+    async def _catch_up(self, partition: _Partition) -> None:
+        await partition.lock.acquire()
+        try:
+            while await self._read_page(partition):
+                pass
+        finally:
+            partition.lock.release()
+
+    async def _read_page(self, partition: _Partition) -> bool:
+        follower = partition.follower
+        try:
+            page = await self._log.read(
+                follower.stream, follower.next_offset, PAGE_RECORDS
+            )
+        except LogExpiredError as exc:
+            follower.next_offset = exc.first_offset
+            return True
+        for stored in follower.take_page(page):
+            record = self._codec.decode(stored.data)
+            partition.claims.apply(record.record_id, record.body)
+        return follower.is_behind
+
+
+def _check(state: ClaimState | None, key: str) -> None:
+    if state is ClaimState.WON:
+        return
+    if state is ClaimState.CONFLICT:
+        raise CallConflictError(f"the key {key!r} was used with another call")
+    if state is ClaimState.TAKEN:
+        raise CallOutcomeUnknownError(
+            f"a call with the key {key!r} was started before; it is not run again"
+        )
+    raise _unsettled()
+
+
+def _unsettled() -> ClaimUnsettledError:
+    return ClaimUnsettledError(
+        "the log did not confirm the claim; the call was not run",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/tests/test_call_claims.py
@@ -0,0 +1,99 @@
+from random import Random
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from pomeloshift.entry.calls import (
+    CallClaimer,
+    CallConflictError,
+    CallOutcomeUnknownError,
+    ClaimUnsettledError,
+)
+from pomeloshift.errors import Ran
+from pomeloshift.log import AppendOutcomeUnknownError, LogPage, StoredRecord
+
+
+class FakeLog:
+    """Streams in memory; an append can lose its answer after taking effect."""
+
+    def __init__(self):
+        self.streams = {}
+        self.lose_answers = False
+
+    async def append(self, stream, payloads):
+        records = self.streams.setdefault(stream, [])
+        first = len(records)
+        records.extend(payloads)
+        if self.lose_answers:
+            raise AppendOutcomeUnknownError("lost")
+        return first
+
+    async def read(self, stream, offset, limit=1000):
+        records = self.streams.get(stream, [])
+        shown = records[offset : offset + limit]
+        stored = [StoredRecord(offset + n, data) for n, data in enumerate(shown)]
+        return LogPage(0, len(records), tuple(stored))
+
+
+@pytest.fixture
+def log():
+    return FakeLog()
+
+
+@pytest.fixture
+def claim(log):
+    claimers = [CallClaimer(f"entry-{n}", log, 4, Random(n)) for n in range(2)]
+
+    def run(entry, key, fingerprint="f"):
+        outcome = []
+        coroutine = claimers[entry].claim("w", "s", key, fingerprint)
+        Deferred.fromCoroutine(coroutine).addBoth(outcome.append)
+        if outcome[0] is not None:
+            outcome[0].raiseException()
+
+    return run
+
+
+def test_first_claim_wins_over_all_entries(claim):
+    claim(0, "k1")
+    for entry in (0, 1):
+        with pytest.raises(CallOutcomeUnknownError):
+            claim(entry, "k1")
+    claim(1, "k2")
+
+
+def test_same_key_with_another_call_is_a_conflict(claim):
+    claim(0, "k1", "f1")
+    with pytest.raises(CallConflictError):
+        claim(1, "k1", "f2")
+
+
+def test_lost_answer_is_not_run_and_never_run_later(claim, log):
+    log.lose_answers = True
+    with pytest.raises(ClaimUnsettledError) as caught:
+        claim(0, "k1")
+    assert caught.value.ran is Ran.NO
+    log.lose_answers = False
+    with pytest.raises(CallOutcomeUnknownError):
+        claim(0, "k1")
+
+
+def test_claims_that_race_have_one_winner(log):
+    claimers = [CallClaimer(f"entry-{n}", log, 1, Random(n)) for n in range(2)]
+    held = Deferred()
+    append = log.append
+
+    async def append_late(stream, payloads):
+        await held
+        return await append(stream, payloads)
+
+    log.append = append_late
+    outcomes = []
+    for claimer in claimers:
+        coroutine = claimer.claim("w", "s", "k", "f")
+        Deferred.fromCoroutine(coroutine).addBoth(outcomes.append)
+    held.callback(None)
+    won = [outcome for outcome in outcomes if outcome is None]
+    lost = [o for o in outcomes if o is not None and o.check(CallOutcomeUnknownError)]
+    assert len(won) == 1
+    assert len(lost) == 1
