Add the operators' commands: check, questionnaire, publish, status, key, drain, job

Cause: a newcomer must go from a first questionnaire to a published and changed configuration with commands alone. Change: questionnaire new, ask, explain, diff and key; publish waits until the version is in force everywhere or names who lacks it; status, key, drain and job over the administration API; check tells the kind of a file from its keys. The internal key may look at the API after the first publication, because publishing that one with it has to read the status (found by the first test of publish). Conclusion: ready to be wired into the command line.

--- a/src/pomeloshift/admin/_authenticate.py
+++ b/src/pomeloshift/admin/_authenticate.py
@@ -7,7 +7,7 @@
 from ._access import Role
 from ._operator import Operator
 
-FIRST_OPERATOR = "first-publication"
+INTERNAL_OPERATOR = "internal"
 
 
 class OperatorAuth(Protocol):
@@ -21,7 +21,8 @@
     """Authenticates operators.
 
     Before the first configuration there are no operators; the key that the system's
-    processes share then allows everything, so that one can be published.
+    processes share then allows everything, so that one can be published. Afterwards
+    it only allows to look, which processes do to join their figures.
     """
 
     def __init__(self, auth: OperatorAuth, internal_key: str) -> None:
@@ -30,8 +31,9 @@
 
     def identify(self, authorization: str | None, version: int) -> Operator:
         """Returns the operator; ``version`` is the configuration's in force."""
-        if version == 0 and self._is_internal(authorization):
-            return Operator(FIRST_OPERATOR, Role.ADMIN)
+        if self._is_internal(authorization):
+            role = Role.ADMIN if version == 0 else Role.VIEWER
+            return Operator(INTERNAL_OPERATOR, role)
         key = self._auth.operator_for(authorization)
         return Operator(key.operator, Role(key.role))
 
--- a/src/pomeloshift/admin/_key_admin.py
+++ b/src/pomeloshift/admin/_key_admin.py
@@ -19,6 +19,7 @@
 from ._messages import IssueAnswer, IssueRequest, KeyList, KeyView
 
 MAX_CONFLICTS = 10
+KEY_ID_PREFIX = "k"
 KEY_ID_LENGTH = 12
 SALT_LENGTH = 16
 
@@ -73,7 +74,7 @@
     async def _replace(
         self, author: str, req: IssueRequest, old_id: str
     ) -> IssueAnswer:
-        key_id = self._new_secret()[:KEY_ID_LENGTH]
+        key_id = KEY_ID_PREFIX + self._new_secret()[:KEY_ID_LENGTH]
         secret = self._new_secret()
         salt = self._new_secret()[:SALT_LENGTH]
 
--- a/src/pomeloshift/cli/_check.py
+++ b/src/pomeloshift/cli/_check.py
@@ -1,18 +1,10 @@
 """The command that prints every fault of a file."""
 
 import sys
-from collections.abc import Callable
-from typing import Any
 
-from ..questionnaire import Answers, parse_answers
-from ..settings import (
-    EntrySettings,
-    SettingsError,
-    SidecarSettings,
-    parse_json,
-    parse_settings,
-    read_text,
-)
+from ..questionnaire import parse_answers
+from ..settings import SettingsError, parse_json, parse_settings, read_text
+from ._kinds import QUESTIONNAIRE, UnknownKindError, class_of, guess_kind
 
 EXIT_FAULTS = 2
 
@@ -20,6 +12,9 @@
 def check(file: str, kind: str = "") -> int:
     """Prints every fault of a settings or questionnaire file.
 
+    Each line gives the file, the line, the key, what is wrong, what to do about it
+    and the code of the fault.
+
     Args:
         file: The file to check.
         kind: What the file is: questionnaire, entry, sidecar, engine, log, list,
@@ -30,38 +25,21 @@
     try:
         text = read_text(file)
         kind = kind or guess_kind(parse_json(text, file))
-        _reader(kind)(text, file)
+        _parse(text, file, kind)
     except SettingsError as exc:
         for fault in exc.faults:
             print(fault.describe(file), file=sys.stderr)
         print(f"{file}: {len(exc.faults)} faults", file=sys.stderr)
         return EXIT_FAULTS
+    except UnknownKindError as exc:
+        print(exc.message, file=sys.stderr)
+        return EXIT_FAULTS
     print(f"{file}: a valid {kind} file")
     return 0
 
 
-def guess_kind(data: Any) -> str:
-    """Tells from a file's keys what kind of file it is."""
-    keys = set(data) if isinstance(data, dict) else set()
-    if keys & {"deployment", "applications", "regions", "workspaces"}:
-        return "questionnaire"
-    if keys & {"engines", "service", "lease_s"}:
-        return "sidecar"
-    return "entry"
-
-
-def _reader(kind: str) -> Callable[[str, str], Any]:
-    if kind == "questionnaire":
-        return parse_answers
-    cls = _settings_class(kind)
-    return lambda text, file: parse_settings(text, cls, file)
-
-
-def _settings_class(kind: str) -> type:
-    if kind == "entry":
-        return EntrySettings
-    if kind == "sidecar":
-        return SidecarSettings
-    if kind == "questionnaire":
-        return Answers
-    return _stand_in_class(kind)
+def _parse(text: str, file: str, kind: str) -> None:
+    if kind == QUESTIONNAIRE:
+        parse_answers(text, file)
+    else:
+        parse_settings(text, class_of(kind), file)
--- /dev/null
+++ b/src/pomeloshift/cli/_publish.py
@@ -0,0 +1,36 @@
+"""Publishes a questionnaire and waits until it is in force everywhere."""
+
+import sys
+
+from ..admin import PublishAnswer, PublishRequest, StatusView
+from ._admin_client import AdminClient
+from ._connect import EXIT_FAILURE
+
+POLL_INTERVAL_S = 0.2
+
+
+async def publish(
+    client: AdminClient, text: str, base: int, note: str, wait_s: float
+) -> int:
+    """Publishes a questionnaire's text; returns 0 when it is in force everywhere."""
+    req = PublishRequest(base, text, note)
+    started = client.seconds()
+    answer = await client.call("POST", "/configuration", PublishAnswer, req)
+    print(f"version {answer.version} accepted")
+    lacking = await _wait(client, answer.version, started + wait_s)
+    elapsed_s = client.seconds() - started
+    if not lacking:
+        print(f"version {answer.version} in force everywhere after {elapsed_s:.1f} s")
+        return 0
+    print(f"after {elapsed_s:.1f} s lacking on: {', '.join(lacking)}", file=sys.stderr)
+    return EXIT_FAILURE
+
+
+async def _wait(client: AdminClient, version: int, until: float) -> tuple[str, ...]:
+    while True:
+        status = await client.call("GET", "/status", StatusView)
+        if status.version >= version and not status.lacking:
+            return ()
+        if client.seconds() >= until:
+            return status.lacking or ("the entry itself",)
+        await client.sleep(POLL_INTERVAL_S)
--- /dev/null
+++ b/src/pomeloshift/cli/_questionnaire.py
@@ -0,0 +1,143 @@
+"""Commands that write, explain and compare questionnaires."""
+
+import sys
+from typing import Any
+
+from ..questionnaire import (
+    KeyAnswers,
+    ask_answers,
+    diff_configurations,
+    explain,
+    generate,
+    parse_answers,
+    render_answers,
+    template_answers,
+)
+from ..settings import SettingsError, read_text
+from ._check import EXIT_FAULTS
+from ._keys import make_key
+
+
+class QuestionnaireCommands:
+    """Writes, explains and compares questionnaires."""
+
+    def new(self, deployment: str) -> None:
+        """Prints a questionnaire with every question explained in a comment.
+
+        It holds the digests of a first caller's key and a first operator's token;
+        both are printed once, on standard error.
+
+            pomeloshift questionnaire new --deployment NAME > f.jsonc
+
+        Args:
+            deployment: name of the deployment.
+        """
+        answers = template_answers(
+            deployment, _tell_key("team-1"), _tell_key("op-admin")
+        )
+        print(render_answers(answers), end="")
+
+    def ask(self, deployment: str, out: str = "") -> None:
+        """Asks every question on the terminal and writes the questionnaire.
+
+        Args:
+            deployment: name of the deployment.
+            out: file to write; without it the questionnaire is printed.
+        """
+        answers = ask_answers(deployment, _prompt, _tell, _tell_key)
+        text = render_answers(answers)
+        if out:
+            with open(out, "w", encoding="utf-8") as file:
+                file.write(text)
+        else:
+            print(text, end="")
+        sys.exit(_report_faults(text, out or "questionnaire"))
+
+    def explain(self, file: str) -> None:
+        """Prints each generated value and the answers that led to it.
+
+        Args:
+            file: the questionnaire.
+        """
+        for line in explain_lines(_read(file)):
+            print(line)
+
+    def diff(self, old: str, new: str) -> None:
+        """Prints the values of the configuration that differ.
+
+        Args:
+            old: the questionnaire before the change.
+            new: the questionnaire after it.
+        """
+        before, after = generate(_read(old)), generate(_read(new))
+        for change in diff_configurations(before, after):
+            print(f"{change.path}: {_show(change.old)} -> {_show(change.new)}")
+
+    def key(self, key_id: str) -> None:
+        """Prints a key for a questionnaire, and its token on standard error.
+
+        Args:
+            key_id: id that the token begins with.
+        """
+        key = _tell_key(key_id)
+        print(
+            f'{{"key_id": "{key.key_id}", "salt": "{key.salt}", '
+            f'"digest": "{key.digest}"}}'
+        )
+
+
+def explain_lines(answers: Any) -> list[str]:
+    """Returns the text that explains a generated configuration."""
+    lines = []
+    for item in explain(answers):
+        lines.append(f"{item.path} = {_show(item.value)}")
+        for source in item.sources:
+            lines.append(f"    {source.path} = {_show(source.answer)}")
+            lines.append(f"        {source.question}")
+    return lines
+
+
+def _read(file: str) -> Any:
+    try:
+        return parse_answers(read_text(file), file)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        sys.exit(EXIT_FAULTS)
+
+
+def _report_faults(text: str, file: str) -> int:
+    try:
+        parse_answers(text, file)
+    except SettingsError as exc:
+        print(exc.message, file=sys.stderr)
+        return EXIT_FAULTS
+    return 0
+
+
+def _prompt(text: str) -> str:
+    _tell(text)
+    line = sys.stdin.readline()
+    if not line:
+        sys.exit("the input ended before the last question")
+    return line
+
+
+def _tell(text: str) -> str:
+    print(text, file=sys.stderr)
+    return ""
+
+
+def _tell_key(key_id: str) -> KeyAnswers:
+    key = make_key(key_id)
+    _tell(f"token of {key_id}, shown this once: {key.token}")
+    return key.answers
+
+
+def _show(value: Any) -> str:
+    if value is None:
+        return "(none)"
+    if isinstance(value, bool):
+        return str(value).lower()
+    if isinstance(value, list | tuple):
+        return "[" + ", ".join(_show(item) for item in value) + "]"
+    return str(value)
--- a/src/pomeloshift/settings/__init__.py
+++ b/src/pomeloshift/settings/__init__.py
@@ -7,7 +7,7 @@
 from ._load import add_lines, load_settings, parse_json, parse_settings, read_text
 from ._log_level import LogLevel
 from ._sidecar import EngineAddress, SidecarSettings
-from ._structure import structure
+from ._structure import structure, structure_field
 
 __all__ = [
     "EngineAddress",
@@ -25,5 +25,6 @@
     "read_text",
     "setting",
     "structure",
+    "structure_field",
     "url_setting",
 ]
--- a/src/pomeloshift/settings/_structure.py
+++ b/src/pomeloshift/settings/_structure.py
@@ -37,6 +37,18 @@
         return None, exc.faults
 
 
+def structure_field(cls: type, name: str, raw: Any) -> tuple[Any, list[Fault]]:
+    """Returns the value of one field of ``cls``, or `None` with its faults.
+
+    structure_field(EntrySettings, "port", 8080) == (8080, [])
+    """
+    field = getattr(attrs.fields(cls), name)
+    try:
+        return _field_value(field, typing.get_type_hints(cls), raw), []
+    except FaultsFound as exc:
+        return None, exc.faults
+
+
 def _prefixed(prefix: str, faults: list[Fault]) -> list[Fault]:
     return [attrs.evolve(f, path=_join(prefix, f.path)) for f in faults]
 
--- /dev/null
+++ b/tests/test_cli_check.py
@@ -0,0 +1,67 @@
+import pathlib
+
+import pytest
+
+from pomeloshift.cli._check import check
+from pomeloshift.cli._kinds import guess_kind
+from pomeloshift.questionnaire import example_text
+
+EXAMPLES = pathlib.Path(__file__).parent.parent / "examples"
+
+FILES = {
+    "entry": '{"name": "e", "place": {"region": "r", "availability_zone": "z"}, '
+    '"log_url": "http://h:1", "list_url": "http://h:2", '
+    '"internal_key": "0123456789abcdef"}',
+    "sidecar": '{"name": "b", "place": {"region": "r", "availability_zone": "z"}, '
+    '"service": "s", "engines": [{"name": "e", "url": "http://h:1"}], '
+    '"list_url": "http://h:2", "internal_key": "0123456789abcdef"}',
+    "engine": '{"name": "engine-1", "models": ["m"], "decode_slots": 3}',
+    "log": '{"appends_per_s": 100}',
+}
+
+
+@pytest.mark.parametrize("name", ["vezi", "kalivati"])
+def test_examples_have_no_faults(name, capsys):
+    assert check(str(EXAMPLES / f"{name}.jsonc")) == 0
+    assert "a valid questionnaire file" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize("kind", FILES)
+def test_kind_is_told_from_the_keys(kind, tmp_path, capsys):
+    path = tmp_path / "f.jsonc"
+    path.write_text(FILES[kind])
+    assert check(str(path)) == 0
+    assert f"a valid {kind} file" in capsys.readouterr().out
+    assert check(str(path), kind=kind) == 0
+
+
+def test_every_fault_has_its_line_key_remedy_and_code(tmp_path, capsys):
+    path = tmp_path / "f.jsonc"
+    text = example_text("vezi").replace('"kind": "plain"', '"kind": 3')
+    path.write_text(text.replace('"deployment"', '"deploiment"'))
+    assert check(str(path)) == 2
+    lines = capsys.readouterr().err.splitlines()
+    assert f"{path}:5: deploiment: is not a known key" in lines[1]
+    assert "did you mean deployment?" in lines[1]
+    assert lines[1].endswith("[unknown_key]")
+    assert "services[1].kind: 3 is not one of model, plain" in lines[2]
+    assert lines[-1] == f"{path}: 3 faults"
+
+
+@pytest.mark.parametrize("text", ["{", "[]", '{"nothing": 1}'])
+def test_anything_else_has_faults(text, tmp_path):
+    path = tmp_path / "f.jsonc"
+    path.write_text(text)
+    assert check(str(path)) == 2
+
+
+def test_missing_file_and_unknown_kind_are_refused(tmp_path, capsys):
+    assert check(str(tmp_path / "none")) == 2
+    path = tmp_path / "f.jsonc"
+    path.write_text("{}")
+    assert check(str(path), kind="other") == 2
+    assert "is none of" in capsys.readouterr().err
+
+
+def test_guess_prefers_the_questionnaire_for_its_parts():
+    assert guess_kind({"regions": [], "services": []}) == "questionnaire"
