Add the callers' online interface and its shell

Cause: callers need the OpenAI protocol and plain services through the cores. Change: OnlineService carries events and effects between a caller's connection and sidecars (frames unparsed, back-pressure both ways, gone callers abandon their attempt); OnlineApi serves chat, completions, models and plain services. A suspect waits only where other suspects stand in its way; a small reader takes the place of treq's readBody, which warns on pooled connections.

--- a/src/pomeloshift/attempts/_chooser.py
+++ b/src/pomeloshift/attempts/_chooser.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..errors import ErrorReport
 from ..model import Instance
 
 
@@ -18,6 +19,9 @@
 class Chooser(Protocol):
     """Chooses where the next attempt runs."""
 
+    def refusal(self, now: float) -> ErrorReport | None:
+        """Returns why the request must not run at all, or `None`."""
+
     def choose(
         self, excluded: frozenset[str], alone: bool, now: float
     ) -> Target | None:
@@ -26,6 +30,9 @@
         With ``alone`` the server must not be running another suspect.
         """
 
+    def is_blocked(self, excluded: frozenset[str], now: float) -> bool:
+        """Tells whether only other suspects keep a suspect from running."""
+
 
 class Budget(Protocol):
     """Permits retries."""
--- a/src/pomeloshift/attempts/_effects.py
+++ b/src/pomeloshift/attempts/_effects.py
@@ -65,7 +65,10 @@
 
 
 class ServerFault(Enum):
-    """What went wrong at a backend server."""
+    """What went wrong at a backend server.
+
+    ``CRASHED`` covers every loss of a server that may have been running the attempt.
+    """
 
     UNREACHABLE = "unreachable"
     CRASHED = "crashed"
--- a/src/pomeloshift/attempts/_online_request.py
+++ b/src/pomeloshift/attempts/_online_request.py
@@ -141,6 +141,10 @@
     # Attempts and connections.
 
     def _begin_attempt(self, now: float) -> None:
+        error = self._chooser.refusal(now)
+        if error is not None:
+            self._finish_failed(error)
+            return
         self._target = self._chooser.choose(self._excluded, self._alone, now)
         if self._target is None:
             self._miss_server(now)
@@ -154,7 +158,7 @@
         self._open(now, join_only=False)
 
     def _miss_server(self, now: float) -> None:
-        if self._alone:
+        if self._alone and self._chooser.is_blocked(self._excluded, now):
             self._wait(self._cfg.suspect_wait_s, now)
             return
         if self._last_error is not None:
@@ -304,9 +308,8 @@
         self._out.append(CloseConnection(self._connection))
         if refused and self._sequence:
             error = attrs.evolve(error, ran=Ran.YES)
-        fault = _fault_of(error)
-        crash = fault is ServerFault.CRASHED
-        self._end_attempt(error, fault, now, exempt=crash)
+        fault = ServerFault.LEAVING if error.code is ErrorCode.DRAINING else None
+        self._end_attempt(error, fault, now, exempt=_may_have_crashed(error))
 
     def _end_attempt(
         self,
@@ -317,9 +320,11 @@
         exempt: bool,
     ) -> None:
         self._ran = worse(self._ran, error.ran)
+        if _may_have_crashed(error):
+            fault = ServerFault.CRASHED
         if fault is not None:
             self._report_server(fault)
-        if _may_have_crashed(error):
+        if fault is ServerFault.CRASHED:
             self._crashes += 1
             self._alone = True
             if self._crashes >= MAX_CRASHES:
@@ -418,9 +423,3 @@
     if error.code is ErrorCode.ATTEMPT_UNKNOWN:
         return error.ran is Ran.UNKNOWN
     return error.code is ErrorCode.BACKEND_SERVER_LOST and error.ran is not Ran.NO
-
-
-def _fault_of(error: ErrorReport) -> ServerFault | None:
-    if error.code is ErrorCode.DRAINING:
-        return ServerFault.LEAVING
-    return ServerFault.CRASHED if _may_have_crashed(error) else None
--- a/src/pomeloshift/attempts/_strikes.py
+++ b/src/pomeloshift/attempts/_strikes.py
@@ -17,10 +17,9 @@
 class Strikes:
     """What is known of one fingerprint.
 
-    A crash is named by the backend server and its sidecar's incarnation, so that
-    two entries that see the same crash count it once. ``cleared`` holds those that
-    the request cannot have caused, because it finished later. ``ttl_s`` is the time
-    in seconds for which this holds.
+    Entries that see the same crash give it the same name, so that it counts once.
+    ``cleared`` holds the crashes that the request cannot have caused, because it
+    finished later. ``ttl_s`` is the time in seconds for which this holds.
     """
 
     fingerprint: str
--- a/src/pomeloshift/attempts/_suspects.py
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -60,11 +60,11 @@
         strikes = attrs.evolve(known[0], cleared=known[0].crashes)
         self._keep(strikes, known[1])
 
-    def crashed(
-        self, fingerprint: str, server: str, incarnation: int, now: float
-    ) -> None:
-        """Notes that a backend server crashed while the request ran on it."""
-        crash = f"{server}/{incarnation}"
+    def crashed(self, fingerprint: str, crash: str, now: float) -> None:
+        """Notes that the request ran on a backend server as it crashed.
+
+        ``crash`` names the crash, alike for all requests that ran there.
+        """
         strikes = Strikes(fingerprint, frozenset({crash}), ttl_s=self._cfg.quarantine_s)
         self.merge((strikes,), now)
         self._changed.add(fingerprint)
--- /dev/null
+++ b/src/pomeloshift/entry/online/__init__.py
@@ -0,0 +1,8 @@
+"""The callers' online interface and the shell that runs their requests."""
+
+from ._api import OnlineApi
+from ._call_guard import CallGuard
+from ._finished import FinishedRequest
+from ._service import OnlineService
+
+__all__ = ["CallGuard", "FinishedRequest", "OnlineApi", "OnlineService"]
--- /dev/null
+++ b/src/pomeloshift/entry/online/_call_guard.py
@@ -0,0 +1,17 @@
+"""Makes sure that an unrepeatable call with a key runs at most once."""
+
+from typing import Protocol
+
+
+class CallGuard(Protocol):
+    """Claims the right to run a call, across all entries and resends."""
+
+    async def claim(
+        self, workspace: str, service: str, key: str, fingerprint: str
+    ) -> None:
+        """Returns if this is the first claim of the key.
+
+        Raises a `PomeloshiftError` otherwise: one with ``ran: no`` where nothing was
+        claimed, ``idempotency_conflict`` for a key that was used with another call,
+        and ``outcome_unknown`` for a call that was claimed before.
+        """
--- /dev/null
+++ b/src/pomeloshift/entry/online/_finished.py
@@ -0,0 +1,23 @@
+"""What is known of a request when it has ended."""
+
+import attrs
+
+from ...errors import ErrorCode
+
+
+@attrs.frozen
+class FinishedRequest:
+    """One line of the account of online requests; times are in seconds.
+
+    ``first_token_s`` is `None` if nothing was delivered, and ``error`` is `None` for
+    a whole answer. ``caller_gone`` is set where the caller did not wait for it.
+    """
+
+    request_id: str
+    workspace: str
+    service: str
+    duration_s: float
+    first_token_s: float | None = None
+    tokens: int = 0
+    error: ErrorCode | None = None
+    caller_gone: bool = False
--- /dev/null
+++ b/src/pomeloshift/entry/online/_run.py
@@ -0,0 +1,136 @@
+"""One admitted request with everything that is counted about it."""
+
+from typing import Any
+
+from loguru import logger
+from twisted.web.server import Request
+
+from ...attempts import (
+    Complete,
+    Deliver,
+    Fail,
+    OnlineEffect,
+    OnlineOrder,
+    OnlineRequest,
+    OpenAttempt,
+    ServerFailed,
+    ServerFault,
+    SuspectTracker,
+)
+from ...errors import ErrorCode, ErrorReport
+from ...limits import Outcome
+from ...net import Clock
+from ...routing import Router
+from ._exchange import Exchange
+from ._finished import FinishedRequest
+from ._ledger import Ledger
+from ._sidecar_client import SidecarClient
+
+CRASH_WINDOW_S = 10.0
+
+
+class Run:
+    """Carries a request to its end and keeps router and suspects informed."""
+
+    def __init__(
+        self,
+        order: OnlineOrder,
+        core: OnlineRequest,
+        req: Request,
+        client: SidecarClient,
+        reactor: Any,
+        clock: Clock,
+        router: Router,
+        suspects: SuspectTracker,
+        started_at: float,
+    ) -> None:
+        self._order = order
+        self._clock = clock
+        self._router = router
+        self._suspects = suspects
+        self._started_at = started_at
+        self._first_token_s: float | None = None
+        self._tokens = 0
+        self._error: ErrorReport | None = None
+        self._complete = False
+        tokens = order.prompt_tokens + order.max_tokens
+        self._ledger = Ledger(router, suspects, order.fingerprint, tokens)
+        self._exchange = Exchange(core, req, client, reactor, clock, self._observe)
+
+    async def finish(self) -> None:
+        """Runs the request to its end."""
+        self._exchange.start()
+        await self._exchange.done
+        self._ledger.close()
+
+    def summary(self) -> FinishedRequest:
+        """Returns the account of the ended request."""
+        return FinishedRequest(
+            self._order.request_id,
+            self._order.workspace,
+            self._order.service,
+            self._clock.monotonic() - self._started_at,
+            self._first_token_s,
+            self._tokens,
+            None if self._error is None else self._error.code,
+            caller_gone=not self._complete and self._error is None,
+        )
+
+    def outcome(self, first_token_target_s: float) -> Outcome:
+        """Tells what the end says about the service's load."""
+        if self._error is not None:
+            overloaded = self._error.code is ErrorCode.OVERLOADED
+            return Outcome.REFUSED if overloaded else Outcome.OTHER
+        if not self._complete or self._first_token_s is None:
+            return Outcome.OTHER
+        in_time = self._first_token_s <= first_token_target_s or not self._order.stream
+        return Outcome.IN_TIME if in_time else Outcome.TOO_LATE
+
+    def _observe(self, effect: OnlineEffect) -> None:
+        match effect:
+            case OpenAttempt():
+                self._ledger.opened(effect)
+            case Deliver(tokens=tokens):
+                self._deliver(tokens)
+            case ServerFailed():
+                self._blame(effect)
+            case Complete():
+                self._complete = True
+                self._suspects.finished(self._order.fingerprint, self._now())
+            case Fail(error=error):
+                self._error = error
+                self._log_failure(error)
+
+    def _deliver(self, tokens: int) -> None:
+        self._tokens += tokens
+        if self._first_token_s is None:
+            self._first_token_s = self._now() - self._started_at
+            self._router.clear(self._ledger.server)
+
+    def _blame(self, effect: ServerFailed) -> None:
+        name = effect.instance.name
+        logger.warning(
+            "event=backend_server_failed instance={} fault={} request={}",
+            name,
+            effect.fault.value,
+            self._order.request_id,
+        )
+        if effect.fault is ServerFault.LEAVING:
+            self._router.mark_leaving(name)
+            return
+        self._router.mark_suspect(name, self._now())
+        if effect.fault is ServerFault.CRASHED:
+            crash = f"{name}/{int(self._clock.wall() / CRASH_WINDOW_S)}"
+            self._suspects.crashed(self._order.fingerprint, crash, self._now())
+        self._ledger.close()
+
+    def _log_failure(self, error: ErrorReport) -> None:
+        logger.info(
+            "event=request_failed request={} code={} ran={}",
+            self._order.request_id,
+            error.code.value,
+            error.ran.value,
+        )
+
+    def _now(self) -> float:
+        return self._clock.monotonic()
--- a/tests/test_attempts_online.py
+++ b/tests/test_attempts_online.py
@@ -36,11 +36,17 @@
 
 
 class FakeChooser:
+    def refusal(self, now):
+        return None
+
     def choose(self, excluded, alone, now):
         free = (s for s in SERVERS if s.name not in excluded)
         server = next(free, None)
         return None if server is None else Target(server, 1)
 
+    def is_blocked(self, excluded, now):
+        return False
+
 
 class FakeBudget:
     def __init__(self, retries):
@@ -174,7 +180,7 @@
     driver.wait()
     assert driver.last.request.join_only
     driver.wait()
-    assert ServerFailed(SERVERS[0], ServerFault.UNREACHABLE) in driver.effects
+    assert ServerFailed(SERVERS[0], ServerFault.CRASHED) in driver.effects
     assert AbandonAttempt(SERVERS[0], "r.1") in driver.effects
     driver.wait()
     assert driver.last.instance == SERVERS[1]
@@ -199,6 +205,7 @@
     assert not driver.last.request.join_only
     unsent = Driver(idempotent=False)
     unsent.lose(sent=False)
+    assert ServerFailed(SERVERS[0], ServerFault.UNREACHABLE) in unsent.effects
     assert unsent.last.instance == SERVERS[1]
 
 
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -12,9 +12,9 @@
 
 def test_second_crash_quarantines_until_the_expiry(tracker):
     assert tracker.standing("f", 0.0) is Standing.CLEAR
-    tracker.crashed("f", "s1", 1, 0.0)
+    tracker.crashed("f", "s1/1", 0.0)
     assert tracker.standing("f", 0.0) is Standing.SUSPECT
-    tracker.crashed("f", "s2", 1, 50.0)
+    tracker.crashed("f", "s2/1", 50.0)
     assert tracker.standing("f", 149.0) is Standing.QUARANTINED
     assert tracker.quarantined_for("f", 149.0) == 1.0
     assert tracker.standing("f", 150.0) is Standing.CLEAR
@@ -22,17 +22,17 @@
 
 def test_one_crash_seen_twice_counts_once(tracker):
     for _ in range(3):
-        tracker.crashed("f", "s1", 1, 0.0)
+        tracker.crashed("f", "s1/1", 0.0)
     assert tracker.standing("f", 0.0) is Standing.SUSPECT
-    tracker.crashed("f", "s1", 2, 0.0)
+    tracker.crashed("f", "s1/2", 0.0)
     assert tracker.standing("f", 0.0) is Standing.QUARANTINED
 
 
 def test_finishing_clears_the_innocent(tracker):
-    tracker.crashed("f", "s1", 1, 0.0)
+    tracker.crashed("f", "s1/1", 0.0)
     tracker.finished("f", 1.0)
     assert tracker.standing("f", 1.0) is Standing.CLEAR
-    tracker.crashed("f", "s2", 1, 2.0)
+    tracker.crashed("f", "s2/1", 2.0)
     assert tracker.standing("f", 2.0) is Standing.SUSPECT
 
 
@@ -41,7 +41,7 @@
     tracker.started("f", "s1")
     tracker.started("g", "s2")
     assert tracker.servers_with_suspects(0.0) == frozenset()
-    tracker.crashed("f", "s9", 1, 0.0)
+    tracker.crashed("f", "s9/1", 0.0)
     assert tracker.servers_with_suspects(0.0) == {"s1"}
     tracker.ended("f", "s1")
     assert tracker.servers_running("f") == {"s1"}
@@ -65,7 +65,7 @@
 
 def test_clearing_reaches_an_entry_that_knows_the_crash(tracker):
     other = SuspectTracker()
-    tracker.crashed("f", "s1", 1, 0.0)
+    tracker.crashed("f", "s1/1", 0.0)
     other.merge(tracker.take_changes(0.0), 0.0)
     assert other.standing("f", 0.0) is Standing.SUSPECT
     assert tracker.take_changes(0.0) == ()
@@ -77,7 +77,7 @@
 def test_memory_is_bounded_and_expires():
     tracker = SuspectTracker(SuspectConfig(max_suspects=10, quarantine_s=5.0))
     for n in range(50):
-        tracker.crashed(str(n), "s1", 1, 0.0)
+        tracker.crashed(str(n), "s1/1", 0.0)
     assert len(tracker.notices(0.0)) == 10
     tracker.expire(5.0)
     assert tracker.notices(0.0) == ()
