Join entries: versions, suspects and drain orders; administration on entries

Cause: entries have to share configuration versions and crash suspects, and an operator's order has to reach any instance. Change: EntryReport between entries, drain orders with the answer to heartbeats, the administration API's views, all commands of operators on the command line. Before: entries did not speak to each other.

--- a/src/pomeloshift/attempts/_suspects.py
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -107,6 +107,14 @@
             if until > now
         )
 
+    def quarantined(self, now: float) -> tuple[Strikes, ...]:
+        """Returns what is known of the requests that are quarantined."""
+        return tuple(
+            strikes
+            for strikes in self.notices(now)
+            if strikes.count >= self._cfg.quarantine_crashes
+        )
+
     def expire(self, now: float) -> None:
         """Forgets what no longer holds."""
         for fingerprint in [k for k, (_, at) in self._strikes.items() if at <= now]:
--- a/src/pomeloshift/cli/_commands.py
+++ b/src/pomeloshift/cli/_commands.py
@@ -2,7 +2,9 @@
 
 import sys
 
+from ._admin_commands import JobCommands, KeyCommands
 from ._bench import BenchCommands
+from ._questionnaire import QuestionnaireCommands
 from ._standin import StandinCommands
 
 
@@ -15,6 +17,9 @@
     def __init__(self) -> None:
         self.standin = StandinCommands()
         self.bench = BenchCommands()
+        self.questionnaire = QuestionnaireCommands()
+        self.key = KeyCommands()
+        self.job = JobCommands()
 
     def entry(self, settings: str) -> None:
         """Runs an entry instance.
@@ -36,6 +41,68 @@
 
         sys.exit(run_sidecar(settings))
 
+    def check(self, file: str, kind: str = "") -> None:
+        """Prints every fault of a settings or questionnaire file.
+
+        Args:
+            file: the file to check.
+            kind: questionnaire, entry, sidecar, engine, log, list, weights or
+                service; told from the file's keys if it is not given.
+        """
+        from ._check import check
+
+        sys.exit(check(file, kind))
+
+    def publish(
+        self,
+        file: str,
+        base: int,
+        note: str = "",
+        wait: float = 18.0,
+        entry: str = "",
+        token: str = "",
+    ) -> None:
+        """Publishes a questionnaire and waits until it is in force everywhere.
+
+        Args:
+            file: path of the questionnaire.
+            base: version that the change is based on; 0 for the first one.
+            note: reason of the change, kept in the history.
+            wait: seconds to wait for all instances.
+            entry: URL of an entry; POMELOSHIFT_ENTRY by default.
+            token: operator's token; POMELOSHIFT_TOKEN by default.
+        """
+        from ._admin_commands import publish
+
+        publish(file, base, note=note, wait=wait, entry=entry, token=token)
+
+    def status(self, json: bool = False, entry: str = "", token: str = "") -> None:
+        """Prints all instances and the configuration version in force on each.
+
+        Args:
+            json: print one JSON object in place of a table.
+            entry: URL of an entry; POMELOSHIFT_ENTRY by default.
+            token: operator's token; POMELOSHIFT_TOKEN by default.
+        """
+        from ._admin_commands import status
+
+        status(json, entry, token)
+
+    def drain(
+        self, name: str, wait: float = 0.0, entry: str = "", token: str = ""
+    ) -> None:
+        """Orders an instance to take no new work and to end what runs.
+
+        Args:
+            name: name of the instance.
+            wait: seconds to wait until it has ended its work.
+            entry: URL of an entry; POMELOSHIFT_ENTRY by default.
+            token: operator's token; POMELOSHIFT_TOKEN by default.
+        """
+        from ._admin_commands import drain
+
+        drain(name, wait, entry, token)
+
     def demo(self, json: bool = False, seed: int = 1) -> None:
         """Runs a whole deployment in one process and checks every promise.
 
--- /dev/null
+++ b/src/pomeloshift/entry/_admin_views.py
@@ -0,0 +1,118 @@
+"""What the administration API sees of an entry."""
+
+from collections.abc import Awaitable, Callable, Sequence
+
+from ..admin import AdminNotFoundError, InstanceView, QuarantineView
+from ..attempts import SuspectTracker
+from ..model import Instance, InstanceRole, InstanceState
+from ..net import Clock
+from ..wire import SidecarReport
+from ._fleet_observer import FleetObserver
+
+SILENT_AFTER_S = 3.0
+
+
+class FleetAdmin:
+    """The instances as this entry sees them, and drain orders.
+
+    ``drain_entry`` drains this entry. Orders to backend servers are handed over with
+    the answer to their next heartbeat.
+    """
+
+    def __init__(
+        self,
+        fleet: FleetObserver,
+        own: Callable[[], Instance],
+        own_version: Callable[[], int],
+        drain_entry: Callable[[Instance], Awaitable[None]],
+        clock: Clock,
+    ) -> None:
+        self._fleet = fleet
+        self._own = own
+        self._own_version = own_version
+        self._drain_entry = drain_entry
+        self._clock = clock
+
+    def instances(self) -> Sequence[InstanceView]:
+        """Returns this entry and every instance of the live list."""
+        own = self._own()
+        shown = [i for i in self._fleet.instances() if i.name != own.name]
+        views = [self._view(instance) for instance in shown]
+        views.append(_view(own, own.state.value, self._own_version(), 0.0))
+        return sorted(views, key=lambda view: view.name)
+
+    async def drain(self, name: str) -> str:
+        """Orders an instance to drain and returns its state."""
+        known = {instance.name: instance for instance in self._fleet.instances()}
+        known[self._own().name] = self._own()
+        if name not in known:
+            raise AdminNotFoundError(f"there is no instance {name!r}")
+        if known[name].role is InstanceRole.ENTRY:
+            await self._drain_entry(known[name])
+        else:
+            self._fleet.order_drain(name)
+        return "draining"
+
+    def _view(self, instance: Instance) -> InstanceView:
+        if instance.role is InstanceRole.ENTRY:
+            version = self._fleet.entry_version(instance.name)
+            return _view(instance, instance.state.value, version, 0.0)
+        report = self._fleet.reports().get(instance.name)
+        if report is None:
+            return _view(instance, "silent", 0, 0.0)
+        age_s = self._clock.monotonic() - self._fleet.heard_at(instance.name)
+        return _view(
+            instance, _state(instance, report, age_s), report.config_version, age_s
+        )
+
+
+def _state(instance: Instance, report: SidecarReport, age_s: float) -> str:
+    if age_s > SILENT_AFTER_S:
+        return "silent"
+    if report.draining:
+        return "draining"
+    if instance.state is InstanceState.LEAVING:
+        return "leaving"
+    return "live"
+
+
+def _view(instance: Instance, state: str, version: int, seen_s: float) -> InstanceView:
+    return InstanceView(
+        instance.name,
+        instance.role.value,
+        instance.place.region,
+        instance.place.availability_zone,
+        instance.address,
+        state,
+        version,
+        round(seen_s, 3),
+        instance.service,
+    )
+
+
+class QuarantineAdmin:
+    """The requests that this entry refuses because they crashed backend servers."""
+
+    def __init__(self, suspects: SuspectTracker, clock: Clock) -> None:
+        self._suspects = suspects
+        self._clock = clock
+
+    def quarantined(self) -> Sequence[QuarantineView]:
+        """Returns all quarantined requests that this entry knows."""
+        now = self._clock.monotonic()
+        return [
+            QuarantineView(
+                strikes.fingerprint,
+                "",
+                strikes.count,
+                round(self._suspects.quarantined_for(strikes.fingerprint, now), 1),
+            )
+            for strikes in self._suspects.quarantined(now)
+        ]
+
+    async def release(self, fingerprint: str) -> None:
+        """Lifts a quarantine."""
+        now = self._clock.monotonic()
+        if not self._suspects.quarantined_for(fingerprint, now):
+            raise AdminNotFoundError(f"{fingerprint!r} is not quarantined")
+        self._suspects.finished(fingerprint, now)
--- a/src/pomeloshift/entry/_control_handler.py
+++ b/src/pomeloshift/entry/_control_handler.py
@@ -7,11 +7,13 @@
 from ..wire import (
     Acknowledgement,
     ConfigPull,
+    EntryReport,
     ItemPull,
     ItemResults,
     LeaseRelease,
     SidecarReport,
 )
+from ._fleet_observer import FleetObserver
 from .batch import JobService
 from .config import ConfigService
 
@@ -26,7 +28,7 @@
 class ControlHandler:
     """Routes each control message to the part of the entry that serves it.
 
-    ``observe`` receives heartbeats of sidecars.
+    ``observe_peer`` receives heartbeats of other entries.
     """
 
     def __init__(
@@ -34,14 +36,17 @@
         name: str,
         config: ConfigService,
         jobs: JobService,
-        observe: Callable[[SidecarReport], None],
+        fleet: FleetObserver,
+        observe_peer: Callable[[EntryReport], None],
     ) -> None:
         self._name = name
         self._config = config
         self._jobs = jobs
-        self._observe = observe
+        self._fleet = fleet
+        self._observe_peer = observe_peer
         self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {
             SidecarReport: self._take_report,
+            EntryReport: self._take_entry_report,
             ConfigPull: self._give_config,
             ItemPull: jobs.pull,
             ItemResults: jobs.results,
@@ -57,8 +62,14 @@
         return await handler(message)
 
     async def _take_report(self, report: SidecarReport) -> Acknowledgement:
-        self._observe(report)
-        self._config.observe_version(report.instance.name, report.config_version)
+        self._fleet.observe(report)
+        drain = self._fleet.is_ordered_to_drain(report.instance.name)
+        return Acknowledgement(self._config.version, self._name, drain=drain)
+
+    async def _take_entry_report(self, report: EntryReport) -> Acknowledgement:
+        self._fleet.observe_entry(report.entry, report.config_version)
+        self._config.observe_version(report.entry, report.config_version)
+        self._observe_peer(report)
         return Acknowledgement(self._config.version, self._name)
 
     async def _give_config(self, pull: ConfigPull) -> Any:
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from twisted.internet.task import deferLater
 
+from ..admin import AdminApi, AuditLog, OperatorGate
 from ..config import Configuration
 from ..log import LogStore
 from ..metrics import Metrics
@@ -16,17 +17,20 @@
 from ..net._control_server import ControlServer
 from ..net._list_client import LiveListClient
 from ..net._log_client import LogClient
-from ..net._loops import Loops
+from ..net._loops import Loops, spawn
 from ..net._serve import Listener, serve
 from ..routing import Router, RouterConfig
 from ..settings import EntrySettings
 from ..wire import ConfigDocument, ConfigPull
+from ._admin_views import FleetAdmin, JobsAdmin, QuarantineAdmin
 from ._auth import Authenticator
 from ._control_handler import ControlHandler
 from ._fleet_observer import FleetObserver
 from ._health import HealthApi
+from ._peer_exchange import PeerExchange
 from ._root import PrefixRoot
 from .batch import FilesAndBatches, JobService
+from .calls import CallClaimer
 from .config import ConfigService
 from .online import FinishedRequest, OnlineApi, OnlineService
 
@@ -34,6 +38,8 @@
 LIST_INTERVAL_S = 0.5
 CONFIG_PULL_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
+SECRET_BITS = 256
+RECORD_ID_BITS = 64
 
 
 class Entry:
@@ -100,6 +106,17 @@
             config_version=lambda: self.config.version,
             on_finished=self._count_finished,
         )
+        self._peers = PeerExchange(
+            settings.name,
+            self.fleet,
+            self.config,
+            self.online.suspects,
+            self._control,
+            clock,
+            lambda: self._begin_drain(),
+        )
+        self._claimer = CallClaimer(settings.name, self._log, settings.partitions, rng)
+        self._rng = rng
 
     @property
     def is_draining(self) -> bool:
@@ -110,7 +127,7 @@
         """Listens and begins to follow the log and the live list."""
         settings = self._settings
         handler = ControlHandler(
-            settings.name, self.config, self.jobs, self.fleet.observe
+            settings.name, self.config, self.jobs, self.fleet, self._peers.observe
         )
         self._control_server = ControlServer(
             f"tcp://{settings.host}:{settings.control_port}",
@@ -130,6 +147,7 @@
         self.config.on_change(self._apply_config)
         self.config.start()
         self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
+        self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
         self.jobs.start()
         logger.info(
             "event=entry_started instance={} address={} control={}",
@@ -161,9 +179,11 @@
 
     def _root(self) -> PrefixRoot:
         files_and_batches = FilesAndBatches(self.jobs, self.auth).resource
+        online = OnlineApi(self.online, self.auth, self._claimer)
         return PrefixRoot(
             {
-                "/v1": OnlineApi(self.online, self.auth).resource,
+                "/v1": online.resource,
+                "/admin/v1": self._admin().resource,
                 "/v1/files": files_and_batches,
                 "/v1/batches": files_and_batches,
                 "/internal": self.jobs.internal_resource,
@@ -171,6 +191,44 @@
             HealthApi(self._unready_reason, self._render_metrics).resource,
         )
 
+    def _admin(self) -> AdminApi:
+        audit = AuditLog(
+            self.instance.name,
+            self._log,
+            self._clock,
+            self._reactor,
+            lambda: self._new_secret(RECORD_ID_BITS),
+        )
+        fleet = FleetAdmin(
+            self.fleet,
+            lambda: self.instance,
+            lambda: self.config.version,
+            self._drain_entry,
+            self._clock,
+        )
+        return AdminApi(
+            OperatorGate(self.auth, self._settings.internal_key),
+            self.config,
+            fleet,
+            JobsAdmin(self.jobs),
+            QuarantineAdmin(self.online.suspects, self._clock),
+            audit,
+            lambda: self._new_secret(SECRET_BITS),
+        )
+
+    def _new_secret(self, bits: int) -> str:
+        return f"{self._rng.getrandbits(bits):0{bits // 4}x}"
+
+    async def _drain_entry(self, entry: Instance) -> None:
+        if entry.name == self.instance.name:
+            self._begin_drain()
+        else:
+            await self._peers.order_drain(entry)
+
+    def _begin_drain(self) -> None:
+        if not self.is_draining:
+            spawn(self.drain())
+
     def _unready_reason(self) -> str:
         if self.is_draining:
             return "the entry is leaving"
--- a/src/pomeloshift/entry/_fleet_observer.py
+++ b/src/pomeloshift/entry/_fleet_observer.py
@@ -29,6 +29,9 @@
         self._own = own
         self._instances: tuple[Instance, ...] = ()
         self._reports: dict[str, SidecarReport] = {}
+        self._heard_at: dict[str, float] = {}
+        self._entry_versions: dict[str, int] = {}
+        self._drain_orders: set[str] = set()
 
     async def read_list(self) -> None:
         """Reads the live list once."""
@@ -43,8 +46,29 @@
         if known is not None and known.incarnation > report.incarnation:
             return
         self._reports[report.instance.name] = report
+        self._heard_at[report.instance.name] = self._clock.monotonic()
         self._router.observe_report(report, self._clock.monotonic())
 
+    def observe_entry(self, name: str, config_version: int) -> None:
+        """Takes a heartbeat of another entry."""
+        self._entry_versions[name] = config_version
+
+    def entry_version(self, name: str) -> int:
+        """Returns the configuration version that another entry last named."""
+        return self._entry_versions.get(name, 0)
+
+    def heard_at(self, name: str) -> float:
+        """Returns when a backend server's last heartbeat came."""
+        return self._heard_at.get(name, float("-inf"))
+
+    def order_drain(self, name: str) -> None:
+        """Has a backend server told to drain with its next heartbeat."""
+        self._drain_orders.add(name)
+
+    def is_ordered_to_drain(self, name: str) -> bool:
+        """Tells whether a backend server has to be told to drain."""
+        return name in self._drain_orders
+
     def entries(self) -> Sequence[Instance]:
         """Returns the entries that are live, this one included unless it leaves."""
         own = self._own()
--- a/src/pomeloshift/sidecar/_entry_link.py
+++ b/src/pomeloshift/sidecar/_entry_link.py
@@ -23,11 +23,13 @@
         control: ControlClient,
         report: Callable[[], SidecarReport],
         offer_config: Callable[[ConfigDocument], None],
+        drain: Callable[[], None],
     ) -> None:
         self.entry = entry
         self._control = control
         self._report = report
         self._offer_config = offer_config
+        self._drain = drain
         self._busy = False
         self._again = False
 
@@ -46,6 +48,8 @@
         answer = await self._ask(report)
         if not isinstance(answer, Acknowledgement):
             return
+        if answer.drain:
+            self._drain()
         if answer.config_version > report.config_version:
             document = await self._ask(ConfigPull(report.config_version))
             if isinstance(document, ConfigDocument) and document.document:
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -15,7 +15,7 @@
 from ..net import Clock
 from ..net._control_client import ControlClient
 from ..net._list_client import LiveListClient
-from ..net._loops import Loops
+from ..net._loops import Loops, spawn
 from ..net._serve import Listener, serve
 from ..settings import SidecarSettings
 from ..wire import AttemptRequest, ConfigDocument, SidecarReport
@@ -161,7 +161,17 @@
         ]
 
     def _connect_entry(self, entry: Instance) -> EntryLink:
-        return EntryLink(entry, self._control, self._report, self._offer_config)
+        return EntryLink(
+            entry,
+            self._control,
+            self._report,
+            self._offer_config,
+            self._begin_drain,
+        )
+
+    def _begin_drain(self) -> None:
+        if not self._draining:
+            spawn(self.drain())
 
     def _report(self) -> SidecarReport:
         self._sequence += 1
--- a/src/pomeloshift/wire/__init__.py
+++ b/src/pomeloshift/wire/__init__.py
@@ -8,6 +8,7 @@
     Acknowledgement,
     ConfigDocument,
     ConfigPull,
+    EntryReport,
     GrantedItem,
     ItemGrants,
     ItemOutcome,
@@ -16,6 +17,7 @@
     LeaseRelease,
     Refusal,
     SidecarReport,
+    SuspectNotice,
 )
 
 __all__ = [
@@ -23,6 +25,7 @@
     "AttemptRequest",
     "ConfigDocument",
     "ConfigPull",
+    "EntryReport",
     "Frame",
     "FrameReader",
     "GrantedItem",
@@ -33,6 +36,7 @@
     "LeaseRelease",
     "Refusal",
     "SidecarReport",
+    "SuspectNotice",
     "WireError",
     "decode_message",
     "encode_frame",
--- a/src/pomeloshift/wire/_messages.py
+++ b/src/pomeloshift/wire/_messages.py
@@ -27,12 +27,40 @@
 
 @attrs.frozen
 class Acknowledgement:
-    """The answer to a heartbeat or to results, with the sender's config version."""
+    """The answer to a heartbeat or to results, with the sender's config version.
+
+    ``drain`` orders the receiver to take no new work and to end what runs.
+    """
 
     config_version: int
     entry: str = ""
     incarnation: int = 0
     error: ErrorReport | None = None
+    drain: bool = False
+
+
+@attrs.frozen
+class SuspectNotice:
+    """What an entry knows of a request that ran on crashed backend servers.
+
+    ``crashes`` names the crashes, ``cleared`` those that the request cannot have
+    caused; both hold for ``ttl_s`` seconds.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    cleared: tuple[str, ...]
+    ttl_s: float
+
+
+@attrs.frozen
+class EntryReport:
+    """A heartbeat from one entry to another."""
+
+    entry: str
+    config_version: int
+    suspects: tuple[SuspectNotice, ...] = ()
+    drain: bool = False
 
 
 @attrs.frozen
