Start the reactor once for all tests

Cause: test modules hung: an address is resolved in the reactor's thread pool, which only starts with the reactor, and a pool that is never shut down keeps the test process from ending. Ruled out: the log client and the control channel themselves; they pass in a process whose reactor runs. Conclusion: one fixture runs everything on the reactor.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,23 +1,44 @@
+from functools import partial
+
 import pytest
-from _loop import shared_loop
+from twisted.internet.defer import Deferred
 
 from pomeloshift.net import install_reactor
 
-# Before any test module imports a library that would install another reactor.
-install_reactor()
+# Libraries that test modules import install another reactor if none is there yet.
+REACTOR = install_reactor()
 
 
 @pytest.fixture(scope="session")
 def reactor():
-    return shared_loop().reactor
+    """The asyncio reactor, started: its thread pool resolves addresses."""
+    loop = REACTOR._asyncioEventloop
+    REACTOR.startRunning(installSignalHandlers=False)
+    yield REACTOR
+    stopped = REACTOR.fireSystemEvent("shutdown")
+    assert stopped is None
+    loop.run_until_complete(loop.shutdown_asyncgens())
 
 
 @pytest.fixture
 def run_async(reactor):
-    """Runs a coroutine that awaits deferreds on the process's one loop."""
+    """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
 
     def run(coroutine):
-        return shared_loop().run(lambda: coroutine)
+        loop = reactor._asyncioEventloop
+        return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
+
+    return run
+
+
+@pytest.fixture
+def run_blocking(reactor):
+    """Runs a blocking function in a thread while the reactor's loop goes on."""
+
+    def run(function, *args, **kwargs):
+        loop = reactor._asyncioEventloop
+        call = partial(function, *args, **kwargs)
+        return loop.run_until_complete(loop.run_in_executor(None, call))
 
     return run
 
