--- /dev/null
+++ b/src/pomeloshift/cli/_check.py
@@ -0,0 +1,45 @@
+"""The command that prints every fault of a file."""
+
+import sys
+
+from ..questionnaire import parse_answers
+from ..settings import SettingsError, parse_json, parse_settings, read_text
+from ._kinds import QUESTIONNAIRE, UnknownKindError, class_of, guess_kind
+
+EXIT_FAULTS = 2
+
+
+def check(file: str, kind: str = "") -> int:
+    """Prints every fault of a settings or questionnaire file.
+
+    Each line gives the file, the line, the key, what is wrong, what to do about it
+    and the code of the fault.
+
+    Args:
+        file: The file to check.
+        kind: What the file is: questionnaire, entry, sidecar, engine, log, list,
+            weights or service. Without it the kind is told from the file's keys.
+
+    Returns 0 without faults and 2 with faults.
+    """
+    try:
+        text = read_text(file)
+        kind = kind or guess_kind(parse_json(text, file))
+        _parse(text, file, kind)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            print(fault.describe(file), file=sys.stderr)
+        print(f"{file}: {len(exc.faults)} faults", file=sys.stderr)
+        return EXIT_FAULTS
+    except UnknownKindError as exc:
+        print(exc.message, file=sys.stderr)
+        return EXIT_FAULTS
+    print(f"{file}: a valid {kind} file")
+    return 0
+
+
+def _parse(text: str, file: str, kind: str) -> None:
+    if kind == QUESTIONNAIRE:
+        parse_answers(text, file)
+    else:
+        parse_settings(text, class_of(kind), file)
--- /dev/null
+++ b/src/pomeloshift/entry/_entry.py
@@ -0,0 +1,256 @@
+"""The entry process: callers' interfaces in front of the fleet."""
+
+from random import Random
+from typing import Any
+
+import attrs
+from loguru import logger
+from twisted.internet.task import deferLater
+
+from ..admin import AdminApi, AuditLog, OperatorGate
+from ..config import Configuration
+from ..log import LogStore
+from ..metrics import Metrics
+from ..model import Instance, InstanceRole, InstanceState
+from ..net import Clock
+from ..net._control_client import ControlClient
+from ..net._control_server import ControlServer
+from ..net._list_client import LiveListClient
+from ..net._log_client import LogClient
+from ..net._loops import Loops, spawn
+from ..net._serve import Listener, serve
+from ..routing import Router, RouterConfig
+from ..settings import EntrySettings
+from ..wire import ConfigDocument, ConfigPull
+from ._admin_views import FleetAdmin, JobsAdmin, QuarantineAdmin
+from ._auth import Authenticator
+from ._control_handler import ControlHandler
+from ._fleet_observer import FleetObserver
+from ._health import HealthApi
+from ._peer_exchange import PeerExchange
+from ._root import PrefixRoot
+from .batch import FilesAndBatches, JobService
+from .calls import CallClaimer
+from .config import ConfigService
+from .online import FinishedRequest, OnlineApi, OnlineService
+
+LOG_TIMEOUT_S = 5.0
+LIST_INTERVAL_S = 0.5
+CONFIG_PULL_TIMEOUT_S = 2.0
+DRAIN_POLL_S = 0.05
+SECRET_BITS = 256
+RECORD_ID_BITS = 64
+
+
+class Entry:
+    """Serves callers, owns partitions of batch jobs and follows the configuration.
+
+    ``live_list`` shows the instances as this one reaches them, and ``log`` replaces
+    the client of the log service that the settings name.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        live_list: LiveListClient,
+        reactor: Any,
+        clock: Clock,
+        rng: Random,
+        log: LogStore | None = None,
+    ) -> None:
+        self._settings = settings
+        self._reactor = reactor
+        self._clock = clock
+        self._loops = Loops(reactor)
+        self._log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self.instance = Instance(
+            settings.name, InstanceRole.ENTRY, settings.place, "", ""
+        )
+        self.metrics = Metrics("entry", settings.name)
+        self._control = ControlClient(settings.internal_key.encode(), reactor)
+        self._router = Router(RouterConfig(name=settings.name), settings.place, rng)
+        self.fleet = FleetObserver(
+            live_list, self._router, clock, lambda: self.instance
+        )
+        self.config = ConfigService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            settings.place.region,
+            self.fleet.entries,
+            pull=self._pull_config,
+        )
+        self.auth = Authenticator(lambda: self.config.current)
+        self.jobs = JobService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            self.fleet.entries,
+            lambda: self.config.current,
+            settings.partitions,
+            settings.internal_key,
+        )
+        self.online = OnlineService(
+            settings.name,
+            settings.place,
+            clock,
+            reactor,
+            rng,
+            self._router,
+            lambda: self.config.current,
+            settings.internal_key,
+            config_version=lambda: self.config.version,
+            on_finished=self._count_finished,
+        )
+        self._peers = PeerExchange(
+            settings.name,
+            self.fleet,
+            self.config,
+            self.online.suspects,
+            self._control,
+            clock,
+            lambda: self._begin_drain(),
+        )
+        self._claimer = CallClaimer(settings.name, self._log, settings.partitions, rng)
+        self._rng = rng
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether this entry has left readiness."""
+        return self.instance.state is InstanceState.LEAVING
+
+    async def start(self) -> None:
+        """Listens and begins to follow the log and the live list."""
+        settings = self._settings
+        handler = ControlHandler(
+            settings.name, self.config, self.jobs, self.fleet, self._peers.observe
+        )
+        self._control_server = ControlServer(
+            f"tcp://{settings.host}:{settings.control_port}",
+            handler.handle,
+            settings.internal_key.encode(),
+            self._reactor,
+        )
+        self._control_server.start()
+        self.listener: Listener = serve(
+            self._reactor, self._root(), settings.host, settings.port
+        )
+        self.instance = attrs.evolve(
+            self.instance,
+            address=f"{settings.reachable_host}:{self.listener.port}",
+            control_address=self._control_server.url,
+        )
+        self.config.on_change(self._apply_config)
+        self.config.start()
+        self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
+        self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
+        self.jobs.start()
+        logger.info(
+            "event=entry_started instance={} address={} control={}",
+            self.instance.name,
+            self.instance.address,
+            self.instance.control_address,
+        )
+
+    async def drain(self) -> None:
+        """Leaves readiness, lingers for the balancer and ends open requests."""
+        logger.info("event=drain_started instance={}", self.instance.name)
+        self.instance = attrs.evolve(self.instance, state=InstanceState.LEAVING)
+        await deferLater(self._reactor, self._settings.drain_linger_s)
+        await self.listener.stop_accepting()
+        give_up_at = self._clock.monotonic() + self._settings.drain_limit_s
+        while self.online.open_requests and self._clock.monotonic() < give_up_at:
+            await deferLater(self._reactor, DRAIN_POLL_S)
+        logger.info("event=drain_ended instance={}", self.instance.name)
+
+    async def stop(self) -> None:
+        """Closes everything at once."""
+        self._loops.stop()
+        self.config.stop()
+        await self.jobs.stop()
+        await self.listener.stop()
+        await self._control_server.stop()
+        await self._control.close()
+        await self.online.close()
+
+    def _root(self) -> PrefixRoot:
+        files_and_batches = FilesAndBatches(self.jobs, self.auth).resource
+        online = OnlineApi(self.online, self.auth, self._claimer)
+        return PrefixRoot(
+            {
+                "/v1": online.resource,
+                "/admin/v1": self._admin().resource,
+                "/v1/files": files_and_batches,
+                "/v1/batches": files_and_batches,
+                "/internal": self.jobs.internal_resource,
+            },
+            HealthApi(self._unready_reason, self._render_metrics).resource,
+        )
+
+    def _admin(self) -> AdminApi:
+        audit = AuditLog(
+            self.instance.name,
+            self._log,
+            self._clock,
+            self._reactor,
+            lambda: self._new_secret(RECORD_ID_BITS),
+        )
+        fleet = FleetAdmin(
+            self.fleet,
+            lambda: self.instance,
+            lambda: self.config.version,
+            self._drain_entry,
+            self._clock,
+        )
+        return AdminApi(
+            OperatorGate(self.auth, self._settings.internal_key),
+            self.config,
+            fleet,
+            JobsAdmin(self.jobs),
+            QuarantineAdmin(self.online.suspects, self._clock),
+            audit,
+            lambda: self._new_secret(SECRET_BITS),
+        )
+
+    def _new_secret(self, bits: int) -> str:
+        return f"{self._rng.getrandbits(bits):0{bits // 4}x}"
+
+    async def _drain_entry(self, entry: Instance) -> None:
+        if entry.name == self.instance.name:
+            self._begin_drain()
+        else:
+            await self._peers.order_drain(entry)
+
+    def _begin_drain(self) -> None:
+        if not self.is_draining:
+            spawn(self.drain())
+
+    def _unready_reason(self) -> str:
+        if self.is_draining:
+            return "the entry is leaving"
+        if self.config.version == 0:
+            return "the entry has no configuration yet"
+        return ""
+
+    def _render_metrics(self) -> bytes:
+        body, _ = self.metrics.render()
+        return body
+
+    def _apply_config(self, cfg: Configuration, version: int) -> None:
+        self.metrics.set("config_version", version)
+
+    def _count_finished(self, finished: FinishedRequest) -> None:
+        pass
+
+    async def _pull_config(self, peer: str) -> ConfigDocument:
+        address = next(
+            entry.control_address
+            for entry in self.fleet.entries()
+            if entry.name == peer
+        )
+        pull = ConfigPull(self.config.version)
+        return await self._control.ask(address, pull, CONFIG_PULL_TIMEOUT_S)
--- a/src/pomeloshift/wire/_messages.py
+++ b/src/pomeloshift/wire/_messages.py
@@ -27,12 +27,40 @@
 
 @attrs.frozen
 class Acknowledgement:
-    """The answer to a heartbeat or to results, with the sender's config version."""
+    """The answer to a heartbeat or to results, with the sender's config version.
+
+    ``drain`` orders the receiver to take no new work and to end what runs.
+    """
 
     config_version: int
     entry: str = ""
     incarnation: int = 0
     error: ErrorReport | None = None
+    drain: bool = False
+
+
+@attrs.frozen
+class SuspectNotice:
+    """What an entry knows of a request that ran on crashed backend servers.
+
+    ``crashes`` names the crashes, ``cleared`` those that the request cannot have
+    caused; both hold for ``ttl_s`` seconds.
+    """
+
+    fingerprint: str
+    crashes: tuple[str, ...]
+    cleared: tuple[str, ...]
+    ttl_s: float
+
+
+@attrs.frozen
+class EntryReport:
+    """A heartbeat from one entry to another."""
+
+    entry: str
+    config_version: int
+    suspects: tuple[SuspectNotice, ...] = ()
+    drain: bool = False
 
 
 @attrs.frozen
@@ -55,6 +83,8 @@
     """A sidecar asks a partition owner for batch work it has room for.
 
     ``nonce`` names the pull, so that a repeated pull returns the same grants.
+    ``held`` names the leases that the sidecar still works on or whose results are
+    not acknowledged; only these are renewed. `None` renews all of the instance's.
     """
 
     instance: str
@@ -64,6 +94,7 @@
     service: str
     tokens: int
     max_items: int
+    held: tuple[str, ...] | None = None
 
 
 @attrs.frozen
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,32 +1,48 @@
+from functools import partial
+
 import pytest
 from twisted.internet.defer import Deferred
 
 from pomeloshift.net import install_reactor
 
-# Importing treq would install another reactor, so this one is installed before
-# any test module is imported.
+# Libraries that test modules import install another reactor if none is there yet.
 REACTOR = install_reactor()
 
 
 @pytest.fixture(scope="session")
 def reactor():
-    """The running asyncio reactor; the loop runs only within `run_async`."""
+    """The asyncio reactor, started: its thread pool resolves addresses."""
+    loop = REACTOR._asyncioEventloop
     REACTOR.startRunning(installSignalHandlers=False)
     yield REACTOR
-    REACTOR.fireSystemEvent("shutdown")
+    stopped = REACTOR.fireSystemEvent("shutdown")
+    assert stopped is None
+    loop.run_until_complete(loop.shutdown_asyncgens())
 
 
 @pytest.fixture
 def run_async(reactor):
     """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
-    loop = reactor._asyncioEventloop
 
     def run(coroutine):
+        loop = reactor._asyncioEventloop
         return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
 
     return run
 
 
+@pytest.fixture
+def run_blocking(reactor):
+    """Runs a blocking function in a thread while the reactor's loop goes on."""
+
+    def run(function, *args, **kwargs):
+        loop = reactor._asyncioEventloop
+        call = partial(function, *args, **kwargs)
+        return loop.run_until_complete(loop.run_in_executor(None, call))
+
+    return run
+
+
 @pytest.fixture
 def pause(reactor):
     """Returns a function whose result is a deferred that fires after seconds."""
