Report how fast the budgets of objectives are spent, over all entries

Cause: operators need to see how much budget is left, how fast it goes, and what it goes on; histories must outlive instances that keep nothing. Change: each request is judged by answer, first token and time between tokens; misses are put down to batch harm, overload, back-end faults or the paid link. Conclusion: BurnService.record takes a RequestSample for each request that ended; the page has not been looked at in a browser yet.

--- a/src/pomeloshift/admin/__init__.py
+++ b/src/pomeloshift/admin/__init__.py
@@ -21,7 +21,7 @@
 )
 from ._route import PREFIX
 from ._routes import ROUTES
-from ._views import FleetView, JobsView, QuarantinedView
+from ._views import BurnView, FleetView, JobsView, QuarantinedView
 
 __all__ = [
     "AUDIT_STREAM",
@@ -31,6 +31,7 @@
     "AdminNotFoundError",
     "AuditEntry",
     "AuditLog",
+    "BurnView",
     "ConfigPublisher",
     "DrainAnswer",
     "FleetView",
--- a/src/pomeloshift/admin/_access.py
+++ b/src/pomeloshift/admin/_access.py
@@ -30,3 +30,10 @@
 
     code = ErrorCode.NOT_FOUND
     ran = Ran.NO
+
+
+class NoAccountError(PomeloshiftError):
+    """This entry keeps no account of objectives."""
+
+    code = ErrorCode.NOT_READY
+    ran = Ran.NO
--- a/src/pomeloshift/admin/_api.py
+++ b/src/pomeloshift/admin/_api.py
@@ -13,7 +13,7 @@
 from ..errors import PomeloshiftError
 from ..net._http import InvalidRequestError, respond_json
 from . import _messages as m
-from ._access import AdminNotFoundError, Role
+from ._access import AdminNotFoundError, NoAccountError, Role
 from ._answers import answers_failures, read_message, respond_failure
 from ._audit import AuditLog
 from ._authenticate import OperatorGate
@@ -24,7 +24,7 @@
 from ._operator import Operator
 from ._route import Route
 from ._routes import ROUTES
-from ._views import FleetView, JobsView, QuarantinedView
+from ._views import BurnView, FleetView, JobsView, QuarantinedView
 
 DEFAULT_JOBS = 100
 MAX_JOBS = 1000
@@ -56,7 +56,9 @@
         quarantined: QuarantinedView,
         audit: AuditLog,
         new_secret: Callable[[], str],
+        burn: BurnView | None = None,
     ) -> None:
+        self._burn = burn
         self._gate = gate
         self._service = config
         self._config = ConfigAdmin(config)
@@ -171,6 +173,19 @@
         await self._quarantined.release(call.arguments["fingerprint"])
         return m.Done()
 
+    async def get_burn(self, call: AdminCall) -> Any:
+        """Returns the report on objectives over all entries."""
+        return await self._account().report()
+
+    async def get_pending_burn(self, call: AdminCall) -> Any:
+        """Returns what this entry counted and has not yet stored."""
+        return self._account().pending()
+
+    def _account(self) -> BurnView:
+        if self._burn is None:
+            raise NoAccountError("this entry keeps no account of objectives")
+        return self._burn
+
     def _add(self, route: Route) -> None:
         handler: Callable[[AdminCall], Awaitable[Any]] = getattr(self, route.name)
 
--- a/src/pomeloshift/admin/_routes.py
+++ b/src/pomeloshift/admin/_routes.py
@@ -2,6 +2,7 @@
 
 from ..config import Configuration
 from ..errors import ErrorCode
+from ..report import BurnReport, BurnSummary
 from . import _messages as m
 from ._access import Role
 from ._route import Route
@@ -198,4 +199,22 @@
         audit="release_quarantined",
         errors=NOT_FOUND,
     ),
+    Route(
+        "get_burn",
+        "GET",
+        "/burn",
+        "Returns how fast the budgets of all objectives are spent.",
+        Role.VIEWER,
+        BurnReport,
+        errors=(ErrorCode.NOT_READY,),
+    ),
+    Route(
+        "get_pending_burn",
+        "GET",
+        "/burn/pending",
+        "Returns what this entry counted and has not yet stored.",
+        Role.VIEWER,
+        BurnSummary,
+        errors=(ErrorCode.NOT_READY,),
+    ),
 )
--- a/src/pomeloshift/admin/_views.py
+++ b/src/pomeloshift/admin/_views.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from typing import Protocol
 
+from ..report import BurnReport, BurnSummary
 from ._messages import InstanceView, JobView, QuarantineView
 
 
@@ -40,3 +41,13 @@
 
     async def release(self, fingerprint: str) -> None:
         """Lifts a quarantine; raises a ``not_found`` failure if there is none."""
+
+
+class BurnView(Protocol):
+    """The account of objectives."""
+
+    async def report(self) -> BurnReport:
+        """Returns the report over all entries."""
+
+    def pending(self) -> BurnSummary:
+        """Returns what this entry counted and has not yet stored."""
--- /dev/null
+++ b/src/pomeloshift/entry/burn/_peers.py
@@ -0,0 +1,74 @@
+"""Asks other entries for what they have counted but not yet stored."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+import msgspec
+import treq
+from loguru import logger
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from ...model import Instance
+from ...report import BurnSummary
+
+PENDING_PATH = "/admin/v1/burn/pending"
+TIMEOUT_S = 2.0
+HTTP_OK = 200
+
+
+@attrs.frozen
+class PeerAnswers:
+    """The summaries of the entries that answered, and the names of all asked."""
+
+    summaries: tuple[BurnSummary, ...]
+    answered: tuple[str, ...]
+    unreachable: tuple[str, ...]
+
+
+class BurnPeers:
+    """Reaches the other live entries over their administration API."""
+
+    def __init__(
+        self,
+        name: str,
+        entries: Callable[[], Sequence[Instance]],
+        internal_key: str,
+        reactor: Any,
+    ) -> None:
+        self._name = name
+        self._entries = entries
+        self._headers = Headers({"authorization": [f"Bearer {internal_key}"]})
+        self._pool = HTTPConnectionPool(reactor, persistent=False)
+        self._agent: Any = Agent(reactor, connectTimeout=TIMEOUT_S, pool=self._pool)
+
+    async def ask(self) -> PeerAnswers:
+        """Asks all other entries at once."""
+        peers = [entry for entry in self._entries() if entry.name != self._name]
+        found = await gatherResults(
+            [Deferred.fromCoroutine(self._ask_one(peer)) for peer in peers]
+        )
+        pairs = list(zip(peers, found, strict=True))
+        return PeerAnswers(
+            tuple(summary for _, summary in pairs if summary is not None),
+            tuple(peer.name for peer, summary in pairs if summary is not None),
+            tuple(peer.name for peer, summary in pairs if summary is None),
+        )
+
+    async def _ask_one(self, peer: Instance) -> BurnSummary | None:
+        try:
+            response = await treq.get(
+                f"http://{peer.address}{PENDING_PATH}",
+                agent=self._agent,
+                headers=self._headers,
+                timeout=TIMEOUT_S,
+            )
+            content = await response.content()
+            if response.code != HTTP_OK:
+                raise ValueError(f"status {response.code}")
+            return msgspec.json.decode(content, type=BurnSummary)
+        except Exception as exc:
+            logger.info("event=burn_peer_lost peer={} cause={!r}", peer.name, exc)
+            return None
--- /dev/null
+++ b/src/pomeloshift/entry/burn/_timing.py
@@ -0,0 +1,23 @@
+"""Intervals at which the account of objectives is stored."""
+
+import attrs
+from attrs import validators as v
+
+
+@attrs.frozen
+class BurnTiming:
+    """Times in seconds.
+
+    An entry appends its summary every ``summary_s``, or more rarely where there are
+    so many entries that they would together make more than one append in
+    ``append_gap_s``. Rollups of past hours are appended again every ``rollup_s``.
+    """
+
+    summary_s: float = attrs.field(default=60.0, validator=v.gt(0))
+    append_gap_s: float = attrs.field(default=1.0, validator=v.gt(0))
+    read_s: float = attrs.field(default=30.0, validator=v.gt(0))
+    rollup_s: float = attrs.field(default=6 * 3600.0, validator=v.gt(0))
+
+    def interval(self, entries: int) -> float:
+        """Returns the time between summaries of one of ``entries`` entries."""
+        return max(self.summary_s, self.append_gap_s * entries)
--- /dev/null
+++ b/src/pomeloshift/report/__init__.py
@@ -0,0 +1,49 @@
+"""The account of objectives and the report on how fast their budgets are spent."""
+
+from ._compute import compute_report
+from ._counts import BurnCell, BurnCounts, BurnKey, Spent
+from ._histograms import EncodedHistogram, Histograms
+from ._history import BurnHistory
+from ._indicator import Indicator, SpendCause
+from ._judge import Verdict, judge
+from ._recorder import BurnRecorder
+from ._render_html import render_html
+from ._render_text import render_text
+from ._report import (
+    BurnPoint,
+    BurnReport,
+    BurnSeries,
+    CauseShare,
+    ObjectiveBurn,
+    WindowBurn,
+)
+from ._sample import RequestSample
+from ._summary import BURN_STREAM, BurnRollup, BurnSummary
+
+__all__ = [
+    "BURN_STREAM",
+    "BurnCell",
+    "BurnCounts",
+    "BurnHistory",
+    "BurnKey",
+    "BurnPoint",
+    "BurnRecorder",
+    "BurnReport",
+    "BurnRollup",
+    "BurnSeries",
+    "BurnSummary",
+    "CauseShare",
+    "EncodedHistogram",
+    "Histograms",
+    "Indicator",
+    "ObjectiveBurn",
+    "RequestSample",
+    "SpendCause",
+    "Spent",
+    "Verdict",
+    "WindowBurn",
+    "compute_report",
+    "judge",
+    "render_html",
+    "render_text",
+]
--- /dev/null
+++ b/src/pomeloshift/report/_histograms.py
@@ -0,0 +1,68 @@
+"""Distributions of the times of requests."""
+
+from collections.abc import Iterable
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from ._indicator import Indicator
+
+UNITS_PER_S = 10_000
+MAX_S = 60
+SIGNIFICANT_DIGITS = 2
+
+
+@attrs.frozen
+class EncodedHistogram:
+    """A distribution in the form that is stored and sent."""
+
+    service: str
+    priority: str
+    indicator: Indicator
+    data: bytes
+
+
+class Histograms:
+    """HDR histograms of first-token and between-token times.
+
+    Times above a minute count as a minute. Values are exact to two digits.
+    """
+
+    def __init__(self) -> None:
+        self._by_key: dict[tuple[str, str, Indicator], HdrHistogram] = {}
+
+    def record(
+        self, service: str, priority: str, indicator: Indicator, seconds: float
+    ) -> None:
+        """Adds one time."""
+        value = min(max(1, round(seconds * UNITS_PER_S)), MAX_S * UNITS_PER_S)
+        self._histogram((service, priority, indicator)).record_value(value)
+
+    def merge(self, encoded: Iterable[EncodedHistogram]) -> None:
+        """Adds other distributions."""
+        for item in encoded:
+            key = (item.service, item.priority, item.indicator)
+            self._histogram(key).decode_and_add(item.data)
+
+    def percentile(
+        self, service: str, priority: str, indicator: Indicator, percent: float
+    ) -> float | None:
+        """Returns a percentile in seconds, or `None` without any time."""
+        histogram = self._by_key.get((service, priority, indicator))
+        if histogram is None or not histogram.get_total_count():
+            return None
+        return histogram.get_value_at_percentile(percent) / UNITS_PER_S
+
+    def encode(self) -> tuple[EncodedHistogram, ...]:
+        """Returns all distributions in the form that is stored and sent."""
+        return tuple(
+            EncodedHistogram(service, priority, indicator, histogram.encode())
+            for (service, priority, indicator), histogram in self._by_key.items()
+        )
+
+    def _histogram(self, key: tuple[str, str, Indicator]) -> HdrHistogram:
+        histogram = self._by_key.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(1, MAX_S * UNITS_PER_S, SIGNIFICANT_DIGITS)
+            self._by_key[key] = histogram
+        return histogram
--- a/tests/_admin.py
+++ b/tests/_admin.py
@@ -19,6 +19,7 @@
 from pomeloshift.admin._openapi import describe
 from pomeloshift.config import make_operator_key
 from pomeloshift.entry._auth import Authenticator
+from pomeloshift.entry.burn import BurnPeers, BurnService
 from pomeloshift.entry.config import ConfigService
 from pomeloshift.net import SystemClock
 from pomeloshift.net._serve import serve
@@ -115,6 +116,12 @@
         self.audit = AuditLog("e1", log, clock, loop.reactor, new_secret)
         self.fleet, self.jobs = FakeFleet(), FakeJobs()
         self.quarantine = FakeQuarantine()
+        self.peers = []
+        current = lambda: self.config.current
+        peers = BurnPeers("e1", lambda: self.peers, INTERNAL_KEY, loop.reactor)
+        self.burn = BurnService(
+            "e1", log, clock, loop.reactor, rng, lambda: self.peers, current, peers
+        )
         api = AdminApi(
             OperatorGate(self.auth, INTERNAL_KEY),
             self.config,
@@ -123,6 +130,7 @@
             self.quarantine,
             self.audit,
             new_secret,
+            self.burn,
         )
         self.listener = loop.run(serve, loop.reactor, api.resource, "127.0.0.1")
 
