Let a listener that was closed be stopped

Cause: an entry that drains closes its port and then stops; stopListening returns None the second time, so awaiting it raised TypeError and the rest of the stop was skipped. Found when a test stopped a peer twice. Conclusion: a planned stop of an entry runs to its end.

--- a/src/pomeloshift/net/_serve.py
+++ b/src/pomeloshift/net/_serve.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import attrs
+from twisted.internet.defer import maybeDeferred
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
@@ -63,8 +64,8 @@
         return f"{self.host}:{self.port}"
 
     async def stop_accepting(self) -> None:
-        """Closes the port; open connections go on."""
-        await self._port.stopListening()
+        """Closes the port, unless it is closed already; open connections go on."""
+        await maybeDeferred(self._port.stopListening)
 
     async def stop(self) -> None:
         """Closes the port and all its connections."""
