--- /dev/null
+++ b/src/pomeloshift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches over the decision cores."""
--- /dev/null
+++ b/src/pomeloshift/bench/control/_sidecar_work.py
@@ -0,0 +1,171 @@
+"""The control work of a sidecar."""
+
+from typing import Any
+
+from ...admission import (
+    Admission,
+    AdmissionConfig,
+    StreamEnded,
+    StreamOffered,
+    TokensArrived,
+)
+from ...attempts import AttemptRegistry
+from ...config import ConfigHolder
+from ...model import Priority
+from ...net._control_seal import ControlSeal
+from ...wire import (
+    Acknowledgement,
+    AttemptRequest,
+    GrantedItem,
+    ItemGrants,
+    ItemOutcome,
+    ItemResults,
+    decode_message,
+    encode_message,
+)
+from ._fixtures import BODY_BYTES, make_document, make_report
+from ._workload import Outcome, Workload
+
+ROLE = "sidecar"
+KEY = b"0123456789abcdef"
+FRAMES = 8
+
+
+def beat(reports: list[Any]) -> Outcome:
+    """Sends heartbeats and reads their answers."""
+    seal = ControlSeal(KEY)
+    size = 0
+    for report in reports:
+        nonce = seal.make_nonce()
+        request = seal.seal_request(nonce, encode_message(report))
+        answer = seal.seal_answer(nonce, encode_message(Acknowledgement(1, "entry-1")))
+        decode_message(seal.open_answer(nonce, answer))
+        size += len(request) + len(answer)
+    return Outcome(None, size)
+
+
+def apply_configuration(document: bytes) -> Outcome:
+    """Reads and applies one configuration."""
+    holder = ConfigHolder()
+    holder.offer(1, document)
+    return Outcome(holder, len(document))
+
+
+def run_attempts(requests: list[AttemptRequest]) -> Outcome:
+    """Keeps the account of attempts from their orders to their ends."""
+    registry = AttemptRegistry()
+    for req in requests:
+        registry.open(req, 0.0)
+        for _ in range(FRAMES):
+            registry.append(req.attempt_id, b"x" * 64, 4)
+        registry.finish(req.attempt_id)
+    registry.expire(0.0)
+    registry.expire(31.0)
+    return Outcome(registry)
+
+
+def admit(offers: list[StreamOffered]) -> Outcome:
+    """Admits streams, follows their tokens and ends them."""
+    admission = Admission(AdmissionConfig())
+    now = 0.0
+    for offer in offers:
+        admission.handle(offer, now)
+        for _ in range(FRAMES):
+            now += 0.004
+            admission.handle(TokensArrived(offer.stream_id, 4), now)
+        admission.handle(StreamEnded(offer.stream_id), now)
+    return Outcome(None)
+
+
+def exchange_items(messages: list[bytes]) -> Outcome:
+    """Reads grants of items and writes their results; bodies are not counted."""
+    size = 0
+    for message in messages:
+        (item,) = decode_message(message).items
+        outcome = ItemOutcome(
+            item.partition, item.job_id, item.index, item.lease_id, 200, item.body, 60
+        )
+        result = encode_message(ItemResults("backend-00001", 1, (outcome,)))
+        size += len(message) + len(result) - 2 * BODY_BYTES
+    return Outcome(None, size)
+
+
+def _attempts(count: int) -> list[AttemptRequest]:
+    return [
+        AttemptRequest(
+            f"entry-1-{n:012x}",
+            f"req-{n:012x}",
+            "workspace-001",
+            "lm-a",
+            "POST",
+            "/v1/chat/completions",
+            b"",
+            400,
+            200,
+            30.0,
+        )
+        for n in range(count)
+    ]
+
+
+def _offers(count: int) -> list[StreamOffered]:
+    return [
+        StreamOffered(f"stream-{n}", Priority.ONLINE, 400, 200, 1e9)
+        for n in range(count)
+    ]
+
+
+def _grants(count: int) -> list[bytes]:
+    return [
+        encode_message(
+            ItemGrants(
+                (
+                    GrantedItem(
+                        n % 64,
+                        "batch_000_0123456789abcdef",
+                        n,
+                        f"{n % 64}.entry-1-0123456789ab.{n}.0123456789abcdef.{n}",
+                        30.0,
+                        "lm-a",
+                        "/v1/chat/completions",
+                        b"x" * BODY_BYTES,
+                        400,
+                        200,
+                        3600.0,
+                    ),
+                ),
+                7,
+            )
+        )
+        for n in range(count)
+    ]
+
+
+SIDECAR_WORK = (
+    Workload(
+        ROLE,
+        "heartbeat",
+        "heartbeat",
+        lambda count: [make_report(n) for n in range(count)],
+        beat,
+    ),
+    Workload(
+        ROLE,
+        "configuration",
+        "workspace",
+        lambda count: make_document(count, 10),
+        apply_configuration,
+        sizes=(50, 150, 250),
+    ),
+    Workload(
+        ROLE,
+        "configuration",
+        "backend server",
+        lambda count: make_document(10, count),
+        apply_configuration,
+        sizes=(500, 2000, 5000),
+    ),
+    Workload(ROLE, "attempt registry", "request", _attempts, run_attempts),
+    Workload(ROLE, "admission", "stream", _offers, admit),
+    Workload(ROLE, "batch items", "item", _grants, exchange_items),
+)
--- /dev/null
+++ b/src/pomeloshift/bench/control/_slope.py
@@ -0,0 +1,111 @@
+"""Measures how the cost of a workload grows with its size."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Sequence
+
+import attrs
+
+from ._workload import Workload
+
+TRIES = 3
+MICROSECONDS_PER_S = 1e6
+
+
+@attrs.frozen
+class Slope:
+    """The cost of one more unit, and the cost that does not depend on the number.
+
+    Processor time is in microseconds; ``wire_bytes`` and ``kept_bytes`` are what
+    crosses connections or goes to the log, and what stays in memory.
+    """
+
+    role: str
+    work: str
+    unit: str
+    cpu_us: float
+    wire_bytes: float
+    kept_bytes: float
+    fixed_cpu_us: float = 0.0
+    fixed_kept_bytes: float = 0.0
+
+
+def measure(workload: Workload) -> Slope:
+    """Runs a workload at its sizes and returns the slopes by least squares."""
+    cpu_us: list[float] = []
+    wire: list[float] = []
+    kept: list[float] = []
+    for size in workload.sizes:
+        cpu_us.append(_cpu_us(workload, size) / workload.repeats)
+        wire_bytes, kept_bytes = _sizes(workload, size)
+        wire.append(wire_bytes / workload.repeats)
+        kept.append(kept_bytes)
+    cpu_slope, cpu_fixed = fit(workload.sizes, cpu_us)
+    wire_slope, _ = fit(workload.sizes, wire)
+    kept_slope, kept_fixed = fit(workload.sizes, kept)
+    return Slope(
+        workload.role,
+        workload.work,
+        workload.unit,
+        cpu_slope,
+        wire_slope,
+        kept_slope,
+        cpu_fixed,
+        kept_fixed,
+    )
+
+
+def measure_sizes(workload: Workload) -> Slope:
+    """Returns the slopes of bytes only, which are the same in each run."""
+    sizes = [_sizes(workload, size) for size in workload.sizes]
+    wire_slope, _ = fit(workload.sizes, [s[0] / workload.repeats for s in sizes])
+    kept_slope, kept_fixed = fit(workload.sizes, [s[1] for s in sizes])
+    return Slope(
+        workload.role,
+        workload.work,
+        workload.unit,
+        0.0,
+        wire_slope,
+        kept_slope,
+        0.0,
+        kept_fixed,
+    )
+
+
+def fit(sizes: Sequence[float], costs: Sequence[float]) -> tuple[float, float]:
+    """Returns slope and intercept of the least-squares line."""
+    count = len(sizes)
+    mean_size, mean_cost = sum(sizes) / count, sum(costs) / count
+    spread = sum((size - mean_size) ** 2 for size in sizes)
+    product = sum(
+        (size - mean_size) * (cost - mean_cost)
+        for size, cost in zip(sizes, costs, strict=True)
+    )
+    slope = product / spread
+    return slope, mean_cost - slope * mean_size
+
+
+def _cpu_us(workload: Workload, size: int) -> float:
+    best = float("inf")
+    for _ in range(TRIES):
+        prepared = workload.prepare(size)
+        gc.collect()
+        started = time.process_time()
+        workload.run(prepared)
+        best = min(best, time.process_time() - started)
+    return best * MICROSECONDS_PER_S
+
+
+def _sizes(workload: Workload, size: int) -> tuple[int, int]:
+    prepared = workload.prepare(size)
+    gc.collect()
+    tracemalloc.start()
+    try:
+        outcome = workload.run(prepared)
+        del prepared
+        gc.collect()
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return outcome.wire_bytes, kept_bytes
