--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -24,15 +24,18 @@
 from ._step_model import StepModel
 from ._stream import Phase, Stream
 
-LATE_SHARE = 0.03
+LATE_SHARE = 0.04
 FIRST_BATCH_LIMIT = 8.0
 SLOW_START_GROWTH = 0.5
 GROWTH_SHARE = 0.1
-RESUME_READ_TOKENS = 48
+HARD_LIMIT_SHARE = 1.12
+ONLINE_SHARE = 0.02
+RESUME_READ_TOKENS = 20
 CACHED_S = 20.0
 WANTED_INTERVAL_S = 0.1
 MEAN_SHARE = 0.05
 FIRST_STREAM_TOKENS = 1000.0
+FIRST_STREAM_S = 5.0
 RETRY_AFTER_S = 1.0
 
 
@@ -53,14 +56,15 @@
         self._tail_ratio = 1.02 + 0.13 * weight
         tail_quantile = 0.95 + 0.03 * weight
         self._first_tokens = FirstTokenModel(self._steps, tail_quantile)
-        self._pace = PaceGoal(cfg.between_tokens_target_s, LATE_SHARE)
+        highest_scale = 0.75 + 0.25 * weight
+        self._pace = PaceGoal(cfg.between_tokens_target_s, LATE_SHARE, highest_scale)
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
         )
         self._batch_limit = FIRST_BATCH_LIMIT
         self._wanted_at = float("-inf")
-        self._ended_at: float | None = None
-        self._online_end_s = 0.0
+        self._mean_online = 0.0
+        self._online_s = FIRST_STREAM_S
         self._online_tokens = FIRST_STREAM_TOKENS
         self._sequence = 0
 
@@ -134,12 +138,10 @@
         return self._balance(now)
 
     def _learn_end(self, stream: Stream, now: float) -> None:
-        change = stream.held_tokens - self._online_tokens
-        self._online_tokens += MEAN_SHARE * change
-        if self._ended_at is not None:
-            interval_s = now - self._ended_at
-            self._online_end_s += MEAN_SHARE * (interval_s - self._online_end_s)
-        self._ended_at = now
+        tokens = stream.held_tokens - self._online_tokens
+        self._online_tokens += MEAN_SHARE * tokens
+        lasted_s = now - stream.started_at
+        self._online_s += MEAN_SHARE * (lasted_s - self._online_s)
 
     def _on_tick(self, now: float) -> list[AdmissionEffect]:
         self._adjust_limit()
@@ -152,9 +154,12 @@
     def _adjust_limit(self) -> None:
         roster = self._roster
         limit = self._batch_limit
+        online = len(roster.online_decoding)
+        self._mean_online += ONLINE_SHARE * (online - self._mean_online)
         if self._steps.is_fitted:
-            room = self._steps.sequences_within(self._pace.goal_s)
-            wanted = room - len(roster.online_decoding)
+            step_s = self._pace.goal_s - self._steps.read_extra_s
+            room = self._steps.sequences_within(step_s)
+            wanted = room - max(online, self._mean_online)
             limit = min(wanted, limit + max(1.0, GROWTH_SHARE * limit))
         elif roster.batch_running + 1 >= limit:
             if self._observer.gap_s < self._pace.goal_s:
@@ -193,6 +198,9 @@
         limit_s = max(model.tail_s, alone_s * self._tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
         stream.max_batch = max(0.0, room)
+        batch_ahead = sum(s.read_tokens for s in roster.batch_reading.values())
+        with_batch_s = model.wait_s(tokens + batch_ahead, roster.decoding)
+        stream.is_protected = with_batch_s > limit_s
 
     def _online_limit(self) -> float:
         if not self._steps.is_fitted:
@@ -206,34 +214,41 @@
         ahead = len(roster.online_waiting)
         if ahead == 0 or roster.online_running < self._online_limit():
             return 0.0
-        return ahead * self._online_end_s
+        return ahead * self._online_s / max(1, roster.online_running)
+
+    def _protected_cap(self) -> float:
+        reading = self._roster.online_reading.values()
+        return min((s.max_batch for s in reading), default=float("inf"))
 
-    def _batch_cap(self) -> float:
+    def _is_protecting(self) -> bool:
         reading = self._roster.online_reading.values()
-        cap = min((s.max_batch for s in reading), default=float("inf"))
-        return min(cap, self._batch_limit)
+        return any(s.is_protected for s in reading)
 
     def _take_back(self, now: float) -> list[AdmissionEffect]:
         roster = self._roster
-        excess = roster.batch_running - int(self._batch_cap())
+        hard_limit = HARD_LIMIT_SHARE * self._batch_limit
+        excess = roster.batch_running - int(min(self._protected_cap(), hard_limit))
+        if self._is_protecting():
+            excess = max(excess, len(roster.batch_reading))
         if excess <= 0:
             return []
-        running = [*roster.batch_reading.values(), *roster.batch_decoding.values()]
-        running.sort(key=lambda s: s.held_tokens)
-        for stream in running[:excess]:
-            was_reading = stream.phase is Phase.READING
-            stream.read_tokens = (
-                stream.held_tokens if was_reading else RESUME_READ_TOKENS
-            )
+        reading = list(roster.batch_reading.values())
+        decoding = sorted(roster.batch_decoding.values(), key=lambda s: s.held_tokens)
+        chosen = (reading + decoding)[:excess]
+        for stream in chosen:
+            is_cached = stream.phase is Phase.DECODING
+            read_tokens = RESUME_READ_TOKENS if is_cached else stream.held_tokens
+            stream.read_tokens = read_tokens
             roster.move(stream, Phase.TAKEN_BACK, now)
-        return [TakeBackStream(s.stream_id) for s in running[:excess]]
+        return [TakeBackStream(s.stream_id) for s in chosen]
 
     def _start_batch(self, now: float) -> list[AdmissionEffect]:
         roster = self._roster
         effects: list[AdmissionEffect] = []
-        if roster.online_waiting:
+        if roster.online_waiting or self._is_protecting():
             return effects
-        room = int(self._batch_cap()) - roster.batch_running
+        cap = min(self._protected_cap(), self._batch_limit)
+        room = int(cap) - roster.batch_running
         reading = sum(s.read_tokens for s in roster.batch_reading.values())
         while room > 0 and reading < self._first_tokens.chunk_tokens:
             stream = self._next_batch()
@@ -271,6 +286,7 @@
             for group in (roster.online_reading, roster.batch_reading):
                 for other in group.values():
                     other.read_alone = False
+        stream.started_at = now
         stream.steps_at_start = self._observer.step_count
         roster.move(stream, Phase.READING, now)
 
--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -55,8 +55,9 @@
         self._steps.observe(gap_s, self._sequences, reading or self._was_reading)
         self._was_reading = reading
         self.gap_s += GAP_SHARE * (gap_s - self.gap_s)
-        if self._roster.online_decoding:
-            self._pace.observe(gap_s)
+        online = len(self._roster.online_decoding)
+        if online:
+            self._pace.observe(gap_s, online)
 
     def _on_first_token(self, stream: Stream) -> None:
         if stream.read_alone:
--- a/src/pomeloshift/admission/_step_model.py
+++ b/src/pomeloshift/admission/_step_model.py
@@ -6,7 +6,8 @@
 SCALE = 32.0
 MAX_GAIN_TRACE = 1e3
 FIRST_VARIANCE = 10.0
-EXTRA_SHARE = 0.05
+EXTRA_QUANTILE = 0.9
+EXTRA_STEP_S = 0.0005
 MIN_SLOPE_S = 1e-6
 ENOUGH_STEPS = 40
 ENOUGH_SPREAD = 6
@@ -16,13 +17,13 @@
 class StepModel:
     """Fits step time = base + slope * sequences by recursive least squares.
 
-    Steps during which prompts were read feed ``read_extra_s`` instead, the mean time
-    that reading adds to a step. Times are in seconds.
+    Steps during which prompts were read feed ``read_extra_s`` instead, a high quantile
+    of the time that reading adds to a step. Times are in seconds.
     """
 
     base_s: float = 0.01
     scaled_slope_s: float = 0.01
-    read_extra_s: float = 0.0
+    read_extra_s: float = 0.01
     steps: int = 0
     _p00: float = FIRST_VARIANCE
     _p01: float = 0.0
@@ -44,8 +45,7 @@
     def observe(self, step_s: float, sequences: int, reading: bool) -> None:
         """Learns from one step."""
         if reading:
-            extra_s = max(0.0, step_s - self.step_s(sequences))
-            self.read_extra_s += EXTRA_SHARE * (extra_s - self.read_extra_s)
+            self._learn_extra(step_s - self.step_s(sequences))
             return
         self.steps += 1
         self._fewest = min(self._fewest, sequences)
@@ -60,6 +60,13 @@
         """Returns how many sequences a step of that length can decode."""
         return max(0.0, (step_s - self.base_s) / self.slope_s)
 
+    def _learn_extra(self, extra_s: float) -> None:
+        if extra_s > self.read_extra_s:
+            self.read_extra_s += EXTRA_STEP_S * EXTRA_QUANTILE
+        else:
+            self.read_extra_s -= EXTRA_STEP_S * (1.0 - EXTRA_QUANTILE)
+        self.read_extra_s = max(0.0, self.read_extra_s)
+
     def _fit(self, step_s: float, x: float) -> None:
         along0 = self._p00 + self._p01 * x
         along1 = self._p01 + self._p11 * x
--- a/src/pomeloshift/admission/_stream.py
+++ b/src/pomeloshift/admission/_stream.py
@@ -22,7 +22,9 @@
     """A stream with its progress; times are on the clock of ``now``.
 
     ``read_tokens`` estimates what the engine has to read before the next token.
-    ``steps_at_start`` is the number of engine steps seen when it was started.
+    ``steps_at_start`` is the number of engine steps seen when it was started. While
+    an online stream is read, at most ``max_batch`` batch streams run; while one that
+    is protected is read, no batch prompt is.
     """
 
     offer: StreamOffered
@@ -34,6 +36,8 @@
     steps_at_start: int = 0
     read_alone: bool = True
     max_batch: float = float("inf")
+    is_protected: bool = False
+    started_at: float = 0.0
 
     @property
     def stream_id(self) -> str:
--- a/src/pomeloshift/standins/engine/_model.py
+++ b/src/pomeloshift/standins/engine/_model.py
@@ -1,7 +1,7 @@
 """The engine as a model without input or output."""
 
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, KeysView
 from random import Random
 
 from ._prefix_cache import PrefixCache
@@ -95,6 +95,11 @@
         """The number of sequences that produce a token in each step."""
         return len(self._decoding)
 
+    @property
+    def decoding_ids(self) -> KeysView[str]:
+        """The sequences that produce a token in each step."""
+        return self._decoding.keys()
+
     @property
     def waiting(self) -> int:
         """The number of sequences that have no slot yet."""
