--- a/src/pomeloshift/bench/__init__.py
+++ b/src/pomeloshift/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benches over the decision cores."""
+"""Benchmarks of the decision cores in virtual time."""
