--- a/src/pomeloshift/cli/_main.py
+++ b/src/pomeloshift/cli/_main.py
@@ -2,11 +2,8 @@
 
 import sys
 
-import fire
-
 from .. import __version__
 from ..errors import PomeloshiftError
-from ._commands import Commands
 
 EXIT_FAILURE = 1
 
@@ -16,6 +13,10 @@
     if sys.argv[1:] in (["--version"], ["version"]):
         print(f"pomeloshift {__version__}")
         return
+    import fire
+
+    from ._commands import Commands
+
     try:
         fire.Fire(Commands, name="pomeloshift")
     except PomeloshiftError as exc:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -3,9 +3,9 @@
 
 import attrs
 import pytest
+from _loop import shared_loop
 
 from _admin import INTERNAL_KEY, Harness, operators, questionnaire
-from _loop import shared_loop
 from pomeloshift.admin import AUDIT_STREAM, ROUTES, AuditEntry
 from pomeloshift.config import Configuration
 from pomeloshift.entry._auth import UnauthenticatedError
--- a/tests/test_burn_service.py
+++ b/tests/test_burn_service.py
@@ -2,9 +2,9 @@
 from random import Random
 
 import pytest
+from _loop import shared_loop
 
 from _admin import INTERNAL_KEY, SECRETS, Harness, questionnaire
-from _loop import shared_loop
 from pomeloshift.cli._admin_client import AdminClient
 from pomeloshift.cli._connect import run_safely
 from pomeloshift.cli._report import report_burn
--- a/tests/test_cli_admin.py
+++ b/tests/test_cli_admin.py
@@ -1,9 +1,9 @@
 import json
 
 import pytest
+from _loop import shared_loop
 
 from _admin import INTERNAL_KEY, SECRETS, Harness, questionnaire
-from _loop import shared_loop
 from pomeloshift.cli import _operate, _publish, _status
 from pomeloshift.cli._admin_client import AdminClient
 from pomeloshift.cli._connect import run_safely
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -1,6 +1,6 @@
+from _loop import shared_loop
 from twisted.web.resource import Resource
 
-from _loop import shared_loop
 from pomeloshift.net._serve import serve
 
 
