Load no reactor with the command line

Cause: the commands over the administration API imported treq at the top, and treq imports twisted's reactor; a role that was then started could not install the asyncio reactor that pynng needs. The test on loaded modules found it. Change: clients are imported when a command runs, after the reactor is installed; the test now covers the whole command line. Tests use the fixtures of conftest. Conclusion: roles start with their own reactor again.

--- a/src/pomeloshift/bench/control/_batch_work.py
+++ b/src/pomeloshift/bench/control/_batch_work.py
@@ -119,8 +119,6 @@
 
 
 BATCH_WORK = (
-    Workload(
-        ROLE, "job fold", "item", _payloads, fold_job, sizes=(1000, 5000, 20_000)
-    ),
+    Workload(ROLE, "job fold", "item", _payloads, fold_job, sizes=(1000, 5000, 20_000)),
     Workload(ROLE, "item run", "item", _loaded, run_items, sizes=(500, 1000, 2000)),
 )
--- a/src/pomeloshift/bench/control/_entry_work.py
+++ b/src/pomeloshift/bench/control/_entry_work.py
@@ -231,9 +231,7 @@
         lambda count: (make_configuration(1, 0), count),
         count_requests,
     ),
-    Workload(
-        ROLE, "objectives", "workspace and minute", _samples, count_workspaces
-    ),
+    Workload(ROLE, "objectives", "workspace and minute", _samples, count_workspaces),
     Workload(ROLE, "metrics", "request", lambda count: count, count_metrics),
     Workload(ROLE, "entry heartbeat", "entry", lambda count: count, beat_peers),
     Workload(ROLE, "token path", "frame", _frames, pass_frames),
--- a/src/pomeloshift/cli/_connect.py
+++ b/src/pomeloshift/cli/_connect.py
@@ -1,18 +1,23 @@
 """Runs a command that talks to an entry."""
 
+from __future__ import annotations
+
 import os
 import sys
 from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
 
 from ..errors import PomeloshiftError
-from ._admin_client import AdminClient, AdminRefusedError
+
+if TYPE_CHECKING:
+    from ._admin_client import AdminClient
 
 ENTRY_VARIABLE = "POMELOSHIFT_ENTRY"
 TOKEN_VARIABLE = "POMELOSHIFT_TOKEN"
 DEFAULT_ENTRY = "http://127.0.0.1:8080"
 EXIT_FAILURE = 1
 
-Command = Callable[[AdminClient], Awaitable[int]]
+Command = Callable[["AdminClient"], Awaitable[int]]
 
 
 def run_command(command: Command, entry: str, token: str) -> None:
@@ -21,11 +26,12 @@
     Without arguments the entry's URL and the token come from the environment
     variables ``POMELOSHIFT_ENTRY`` and ``POMELOSHIFT_TOKEN``.
     """
-    from twisted.internet.task import react
-
     from ..net import install_reactor
 
+    # The client's libraries import the reactor, so that it has to be installed first.
     install_reactor()
+    from ._admin_client import AdminClient
+
     entry = entry or os.environ.get(ENTRY_VARIABLE, DEFAULT_ENTRY)
     token = token or os.environ.get(TOKEN_VARIABLE, "")
 
@@ -34,11 +40,15 @@
         if code:
             raise SystemExit(code)
 
+    from twisted.internet.task import react
+
     react(main)
 
 
 async def run_safely(command: Command, client: AdminClient) -> int:
     """Returns the command's exit code; prints failures for a person."""
+    from ._admin_client import AdminRefusedError
+
     try:
         return await command(client)
     except AdminRefusedError as exc:
--- a/tests/_admin.py
+++ b/tests/_admin.py
@@ -99,6 +99,18 @@
             raise AdminNotFoundError(f"{fingerprint!r} is not quarantined")
 
 
+class Loop:
+    """Runs functions and coroutines on the reactor of the test run."""
+
+    def __init__(self, reactor, run_async):
+        self.reactor = reactor
+        self._run_async = run_async
+
+    def run(self, function, *args):
+        result = function(*args)
+        return self._run_async(result) if hasattr(result, "send") else result
+
+
 class Harness:
     """An administration API on a loopback port with a log in memory."""
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -4,8 +4,7 @@
 import attrs
 import pytest
 
-from _admin import INTERNAL_KEY, Harness, operators, questionnaire
-from _loop import shared_loop
+from _admin import INTERNAL_KEY, Harness, Loop, operators, questionnaire
 from pomeloshift.admin import AUDIT_STREAM, ROUTES, AuditEntry
 from pomeloshift.config import Configuration
 from pomeloshift.entry._auth import UnauthenticatedError
@@ -16,8 +15,8 @@
 
 
 @pytest.fixture
-def empty():
-    loop = shared_loop()
+def empty(reactor, run_async):
+    loop = Loop(reactor, run_async)
     harness = Harness(loop)
     yield harness
     loop.run(harness.listener.stop)
--- a/tests/test_burn_service.py
+++ b/tests/test_burn_service.py
@@ -3,11 +3,10 @@
 
 import pytest
 
-from _admin import INTERNAL_KEY, SECRETS, Harness, questionnaire
-from _loop import shared_loop
+from _admin import INTERNAL_KEY, SECRETS, Harness, Loop, questionnaire
 from pomeloshift.cli._admin_client import AdminClient
+from pomeloshift.cli._burn import report_burn
 from pomeloshift.cli._connect import run_safely
-from pomeloshift.cli._report import report_burn
 from pomeloshift.entry.burn import BurnService, BurnTiming
 from pomeloshift.model import Instance, InstanceRole, Place
 from pomeloshift.net import SystemClock
@@ -18,8 +17,8 @@
 
 
 @pytest.fixture
-def entries():
-    loop = shared_loop()
+def entries(reactor, run_async):
+    loop = Loop(reactor, run_async)
     pair = [Harness(loop), Harness(loop)]
     for harness in pair:
         harness.publish(0, token=INTERNAL_KEY)
@@ -122,16 +121,16 @@
     assert "<svg" in page.read_text()
 
 
-def test_report_before_the_first_publication_is_refused():
-    loop = shared_loop()
+def test_report_before_the_first_publication_is_refused(reactor, run_async):
+    loop = Loop(reactor, run_async)
     harness = Harness(loop)
     error = harness.error("GET", "/burn", token=INTERNAL_KEY)
     assert error["code"] == "not_ready"
     loop.run(harness.listener.stop)
 
 
-def test_rollup_carries_the_past_beyond_its_summaries():
-    loop = shared_loop()
+def test_rollup_carries_the_past_beyond_its_summaries(reactor, run_async):
+    loop = Loop(reactor, run_async)
     model = LogModel(LogSettings(), Random(1))
 
     class Clock(SystemClock):
--- a/tests/test_cli_admin.py
+++ b/tests/test_cli_admin.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from _admin import INTERNAL_KEY, SECRETS, Harness, questionnaire
-from _loop import shared_loop
+from _admin import INTERNAL_KEY, SECRETS, Harness, Loop, questionnaire
 from pomeloshift.cli import _operate, _publish, _status
 from pomeloshift.cli._admin_client import AdminClient
 from pomeloshift.cli._connect import run_safely
@@ -12,8 +11,8 @@
 
 
 @pytest.fixture
-def entry():
-    loop = shared_loop()
+def entry(reactor, run_async):
+    loop = Loop(reactor, run_async)
     harness = Harness(loop)
     yield harness
     loop.run(harness.listener.stop)
--- a/tests/test_cli_questionnaire.py
+++ b/tests/test_cli_questionnaire.py
@@ -159,10 +159,11 @@
     assert answers.operators[0].key.key_id == "k7"
 
 
-def test_questionnaire_modules_load_no_reactor():
+def test_command_line_loads_no_reactor():
+    """A role installs its own reactor, which is too late once one was loaded."""
     source = pathlib.Path(__file__).parent.parent / "src"
     code = (
-        "import sys, pomeloshift.cli._questionnaire;"
+        "import sys, pomeloshift.cli, pomeloshift.cli._report;"
         "sys.exit('twisted.internet.reactor' in sys.modules)"
     )
     subprocess.run([sys.executable, "-c", code], check=True, cwd=source)
