--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,17 @@
 format: $(VENV)/.locked
 	$(VENV)/bin/ruff format src tests
 	$(VENV)/bin/ruff check --fix src tests
+
+# One file with every role. It needs a Python 3.11 on the instance and unpacks once
+# below SHIV_ROOT, which may be a tmpfs.
+binary: dist/pomeloshift
+
+dist/pomeloshift: $(VENV)/.locked $(shell find src -name '*.py' -o -name '*.jsonc')
+	rm -rf build/site && mkdir -p build/site dist
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps \
+		--target build/site -r requirements-run.lock
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps \
+		--no-build-isolation --target build/site .
+	$(VENV)/bin/shiv --site-packages build/site --compressed --reproducible \
+		--python '/usr/bin/env python3' --entry-point pomeloshift.cli:main \
+		--output-file $@
--- a/src/pomeloshift/admission/_config.py
+++ b/src/pomeloshift/admission/_config.py
@@ -24,6 +24,21 @@
     ready_batch_streams: int = attrs.field(default=8, validator=v.ge(0))
     max_batch_streams: int = attrs.field(default=512, validator=v.ge(0))
 
+    @property
+    def tail_ratio(self) -> float:
+        """The first-token time allowed, as a multiple of that without batch."""
+        return 1.02 + 0.13 * self.batch_weight
+
+    @property
+    def tail_quantile(self) -> float:
+        """The quantile of first-token times that the allowed time stands for."""
+        return 0.95 + 0.03 * self.batch_weight
+
+    @property
+    def highest_pace_scale(self) -> float:
+        """The share of the between-tokens target that steps may take at most."""
+        return 0.75 + 0.25 * self.batch_weight
+
 
 def admission_config(service: ServiceConfig) -> AdmissionConfig:
     """Returns the admission settings that a service's configuration asks for."""
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -177,7 +177,7 @@
         await self._control.close()
         await self.online.close()
 
-    def _root(self) -> PrefixRoot:
+    def _root(self) -> Any:
         files_and_batches = FilesAndBatches(self.jobs, self.auth).resource
         online = OnlineApi(self.online, self.auth, self._claimer)
         return PrefixRoot(
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -1,3 +1,4 @@
+from _loop import shared_loop
 from twisted.web.resource import Resource
 
 from pomeloshift.net._serve import serve
