Drive heartbeats, drain and pauses of the sidecar by the membership cores

Cause: the sidecar planned its heartbeats by itself; the tested cores know fan-out, urgency, incarnations and pauses. Change: Reporter carries out HeartbeatSender; drain goes through the Drain machine; a loop that stood still for longer than its lease drops all batch leases first. Before: one heartbeat loop to every entry. After: bounded fan-out, changes at once.

--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -11,6 +11,14 @@
 from ..attempts import AttemptRegistry
 from ..config import ConfigHolder, ServiceConfig, ServiceKind
 from ..errors import ErrorCode, ErrorReport, Ran
+from ..membership import (
+    Drain,
+    DrainState,
+    DrainStep,
+    HeartbeatSender,
+    HeartbeatTiming,
+    PauseDetector,
+)
 from ..model import Instance, InstanceRole, LoadReport
 from ..net import Clock
 from ..net._control_client import ControlClient
@@ -23,18 +31,17 @@
 from ._batch_puller import BatchPuller
 from ._engine_client import EngineClient
 from ._engine_lane import EngineLane
-from ._entry_link import EntryLink
-from ._entry_links import EntryLinks
 from ._frame_sink import FrameSink
 from ._online_work import OnlineWork
 from ._plain_lane import PlainLane
+from ._reporter import Reporter
 
 TICK_S = 0.01
 LIST_INTERVAL_S = 0.5
 REGISTRY_EXPIRY_S = 1.0
 ENGINE_CHECK_S = 0.5
-REFUSED_RETRY_AFTER_S = 1.0
 DRAIN_POLL_S = 0.05
+DEFAULT_CHANGE_INTERVAL_S = 0.1
 MILLISECONDS_PER_S = 1000
 
 
@@ -63,8 +70,17 @@
         self._subscribers = Subscribers()
         self._sink = FrameSink(self._registry, self._subscribers.publish)
         self._control = ControlClient(settings.internal_key.encode(), reactor)
-        self._links = EntryLinks(settings.place, self._connect_entry)
-        self._draining = False
+        self._reporter = Reporter(
+            settings.place,
+            HeartbeatSender(settings.name, _heartbeat_timing(settings), rng),
+            self._control,
+            clock,
+            self._report,
+            self._offer_config,
+            self._begin_drain,
+        )
+        self._drain = Drain(linger_s=0.0)
+        self._pauses = PauseDetector(settings.lease_s, clock.monotonic())
         self._engine_alive = True
         self._sequence = 0
         self._loops = Loops(reactor)
@@ -78,7 +94,7 @@
     @property
     def is_draining(self) -> bool:
         """Whether new work is refused."""
-        return self._draining
+        return not self._drain.accepts_work
 
     async def start(self) -> None:
         """Listens, and reports to entries from now on."""
@@ -106,14 +122,13 @@
             self.instance,
             self._incarnation,
             self._control,
-            self._links.entries,
+            self._reporter.entries,
             self._clock,
             self._rng,
         )
         self._lanes = self._make_lanes()
         self._loops.repeat(self._tick, TICK_S)
         self._loops.repeat(self._read_list, LIST_INTERVAL_S)
-        self._loops.repeat(self._links.beat, self._settings.heartbeat_interval_s)
         self._loops.repeat(self._expire, REGISTRY_EXPIRY_S)
         self._loops.repeat(self._check_engines, ENGINE_CHECK_S)
         logger.info(
@@ -124,18 +139,19 @@
 
     async def drain(self) -> None:
         """Refuses new work, gives batch work back and waits for running streams."""
-        if not self._draining:
-            logger.info("event=drain_started instance={}", self.instance.name)
-        self._draining = True
-        self._puller.stop()
-        self._links.beat()
-        for lane in self._lanes:
-            if isinstance(lane, EngineLane):
-                lane.release_batch()
+        self._take_steps(self._drain.begin(self._clock.monotonic()))
         give_up_at = self._clock.monotonic() + self._settings.drain_limit_s
-        while not self._is_idle() and self._clock.monotonic() < give_up_at:
+        while self._drain.state is DrainState.DRAINING:
+            now = self._clock.monotonic()
+            if now >= give_up_at:
+                break
+            self._take_steps(self._drain.observe(self._open_work(), now))
             await deferLater(self._reactor, DRAIN_POLL_S)
-        logger.info("event=drain_ended instance={}", self.instance.name)
+        logger.info(
+            "event=drain_ended instance={} open={}",
+            self.instance.name,
+            self._open_work(),
+        )
 
     async def stop(self) -> None:
         """Closes everything; streams that still run are cut off."""
@@ -160,19 +176,21 @@
             for engine in engines
         ]
 
-    def _connect_entry(self, entry: Instance) -> EntryLink:
-        return EntryLink(
-            entry,
-            self._control,
-            self._report,
-            self._offer_config,
-            self._begin_drain,
-        )
-
     def _begin_drain(self) -> None:
-        if not self._draining:
+        if self._drain.accepts_work:
             spawn(self.drain())
 
+    def _take_steps(self, steps: Sequence[DrainStep]) -> None:
+        for step in steps:
+            match step:
+                case DrainStep.ANNOUNCE:
+                    logger.info("event=drain_started instance={}", self.instance.name)
+                    self._reporter.changed(urgent=True)
+                case DrainStep.GIVE_BACK:
+                    self._puller.stop()
+                    for lane in self._engine_lanes():
+                        lane.release_batch()
+
     def _report(self) -> SidecarReport:
         self._sequence += 1
         return SidecarReport(
@@ -181,7 +199,7 @@
             self._sequence,
             self._config.version,
             _sum_loads([lane.load() for lane in self._lanes], self._sequence),
-            draining=self._draining,
+            draining=self.is_draining,
             engine_alive=self._engine_alive,
             running=self._puller.running_leases,
         )
@@ -195,17 +213,17 @@
             document.version,
         )
         service = self._service()
-        for lane in self._lanes:
-            if isinstance(lane, EngineLane) and service is not None:
+        if service is not None:
+            for lane in self._engine_lanes():
                 lane.configure(service)
-        self._links.beat()
+        self._reporter.changed()
 
     def _service(self) -> ServiceConfig | None:
         cfg = self._config.current
         return None if cfg is None else cfg.service(self._settings.service)
 
     def _refusal(self) -> ErrorReport | None:
-        if self._draining:
+        if self.is_draining:
             message = "the backend server is leaving"
             return ErrorReport(ErrorCode.DRAINING, message, Ran.NO, 0.0)
         if not self._engine_alive:
@@ -229,10 +247,13 @@
                 lane.withdraw(attempt_id)
 
     def _tick(self) -> None:
-        for lane in self._lanes:
-            if isinstance(lane, EngineLane):
-                lane.tick()
+        if self._pauses.observe(self._clock.monotonic()):
+            logger.warning("event=pause_noticed instance={}", self.instance.name)
+            self._puller.drop_leases()
+        for lane in self._engine_lanes():
+            lane.tick()
         self._puller.tick()
+        self._reporter.tick()
 
     def _expire(self) -> None:
         self._registry.expire(self._clock.monotonic())
@@ -241,10 +262,10 @@
             del self._lane_of_attempt[attempt_id]
 
     async def _read_list(self) -> None:
-        self._links.observe(await self._list_client.instances())
+        self._reporter.observe_list(await self._list_client.instances())
 
     async def _check_engines(self) -> None:
-        lanes = [lane for lane in self._lanes if isinstance(lane, EngineLane)]
+        lanes = self._engine_lanes()
         if not lanes:
             return
         answers = [await lane.is_alive() for lane in lanes]
@@ -254,10 +275,20 @@
             logger.warning(
                 "event=engine_state instance={} alive={}", self.instance.name, alive
             )
-            self._links.beat()
+            self._reporter.changed(urgent=True)
+
+    def _engine_lanes(self) -> list[EngineLane]:
+        return [lane for lane in self._lanes if isinstance(lane, EngineLane)]
+
+    def _open_work(self) -> int:
+        busy = sum(not lane.is_idle for lane in self._lanes)
+        return busy + (not self._puller.is_settled)
+
 
-    def _is_idle(self) -> bool:
-        return all(lane.is_idle for lane in self._lanes) and self._puller.is_settled
+def _heartbeat_timing(settings: SidecarSettings) -> HeartbeatTiming:
+    interval_s = settings.heartbeat_interval_s
+    change_s = min(DEFAULT_CHANGE_INTERVAL_S, interval_s)
+    return HeartbeatTiming(change_interval_s=change_s, idle_interval_s=interval_s)
 
 
 def _sum_loads(loads: Sequence[LoadReport], sequence: int) -> LoadReport:
