Tick a sidecar only as often as its work needs

Cause: an idle sidecar spent 5.2% of a core, measured over 5 s: a tick every 10 ms, the live list and the engine's health every 0.5 s. Change: a tick every 20 ms with work and every 100 ms without; the list, which only shows entries to a sidecar, every 2 s; the engine's health every second. Before: 5.2% of a core, 65 MB resident.

--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -35,7 +35,7 @@
 from .online import FinishedRequest, OnlineApi, OnlineService
 
 LOG_TIMEOUT_S = 5.0
-LIST_INTERVAL_S = 0.5
+LIST_INTERVAL_S = 1.0
 CONFIG_PULL_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 SECRET_BITS = 256
--- a/src/pomeloshift/net/_loops.py
+++ b/src/pomeloshift/net/_loops.py
@@ -9,6 +9,8 @@
 
 from ..errors import PomeloshiftError
 
+RETRY_S = 0.1
+
 
 class Loops:
     """Runs functions at intervals until it is stopped.
@@ -20,6 +22,7 @@
     def __init__(self, reactor: Any) -> None:
         self._reactor = reactor
         self._loops: list[LoopingCall] = []
+        self._calls: dict[Callable[[], float], Any] = {}
 
     def repeat(self, function: Callable[[], Any], interval_s: float) -> None:
         """Calls ``function`` now and every ``interval_s`` seconds.
@@ -31,8 +34,32 @@
         loop.start(interval_s, now=True)
         self._loops.append(loop)
 
+    def repeat_as_needed(self, function: Callable[[], float]) -> None:
+        """Calls ``function`` now and again after the seconds that it returns."""
+        self._schedule(function, 0.0)
+
+    def _schedule(self, function: Callable[[], float], delay_s: float) -> None:
+        self._calls[function] = self._reactor.callLater(
+            delay_s, self._run_turn, function
+        )
+
+    def _run_turn(self, function: Callable[[], float]) -> None:
+        try:
+            delay_s = function()
+        except Exception as exc:
+            delay_s = RETRY_S
+            logger.opt(exception=exc).error(
+                "event=turn_failed task={}", function.__qualname__
+            )
+        if function in self._calls:
+            self._schedule(function, delay_s)
+
     def stop(self) -> None:
         """Ends all loops; a turn under way goes on to its end."""
+        for call in self._calls.values():
+            if call.active():
+                call.cancel()
+        self._calls.clear()
         for loop in self._loops:
             if loop.running:
                 loop.stop()
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -36,10 +36,11 @@
 from ._plain_lane import PlainLane
 from ._reporter import Reporter
 
-TICK_S = 0.01
-LIST_INTERVAL_S = 0.5
+TICK_S = 0.02
+IDLE_TICK_S = 0.1
+LIST_INTERVAL_S = 2.0
 REGISTRY_EXPIRY_S = 1.0
-ENGINE_CHECK_S = 0.5
+ENGINE_CHECK_S = 1.0
 DRAIN_POLL_S = 0.05
 DEFAULT_CHANGE_INTERVAL_S = 0.1
 MILLISECONDS_PER_S = 1000
@@ -127,7 +128,7 @@
             self._rng,
         )
         self._lanes = self._make_lanes()
-        self._loops.repeat(self._tick, TICK_S)
+        self._loops.repeat_as_needed(self._tick)
         self._loops.repeat(self._read_list, LIST_INTERVAL_S)
         self._loops.repeat(self._expire, REGISTRY_EXPIRY_S)
         self._loops.repeat(self._check_engines, ENGINE_CHECK_S)
@@ -246,7 +247,7 @@
             if lane is not None:
                 lane.withdraw(attempt_id)
 
-    def _tick(self) -> None:
+    def _tick(self) -> float:
         if self._pauses.observe(self._clock.monotonic()):
             logger.warning("event=pause_noticed instance={}", self.instance.name)
             self._puller.drop_leases()
@@ -254,6 +255,7 @@
             lane.tick()
         self._puller.tick()
         self._reporter.tick()
+        return TICK_S if self._open_work() else IDLE_TICK_S
 
     def _expire(self) -> None:
         self._registry.expire(self._clock.monotonic())
--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -15,6 +15,7 @@
 
 SOURCE = Path(__file__).parents[2] / "src"
 KEY = "0123456789abcdef0123456789abcdef"
+SALT = "0123456789abcdef"
 START_LIMIT_S = 60.0
 PLACE = {"region": "gorenjska", "availability_zone": "kranj-a"}
 
@@ -142,17 +143,17 @@
     def publish(self, entry="entry-1"):
         """Publishes the example with a caller's key and an operator's token."""
         text = example_text("vezi")
-        api_key = make_api_key("caller", "sewing-stations", "secret", salt="s")
-        operator = make_operator_key("op", "o", "admin", "secret", salt="s")
+        api_key = make_api_key("caller", "sewing-stations", "secret", salt=SALT)
+        operator = make_operator_key("op", "o", "admin", "secret", salt=SALT)
         text = text.replace("stations-1", "caller").replace("op-ana", "op")
         text = text.replace(
             "56464762899d8c5deac0955b49f5b426d48b30faa38d14ff30fa383bfadb0a8a",
             api_key.digest,
-        ).replace("b0b6dd8fb4516b0e", "s")
+        ).replace("b0b6dd8fb4516b0e", SALT)
         text = text.replace(
             "39724812e49fdc6b24c9aa9df4514838553b7df53a26fa76795b096b034dd156",
             operator.digest,
-        ).replace("f45624a4f461c887", "s")
+        ).replace("f45624a4f461c887", SALT)
         path = self.folder / "questionnaire.jsonc"
         path.write_text(text)
         return self.command("publish", str(path), "--base", "0", entry=entry, token=KEY)
