--- a/src/pomeloshift/batch/__init__.py
+++ b/src/pomeloshift/batch/__init__.py
@@ -51,7 +51,9 @@
     JobExpired,
     job_codec,
 )
+from ._replay import PartitionReplay
 from ._result_lines import Result, result_line
+from ._snapshot import restore_state, snapshot_state
 from ._state import PartitionState
 from ._views import FileView, JobView, file_view, job_view
 from ._window import window_seconds
@@ -88,6 +90,7 @@
     "OwnerSettings",
     "ParsedItem",
     "PartitionOwner",
+    "PartitionReplay",
     "PartitionState",
     "PullDecision",
     "Result",
@@ -113,6 +116,8 @@
     "partition_stream",
     "pull_all",
     "request_digest",
+    "restore_state",
     "result_line",
+    "snapshot_state",
     "window_seconds",
 ]
--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -164,6 +164,26 @@
         if lease is not None:
             self._drop(lease, now)
 
+    def withdraw(self, lease_id: str, now: float, wall: float) -> list[Record]:
+        """Ends a lease whose item was never handed out; returns records to append."""
+        self._now = now
+        lease = self._leases.get(lease_id)
+        if lease is None:
+            return []
+        job = self._job_of_waiting(lease.job_id, lease.index)
+        if job is None or job.is_repeatable:
+            self._drop(lease, now)
+            return []
+        lease.phase = LeasePhase.SETTLING
+        return [withdrawal_record(lease.job_id, lease.index, lease_id)]
+
+    def heard(self, instance: str, incarnation: int, now: float) -> None:
+        """Renews the leases of a sidecar that was heard from."""
+        self._silent.pop((instance, incarnation), None)
+        for lease in self._leases.of_instance(instance):
+            if lease.incarnation in (0, incarnation):
+                lease.expires_at = max(lease.expires_at, now + self.settings.lease_s)
+
     def resume_of(self, lease: Lease) -> bytes:
         """Returns what an earlier run of the lease's item produced."""
         return self._resumes.get((lease.job_id, lease.index))
--- /dev/null
+++ b/src/pomeloshift/entry/batch/_partition_runner.py
@@ -0,0 +1,409 @@
+"""Runs one partition: reads its stream, appends to it and serves its state."""
+
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.task import deferLater
+from twisted.python.failure import Failure
+
+from ...batch import (
+    PartitionOwner,
+    PartitionReplay,
+    PartitionState,
+    job_codec,
+    partition_stream,
+)
+from ...errors import PomeloshiftError
+from ...log import (
+    CommitBufferFullError,
+    CommitEffect,
+    GroupCommitter,
+    LogExpiredError,
+    LogRateLimitedError,
+    LogStore,
+    LogUnavailableError,
+    Record,
+    RecordError,
+    RecordRefused,
+    RecordSettled,
+    StartAppend,
+    StoredRecord,
+    StreamFollower,
+)
+from ...net import Clock
+from ...net._loops import spawn
+from ._errors import (
+    AcceptanceUnknownError,
+    NotAcceptedError,
+    PartitionNotReadyError,
+)
+from ._record_cache import RecordCache
+from ._settings import BatchSettings
+
+READ_RECORDS = 1000
+READ_RETRY_S = 0.2
+MAX_READ_RETRY_S = 5.0
+
+
+class PartitionRunner:
+    """The shell around a partition's owner, its committer and its follower.
+
+    Records take effect only when they are read from the stream or acknowledged
+    right behind the part already read; whoever waits for one waits for that.
+    """
+
+    def __init__(
+        self,
+        partition: int,
+        name: str,
+        log: LogStore,
+        reactor: Any,
+        clock: Clock,
+        rng: Random,
+        settings: BatchSettings,
+        cache: RecordCache,
+    ) -> None:
+        self.partition = partition
+        self.stream = partition_stream(partition)
+        self.used_at = clock.monotonic()
+        self._name = name
+        self._log = log
+        self._reactor = reactor
+        self._clock = clock
+        self._rng = rng
+        self._settings = settings
+        self._cache = cache
+        self._codec = job_codec()
+        self._committer = GroupCommitter(self.stream, settings.commit, rng)
+        self._follower = StreamFollower(self.stream)
+        self._owner: PartitionOwner | None = None
+        self._waiters: dict[str, list[Deferred[None]]] = {}
+        self._openers: list[Deferred[None]] = []
+        self._backlog: list[Record] = []
+        self._timer: Any = None
+        self._syncing = False
+        self._stopped = False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the stream has been read to its end."""
+        return self._owner is not None
+
+    @property
+    def owner(self) -> PartitionOwner:
+        """The partition's owner; raises `PartitionNotReadyError` before `is_open`."""
+        if self._owner is None:
+            raise PartitionNotReadyError(
+                f"partition {self.partition} is being read",
+                retry_after_s=self._settings.poll_s,
+            )
+        return self._owner
+
+    @property
+    def state(self) -> PartitionState:
+        """The partition's state."""
+        return self.owner.state
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits to be appended and nothing is leased."""
+        is_leased = self._owner is not None and self._owner.leased > 0
+        return not (is_leased or self._committer.waiting_records or self._backlog)
+
+    @property
+    def is_log_failing(self) -> bool:
+        """Whether the latest append was not acknowledged."""
+        return self._committer.is_failing
+
+    @property
+    def has_room(self) -> bool:
+        """Whether more results could wait for the log than half of the buffer."""
+        limits = self._settings.commit
+        return not self._backlog and self._committer.has_room(
+            limits.buffer_records // 2, limits.buffer_bytes // 2
+        )
+
+    @property
+    def appends(self) -> int:
+        """The number of appends that were started."""
+        return self._committer.appends
+
+    async def open(self) -> None:
+        """Reads the stream to its end; goes on until the log answers."""
+        delay_s = READ_RETRY_S
+        replay = PartitionReplay(self._codec)
+        while not replay.is_done and not self._stopped:
+            try:
+                page = await self._log.read(
+                    self.stream, replay.next_offset, READ_RECORDS
+                )
+                replay.take(page)
+                delay_s = READ_RETRY_S
+            except LogExpiredError as exc:
+                replay.expired(exc.first_offset)
+            except PomeloshiftError:
+                await deferLater(self._reactor, delay_s)
+                delay_s = min(delay_s * 2, MAX_READ_RETRY_S)
+        if not self._stopped:
+            self._begin(replay)
+
+    async def wait_open(self) -> None:
+        """Returns once the stream has been read to its end.
+
+        Raises `PartitionNotReadyError` if that takes too long.
+        """
+        if self.is_open:
+            return
+        opened: Deferred[None] = Deferred()
+        self._openers.append(opened)
+        opened.addTimeout(self._settings.open_s, self._reactor)
+        try:
+            await opened
+        except Exception as exc:
+            raise PartitionNotReadyError(
+                f"partition {self.partition} cannot be read",
+                retry_after_s=self._settings.poll_s,
+            ) from exc
+
+    def stop(self) -> None:
+        """Ends all activity at once."""
+        self._stopped = True
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        error = NotAcceptedError("the entry is stopping")
+        for waiters in list(self._waiters.values()):
+            for waiter in waiters:
+                waiter.errback(AcceptanceUnknownError(error.message))
+        self._waiters.clear()
+
+    async def commit(
+        self, records: Sequence[Record], timeout_s: float | None = None
+    ) -> None:
+        """Appends records and returns once all of them took effect.
+
+        Raises `NotAcceptedError` if a record certainly did not become part of the
+        stream within ``timeout_s`` seconds, `AcceptanceUnknownError` if that is
+        not known, and `CommitBufferFullError` before anything was offered.
+        """
+        payloads = [self._codec.encode(record) for record in records]
+        size = sum(len(payload) for payload in payloads)
+        if not self._committer.has_room(len(records), size):
+            raise CommitBufferFullError(
+                "too many records wait for the log",
+                retry_after_s=self._settings.commit.retry_max_s,
+            )
+        now = self._clock.monotonic()
+        give_up_at = None if timeout_s is None else now + timeout_s
+        waiters = []
+        for record, payload in zip(records, payloads, strict=True):
+            self._committer.offer(record.record_id, payload, now, give_up_at)
+            waiters.append(self._wait_for(record.record_id))
+        self._pump()
+        await gatherResults(waiters, consumeErrors=True).addErrback(_first_error)
+
+    async def settle(self, records: Sequence[Record]) -> bool:
+        """Appends records that are kept until they are part of the stream.
+
+        Returns whether all of them took effect within the settling time.
+        """
+        done = Deferred.fromCoroutine(self.commit(records))
+        waiting: Deferred[bool] = Deferred()
+        done.addBoth(_pass_on, waiting)
+        waiting.addTimeout(self._settings.settle_s, self._reactor, lambda *_: False)
+        return await waiting
+
+    def post(self, records: Iterable[Record]) -> None:
+        """Appends records that nobody waits for, as soon as there is room."""
+        self._backlog.extend(records)
+        self._offer_backlog()
+        self._pump()
+
+    async def record_at(self, offset: int) -> Record:
+        """Returns the record at an offset; raises `LogUnavailableError`."""
+        found = self._cache.get((self.stream, offset))
+        if found is not None:
+            return found
+        page = await self._log.read(self.stream, offset, 1)
+        if not page.records:
+            raise LogUnavailableError(f"offset {offset} cannot be read")
+        return self._keep(page.records[0])
+
+    async def records_at(self, offsets: Sequence[int]) -> dict[int, Record]:
+        """Returns the records at several offsets."""
+        found: dict[int, Record] = {}
+        missing = []
+        for offset in sorted(offsets):
+            cached = self._cache.get((self.stream, offset))
+            if cached is None:
+                missing.append(offset)
+            else:
+                found[offset] = cached
+        wanted = set(missing)
+        for start in missing:
+            if start in found:
+                continue
+            page = await self._log.read(self.stream, start, READ_RECORDS)
+            for stored in page.records:
+                if stored.offset in wanted:
+                    found[stored.offset] = self._keep(stored)
+            if start not in found:
+                raise LogUnavailableError(f"offset {start} cannot be read")
+        return found
+
+    async def sync(self) -> None:
+        """Reads what others have appended."""
+        if self._syncing or not self.is_open:
+            return
+        self._syncing = True
+        try:
+            await self._read_to_end()
+        except PomeloshiftError as exc:
+            logger.warning(
+                "event=read_failed stream={} code={}", self.stream, exc.code.value
+            )
+        finally:
+            self._syncing = False
+
+    def tick(self) -> None:
+        """Ends leases that ran out and retries what could not be appended."""
+        if self._owner is None:
+            return
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        self.post(self._owner.tick(now, wall))
+
+    def _begin(self, replay: PartitionReplay) -> None:
+        if replay.has_lost_state or replay.unreadable:
+            logger.error(
+                "event=state_incomplete stream={} unreadable={} lost={}",
+                self.stream,
+                replay.unreadable,
+                replay.has_lost_state,
+            )
+        self._follower.next_offset = replay.state.next_offset
+        self._owner = PartitionOwner(
+            self.partition, replay.state, self._settings.owner, self._name, self._rng
+        )
+        self._owner.adopt_attempts(self._clock.monotonic())
+        openers, self._openers = self._openers, []
+        for opener in openers:
+            if not opener.called:
+                opener.callback(None)
+
+    async def _read_to_end(self) -> None:
+        while not self._stopped:
+            page = await self._log.read(
+                self.stream, self._follower.next_offset, READ_RECORDS
+            )
+            for stored in self._follower.take_page(page):
+                self._apply(stored)
+            if not page.records or not self._follower.is_behind:
+                return
+
+    def _apply(self, stored: StoredRecord) -> None:
+        try:
+            record = self._codec.decode(stored.data)
+        except RecordError as exc:
+            logger.error(
+                "event=record_unreadable stream={} offset={} message={!r}",
+                self.stream,
+                stored.offset,
+                exc.message,
+            )
+            self.state.advance(stored.offset)
+            return
+        self._cache.put((self.stream, stored.offset), record, len(stored.data))
+        self.owner.apply(stored.offset, record)
+        self._committer.observed(record.record_id, stored.offset)
+        self._release(record.record_id, None)
+
+    def _keep(self, stored: StoredRecord) -> Record:
+        record = self._codec.decode(stored.data)
+        self._cache.put((self.stream, stored.offset), record, len(stored.data))
+        return record
+
+    def _wait_for(self, record_id: str) -> Deferred[None]:
+        waiter: Deferred[None] = Deferred()
+        self._waiters.setdefault(record_id, []).append(waiter)
+        return waiter
+
+    def _release(self, record_id: str, error: PomeloshiftError | None) -> None:
+        for waiter in self._waiters.pop(record_id, ()):
+            if error is None:
+                waiter.callback(None)
+            else:
+                waiter.errback(error)
+
+    def _offer_backlog(self) -> None:
+        now = self._clock.monotonic()
+        while self._backlog:
+            record = self._backlog[0]
+            try:
+                payload = self._codec.encode(record)
+                self._committer.offer(record.record_id, payload, now)
+            except CommitBufferFullError:
+                return
+            self._backlog.pop(0)
+
+    def _pump(self) -> None:
+        if self._stopped or not self.is_open:
+            return
+        now = self._clock.monotonic()
+        self._tell(self._committer.expire(now))
+        order = self._committer.next_append(now)
+        if order is not None:
+            spawn(self._append(order))
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        wake_at = self._committer.wake_at()
+        if wake_at is not None:
+            delay_s = max(0.001, wake_at - self._clock.monotonic())
+            self._timer = self._reactor.callLater(delay_s, self._pump)
+
+    async def _append(self, order: StartAppend) -> None:
+        try:
+            first = await self._log.append(self.stream, order.payloads)
+        except (LogUnavailableError, LogRateLimitedError):
+            self._committer.refused(order.append_id, self._clock.monotonic())
+        except PomeloshiftError:
+            self._committer.ambiguous(order.append_id, self._clock.monotonic())
+            spawn(self.sync())
+        else:
+            await self._appended(order, first)
+        self._offer_backlog()
+        self._pump()
+
+    async def _appended(self, order: StartAppend, first: int) -> None:
+        for stored in self._follower.take_own(first, order.payloads):
+            self._apply(stored)
+        now = self._clock.monotonic()
+        self._committer.appended(order.append_id, first, now)
+        if self._follower.is_behind:
+            await self.sync()
+
+    def _tell(self, effects: Iterable[CommitEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, RecordSettled):
+                continue
+            kind = (
+                NotAcceptedError
+                if isinstance(effect, RecordRefused)
+                else AcceptanceUnknownError
+            )
+            error = kind(effect.error.message, retry_after_s=effect.error.retry_after_s)
+            self._release(effect.record_id, error)
+
+
+def _pass_on(result: Any, waiting: Deferred[bool]) -> None:
+    if not waiting.called:
+        waiting.callback(result if isinstance(result, Failure) else True)
+
+
+def _first_error(failure: Any) -> Any:
+    sub_failure = getattr(failure.value, "subFailure", None)
+    return sub_failure if sub_failure is not None else failure
--- /dev/null
+++ b/src/pomeloshift/entry/batch/_peer_client.py
@@ -0,0 +1,75 @@
+"""Calls the entry that owns a partition."""
+
+from typing import Any
+
+import msgspec
+from treq.client import HTTPClient
+from treq.content import content
+from twisted.internet.defer import Deferred
+from twisted.web.client import Agent, HTTPConnectionPool
+from twisted.web.http_headers import Headers
+
+from ...errors import ErrorReport
+from ._calls import Call, Reply, decode_call, encode_call
+from ._errors import OwnerUnreachableError, RemoteError
+
+CALL_PATH = "/internal/v1/jobs"
+KEY_HEADER = "x-pomeloshift-key"
+CONNECT_TIMEOUT_S = 2.0
+CONNECTIONS_PER_ENTRY = 4
+HTTP_OK = 200
+
+
+class PeerClient:
+    """Sends calls to other entries over HTTP."""
+
+    def __init__(self, reactor: Any, internal_key: str, timeout_s: float) -> None:
+        self._reactor = reactor
+        self._timeout_s = timeout_s
+        self._headers = Headers(
+            {KEY_HEADER: [internal_key], "content-type": ["application/msgpack"]}
+        )
+        self._pool = HTTPConnectionPool(reactor, persistent=True)
+        self._pool.maxPersistentPerHost = CONNECTIONS_PER_ENTRY
+        self._pool.retryAutomatically = False
+        agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        self._http = HTTPClient(agent)
+
+    async def call(
+        self, address: str, call: Call, timeout_s: float | None = None
+    ) -> Reply:
+        """Returns the answer of the entry at ``address``.
+
+        Raises `OwnerUnreachableError` where there is none, and `RemoteError` with
+        the error that the entry answered.
+        """
+        running: Deferred = Deferred.fromCoroutine(self._post(address, call))
+        running.addTimeout(timeout_s or self._timeout_s, self._reactor)
+        try:
+            status, data = await running
+        except Exception as exc:
+            raise OwnerUnreachableError(
+                f"the entry at {address} did not answer: {type(exc).__name__}"
+            ) from exc
+        if status == HTTP_OK:
+            return decode_call(data)
+        raise RemoteError(_report(status, data))
+
+    async def close(self) -> None:
+        """Closes the connections that are kept open."""
+        await self._pool.closeCachedConnections()
+
+    async def _post(self, address: str, call: Call) -> tuple[int, bytes]:
+        response = await self._http.post(
+            f"http://{address}{CALL_PATH}",
+            data=encode_call(call),
+            headers=self._headers,
+        )
+        return response.code, await content(response)
+
+
+def _report(status: int, data: bytes) -> ErrorReport:
+    try:
+        return msgspec.msgpack.decode(data, type=ErrorReport)
+    except msgspec.DecodeError as exc:
+        raise OwnerUnreachableError(f"an entry answered status {status}") from exc
--- /dev/null
+++ b/src/pomeloshift/entry/batch/_record_cache.py
@@ -0,0 +1,34 @@
+"""Keeps records of streams in memory that were read or appended lately."""
+
+from collections import OrderedDict
+
+from ...log import Record
+
+RecordKey = tuple[str, int]
+
+
+class RecordCache:
+    """Holds decoded records by stream and offset, up to a total size."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._records: OrderedDict[RecordKey, tuple[Record, int]] = OrderedDict()
+        self._bytes = 0
+
+    def get(self, key: RecordKey) -> Record | None:
+        """Returns a record if it is kept."""
+        found = self._records.get(key)
+        if found is None:
+            return None
+        self._records.move_to_end(key)
+        return found[0]
+
+    def put(self, key: RecordKey, record: Record, size: int) -> None:
+        """Keeps a record of ``size`` bytes and drops the ones used longest ago."""
+        if size > self._max_bytes or key in self._records:
+            return
+        self._records[key] = (record, size)
+        self._bytes += size
+        while self._bytes > self._max_bytes:
+            _, (_, dropped) = self._records.popitem(last=False)
+            self._bytes -= dropped
--- /dev/null
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -0,0 +1,383 @@
+"""Files and batch jobs, wherever their partitions are owned."""
+
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from ...batch import (
+    FileView,
+    JobView,
+    file_id_for,
+    job_id_for,
+    owner_of,
+    parse_lease_id,
+    partition_of_file,
+    partition_of_job,
+    request_digest,
+    window_seconds,
+)
+from ...config import Configuration
+from ...errors import ErrorReport, PomeloshiftError
+from ...log import LogStore
+from ...model import Instance, InstanceState
+from ...net import Clock
+from ...net._loops import Loops, spawn
+from ...wire import (
+    Acknowledgement,
+    ItemGrants,
+    ItemPull,
+    ItemResults,
+    LeaseRelease,
+)
+from . import _calls as calls
+from ._errors import FileTooLargeError, OwnerUnreachableError
+from ._item_server import ItemServer
+from ._partition_runner import PartitionRunner
+from ._partition_service import PartitionService
+from ._peer_api import PeerApi
+from ._peer_client import PeerClient
+from ._record_cache import RecordCache
+from ._settings import BatchSettings
+from ._upload import checked_chunks
+
+SERVE_TURN_S = 0.5
+
+
+class JobService:
+    """Serves files and jobs to callers, and their items to sidecars.
+
+    Each partition is served by the live entry that rendezvous hashing names; calls
+    for others are forwarded, and served here where their owner cannot be reached.
+    That two entries serve a partition at once costs work at most.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        log: LogStore,
+        clock: Clock,
+        reactor: Any,
+        rng: Random,
+        entries: Callable[[], Sequence[Instance]],
+        current_config: Callable[[], Configuration | None],
+        partitions: int,
+        internal_key: str,
+        settings: BatchSettings = BatchSettings(),
+    ) -> None:
+        self.name = name
+        self.partitions = partitions
+        self._log = log
+        self._clock = clock
+        self._reactor = reactor
+        self._rng = rng
+        self._entries = entries
+        self._current_config = current_config
+        self._settings = settings
+        self._cache = RecordCache(settings.cache_bytes)
+        self._items = ItemServer(clock, settings, current_config)
+        self._served: dict[int, PartitionService] = {}
+        self._peers = PeerClient(reactor, internal_key, settings.forward_s)
+        self._api = PeerApi(self._serve_here, internal_key)
+        self._loops = Loops(reactor)
+
+    @property
+    def internal_resource(self) -> Any:
+        """The resource to be mounted at ``/internal``, with whole paths."""
+        return self._api.app.resource()
+
+    @property
+    def runners(self) -> Mapping[int, PartitionRunner]:
+        """The partitions that are open here."""
+        return {number: each.runner for number, each in self._served.items()}
+
+    def start(self) -> None:
+        """Begins to serve the partitions that this entry owns."""
+        self._loops.repeat(self._follow_ownership, self._settings.ownership_s)
+        self._loops.repeat(self._poll, self._settings.poll_s)
+        self._loops.repeat(self._tick, SERVE_TURN_S)
+
+    async def stop(self) -> None:
+        """Stops serving at once."""
+        self._loops.stop()
+        for service in self._served.values():
+            service.runner.stop()
+        self._served.clear()
+        await self._peers.close()
+
+    async def upload_file(
+        self, workspace: str, filename: str, purpose: str, data: bytes
+    ) -> FileView:
+        """Stores a file; the same content uploaded again gives the same file."""
+        self._check_size(data)
+        file_id = file_id_for(workspace, purpose, data, self.partitions)
+        partition = partition_of_file(file_id, self.partitions)
+        async for _ in checked_chunks(data, purpose, self._reactor):
+            pass
+        count = 0
+        async for chunk in checked_chunks(data, "", self._reactor):
+            await self._call(calls.StoreChunk(partition, file_id, count, chunk))
+            count += 1
+        create = calls.CreateFile(
+            partition, file_id, workspace, filename, purpose, len(data), count
+        )
+        return await self._call(create)
+
+    async def get_file(self, workspace: str, file_id: str) -> FileView:
+        """Returns a file; raises `UnknownFileError`."""
+        partition = partition_of_file(file_id, self.partitions)
+        return await self._call(calls.GetFile(partition, file_id, workspace))
+
+    async def list_files(
+        self,
+        workspace: str,
+        limit: int = 100,
+        after: str = "",
+        purpose: str = "",
+    ) -> tuple[list[FileView], bool]:
+        """Returns files, the newest first, and whether there are more."""
+        before = None
+        if after:
+            before = (await self.get_file(workspace, after)).created_at
+        files: list[FileView] = []
+        for partition in range(self.partitions):
+            call = calls.ListFiles(
+                partition, workspace, purpose, limit + 1, before, after
+            )
+            files += (await self._call(call)).files
+        files.sort(key=lambda view: (-view.created_at, view.file_id))
+        return files[:limit], len(files) > limit
+
+    def file_content(self, workspace: str, file_id: str) -> AsyncIterator[bytes]:
+        """Yields the content of a file in parts."""
+        return self._read_parts(workspace, file_id)
+
+    async def delete_file(self, workspace: str, file_id: str) -> None:
+        """Deletes a file; raises `UnknownFileError`."""
+        partition = partition_of_file(file_id, self.partitions)
+        await self._call(calls.DeleteFile(partition, file_id, workspace))
+
+    async def create_job(
+        self,
+        workspace: str,
+        input_file_id: str,
+        endpoint: str,
+        completion_window: str = "24h",
+        metadata: Mapping[str, str] | None = None,
+        idempotency_key: str = "",
+    ) -> JobView:
+        """Accepts a job once it is durable.
+
+        The same request sent again gives the same job, with or without a key.
+        """
+        window_seconds(completion_window)
+        partition_of_file(input_file_id, self.partitions)
+        fields = dict(metadata or {})
+        digest = request_digest(input_file_id, endpoint, completion_window, fields)
+        job_id = job_id_for(workspace, idempotency_key, digest, self.partitions)
+        call = calls.CreateJob(
+            partition_of_job(job_id, self.partitions),
+            job_id,
+            digest,
+            workspace,
+            input_file_id,
+            endpoint,
+            completion_window,
+            idempotency_key,
+            fields,
+        )
+        return await self._call(call)
+
+    async def get_job(self, workspace: str, job_id: str) -> JobView:
+        """Returns a job; an empty workspace stands for all of them."""
+        partition = partition_of_job(job_id, self.partitions)
+        return await self._call(calls.GetJob(partition, job_id, workspace))
+
+    async def list_jobs(
+        self, workspace: str, limit: int = 20, after: str = ""
+    ) -> tuple[list[JobView], bool]:
+        """Returns jobs, the newest first, and whether there are more."""
+        before = None
+        if after:
+            before = (await self.get_job(workspace, after)).created_at
+        jobs: list[JobView] = []
+        for partition in range(self.partitions):
+            call = calls.ListJobs(partition, workspace, limit + 1, before, after)
+            jobs += (await self._call(call)).jobs
+        jobs.sort(key=lambda view: (-view.created_at, view.job_id))
+        return jobs[:limit], len(jobs) > limit
+
+    async def cancel_job(self, workspace: str, job_id: str) -> JobView:
+        """Stops a job at once; it shows as cancelling until that is durable."""
+        partition = partition_of_job(job_id, self.partitions)
+        return await self._call(calls.CancelJob(partition, job_id, workspace))
+
+    async def pull(self, pull: ItemPull) -> ItemGrants:
+        """Grants a sidecar items of the partitions that this entry owns."""
+        runners = [
+            service.runner
+            for partition, service in sorted(self._served.items())
+            if self._is_owner(partition) and service.runner.is_open
+        ]
+        if not runners:
+            return ItemGrants()
+        items, cancelled = await self._items.pull(pull, runners)
+        return ItemGrants(tuple(items), 0, tuple(cancelled))
+
+    async def results(self, results: ItemResults) -> Acknowledgement:
+        """Makes outcomes durable, here or at the owners of their partitions."""
+        by_partition: dict[int, list] = {}
+        for outcome in results.outcomes:
+            by_partition.setdefault(outcome.partition, []).append(outcome)
+        error: ErrorReport | None = None
+        for partition, outcomes in by_partition.items():
+            part = ItemResults(results.instance, results.incarnation, tuple(outcomes))
+            try:
+                await self._call(calls.TakeResults(partition, part))
+            except PomeloshiftError as exc:
+                error = exc.report()
+        return Acknowledgement(0, self.name, error=error)
+
+    async def release(self, release: LeaseRelease) -> Acknowledgement:
+        """Takes leases back, here or at the owners of their partitions."""
+        by_partition: dict[int, list[int]] = {}
+        for position, lease_id in enumerate(release.lease_ids):
+            name = parse_lease_id(lease_id)
+            if name is not None and name.partition < self.partitions:
+                by_partition.setdefault(name.partition, []).append(position)
+        error: ErrorReport | None = None
+        for partition, positions in by_partition.items():
+            part = _part_of_release(release, positions)
+            try:
+                await self._call(calls.TakeRelease(partition, part))
+            except PomeloshiftError as exc:
+                error = exc.report()
+        return Acknowledgement(0, self.name, error=error)
+
+    def instance_lost(self, instance: str, incarnation: int) -> None:
+        """Takes note that a backend server was lost with what it ran."""
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        for runner in self._open_runners():
+            owner = runner.owner
+            runner.post(owner.instance_lost(instance, incarnation, now, wall))
+
+    def heard(self, instance: str, incarnation: int) -> None:
+        """Renews the leases of a sidecar that was heard from."""
+        now = self._clock.monotonic()
+        for runner in self._open_runners():
+            runner.owner.heard(instance, incarnation, now)
+
+    def _check_size(self, data: bytes) -> None:
+        if len(data) > self._settings.max_file_bytes:
+            raise FileTooLargeError(
+                f"the file has {len(data)} bytes; "
+                f"at most {self._settings.max_file_bytes} are accepted"
+            )
+
+    async def _read_parts(self, workspace: str, file_id: str) -> AsyncIterator[bytes]:
+        partition = partition_of_file(file_id, self.partitions)
+        part = 0
+        while True:
+            call = calls.ReadPart(partition, file_id, workspace, part)
+            answer = await self._call(call)
+            yield answer.data
+            part += 1
+            if answer.is_last:
+                return
+
+    async def _call(self, call: Any) -> Any:
+        """Carries a call out at the partition's owner, or here without one."""
+        owner = self._owner(call.partition)
+        if owner is None or owner.name == self.name:
+            return await self._serve_here(call)
+        try:
+            return await self._peers.call(owner.address, call)
+        except OwnerUnreachableError as exc:
+            logger.warning(
+                "event=owner_unreachable partition={} owner={} message={!r}",
+                call.partition,
+                owner.name,
+                exc.message,
+            )
+            return await self._serve_here(call)
+
+    async def _serve_here(self, call: Any) -> Any:
+        service = self._open(call.partition)
+        await service.runner.wait_open()
+        return await service.serve(call)
+
+    def _owner(self, partition: int) -> Instance | None:
+        entries = {
+            entry.name: entry
+            for entry in self._entries()
+            if entry.state is InstanceState.LIVE
+        }
+        name = owner_of(partition, entries)
+        return entries[name] if name is not None else None
+
+    def _is_owner(self, partition: int) -> bool:
+        owner = self._owner(partition)
+        return owner is None or owner.name == self.name
+
+    def _open(self, partition: int) -> PartitionService:
+        service = self._served.get(partition)
+        if service is None:
+            runner = PartitionRunner(
+                partition,
+                self.name,
+                self._log,
+                self._reactor,
+                self._clock,
+                self._rng,
+                self._settings,
+                self._cache,
+            )
+            service = PartitionService(
+                runner,
+                self._items,
+                self._clock,
+                self._settings,
+                self._read_parts,
+                self._current_config,
+                self.name,
+            )
+            self._served[partition] = service
+            spawn(runner.open())
+        service.runner.used_at = self._clock.monotonic()
+        return service
+
+    def _follow_ownership(self) -> None:
+        now = self._clock.monotonic()
+        for partition in range(self.partitions):
+            if self._is_owner(partition):
+                self._open(partition)
+        for partition, service in list(self._served.items()):
+            is_unused = now - service.runner.used_at > self._settings.linger_s
+            if is_unused and service.runner.is_idle:
+                service.runner.stop()
+                del self._served[partition]
+
+    def _poll(self) -> None:
+        for runner in self._open_runners():
+            spawn(runner.sync())
+
+    def _tick(self) -> None:
+        for runner in self._open_runners():
+            runner.tick()
+
+    def _open_runners(self) -> list[PartitionRunner]:
+        runners = [service.runner for service in self._served.values()]
+        return [runner for runner in runners if runner.is_open]
+
+
+def _part_of_release(release: LeaseRelease, positions: list[int]) -> LeaseRelease:
+    resumes = release.resumes
+    return LeaseRelease(
+        release.instance,
+        tuple(release.lease_ids[position] for position in positions),
+        tuple(
+            resumes[position] if position < len(resumes) else b""
+            for position in positions
+        ),
+    )
--- /dev/null
+++ b/src/pomeloshift/entry/batch/_settings.py
@@ -0,0 +1,31 @@
+"""Settings of an entry's batch work."""
+
+import attrs
+from attrs import validators as v
+
+from ...batch import OwnerSettings
+from ...log import CommitLimits
+
+COMMIT_LIMITS = CommitLimits(buffer_bytes=4_194_304)
+
+
+@attrs.frozen
+class BatchSettings:
+    """Times are in seconds and sizes in bytes.
+
+    ``settle_s`` is how long a sidecar waits for its results to become durable and
+    ``accept_s`` how long a caller waits for its job or file. ``cache_bytes`` bounds
+    the items and results kept in memory; all of them are read from the log again.
+    """
+
+    owner: OwnerSettings = OwnerSettings()
+    commit: CommitLimits = COMMIT_LIMITS
+    ownership_s: float = attrs.field(default=1.0, validator=v.gt(0))
+    poll_s: float = attrs.field(default=1.0, validator=v.gt(0))
+    linger_s: float = attrs.field(default=30.0, validator=v.gt(0))
+    open_s: float = attrs.field(default=10.0, validator=v.gt(0))
+    settle_s: float = attrs.field(default=1.5, validator=v.gt(0))
+    accept_s: float = attrs.field(default=20.0, validator=v.gt(0))
+    forward_s: float = attrs.field(default=60.0, validator=v.gt(0))
+    cache_bytes: int = attrs.field(default=8_388_608, validator=v.ge(0))
+    max_file_bytes: int = attrs.field(default=104_857_600, validator=v.ge(1))
