--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -21,6 +21,7 @@
 from ._observer import Observer
 from ._pace_goal import PaceGoal
 from ._roster import Roster
+from ._shadow_queue import ShadowQueue
 from ._step_model import StepModel
 from ._stream import Phase, Stream
 
@@ -59,6 +60,7 @@
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
         )
+        self._shadow = ShadowQueue(self._steps)
         self._batch_limit = FIRST_BATCH_LIMIT
         self._wanted_at = float("-inf")
         self._mean_online = 0.0
@@ -167,7 +169,7 @@
             wanted = room - max(online, self._mean_online)
             limit = min(wanted, limit + max(1.0, GROWTH_SHARE * limit))
         elif roster.batch_running + 1 >= limit:
-            if self._observer.gap_s < self._pace.goal_s:
+            if self._observer.gap_s < self._pace.goal_s - self._steps.read_extra_s:
                 limit += SLOW_START_GROWTH
         self._batch_limit = max(0.0, min(limit, self.cfg.max_batch_streams))
 
@@ -187,18 +189,20 @@
                 break
             if stream.offer.alone and roster.has_suspect:
                 continue
-            self._protect(stream)
+            self._protect(stream, now)
             self._begin(stream, now)
             effects.append(StartStream(stream.stream_id))
         return effects
 
-    def _protect(self, stream: Stream) -> None:
+    def _protect(self, stream: Stream, now: float) -> None:
         roster = self._roster
         ahead = sum(s.read_tokens for s in roster.online_reading.values())
         tokens = ahead + stream.read_tokens
         model = self._first_tokens
         online = len(roster.online_decoding)
-        alone_s = model.wait_s(tokens, online)
+        chunk, step_s = model.chunk_tokens, self._observer.gap_s
+        self._shadow.drain(now, chunk, online, step_s)
+        alone_s = self._shadow.wait_s(stream.read_tokens, chunk, online, step_s)
         model.observe_wait(alone_s)
         limit_s = max(model.tail_s, alone_s * self.cfg.tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
