--- a/src/pomeloshift/admission/_config.py
+++ b/src/pomeloshift/admission/_config.py
@@ -37,7 +37,7 @@
     @property
     def highest_pace_scale(self) -> float:
         """The share of the between-tokens target that steps may take at most."""
-        return 0.75 + 0.25 * self.batch_weight
+        return 0.75 + 0.3 * self.batch_weight
 
 
 def admission_config(service: ServiceConfig) -> AdmissionConfig:
--- a/src/pomeloshift/bench/control/_entry_work.py
+++ b/src/pomeloshift/bench/control/_entry_work.py
@@ -62,9 +62,10 @@
 
 
 def read_live_list(instances: list[Any]) -> Outcome:
-    """Takes the live list."""
+    """Takes the live list and chooses the backend servers to follow."""
     router = make_router()
     router.observe_instances(instances, 1.0)
+    router.knows_service("lm-a")
     return Outcome(router)
 
 
@@ -205,6 +206,7 @@
         "node",
         lambda count: [make_instance(n) for n in range(count)],
         read_live_list,
+        sizes=(500, 2000, 5000),
     ),
     Workload(ROLE, "configuration fold", "change", _publications, fold_changes),
     Workload(
