Wire batch jobs, membership and administration into the entry

Cause: the thin path lacked jobs. Change: JobService on every entry; heartbeats renew leases and losses free them; a sidecar that holds leases asks every second which of them to stop. Before: the separate-process test could not start. After: it passes.

--- a/src/pomeloshift/entry/_admin_views.py
+++ b/src/pomeloshift/entry/_admin_views.py
@@ -3,11 +3,14 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from ..admin import AdminNotFoundError, InstanceView, QuarantineView
+from ..admin import JobView as AdminJobView
 from ..attempts import SuspectTracker
+from ..batch import JobView
 from ..model import Instance, InstanceRole, InstanceState
 from ..net import Clock
 from ..wire import SidecarReport
 from ._fleet_observer import FleetObserver
+from .batch import JobService
 
 SILENT_AFTER_S = 3.0
 
@@ -90,6 +93,40 @@
     )
 
 
+class JobsAdmin:
+    """Batch jobs of all workspaces, wherever their partitions are owned."""
+
+    def __init__(self, jobs: JobService) -> None:
+        self._jobs = jobs
+
+    async def list_jobs(self, workspace: str, limit: int) -> Sequence[AdminJobView]:
+        """Returns the newest jobs, of one workspace unless it is empty."""
+        jobs, _ = await self._jobs.list_jobs(workspace, limit)
+        return [_job_view(job) for job in jobs]
+
+    async def get_job(self, job_id: str) -> AdminJobView:
+        """Returns a job."""
+        return _job_view(await self._jobs.get_job("", job_id))
+
+    async def cancel_job(self, job_id: str) -> AdminJobView:
+        """Cancels a job and returns it."""
+        return _job_view(await self._jobs.cancel_job("", job_id))
+
+
+def _job_view(job: JobView) -> AdminJobView:
+    return AdminJobView(
+        job.job_id,
+        job.workspace,
+        job.status,
+        job.items,
+        job.completed,
+        job.failed,
+        job.created_at,
+        job.deadline_at,
+        job.service,
+    )
+
+
 class QuarantineAdmin:
     """The requests that this entry refuses because they crashed backend servers."""
 
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -36,6 +36,7 @@
 
 LOG_TIMEOUT_S = 5.0
 LIST_INTERVAL_S = 1.0
+FLEET_TICK_S = 0.25
 CONFIG_PULL_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
 SECRET_BITS = 256
@@ -69,31 +70,31 @@
         self.metrics = Metrics("entry", settings.name)
         self._control = ControlClient(settings.internal_key.encode(), reactor)
         self._router = Router(RouterConfig(name=settings.name), settings.place, rng)
-        self.fleet = FleetObserver(
-            live_list, self._router, clock, lambda: self.instance
-        )
-        self.config = ConfigService(
+        self.jobs = JobService(
             settings.name,
             self._log,
             clock,
             reactor,
             rng,
-            settings.place.region,
-            self.fleet.entries,
-            pull=self._pull_config,
+            lambda: self.fleet.entries(),
+            lambda: self.config.current,
+            settings.partitions,
+            settings.internal_key,
         )
-        self.auth = Authenticator(lambda: self.config.current)
-        self.jobs = JobService(
+        self.fleet = FleetObserver(
+            live_list, self._router, clock, lambda: self.instance, self.jobs
+        )
+        self.config = ConfigService(
             settings.name,
             self._log,
             clock,
             reactor,
             rng,
+            settings.place.region,
             self.fleet.entries,
-            lambda: self.config.current,
-            settings.partitions,
-            settings.internal_key,
+            pull=self._pull_config,
         )
+        self.auth = Authenticator(lambda: self.config.current)
         self.online = OnlineService(
             settings.name,
             settings.place,
@@ -147,6 +148,7 @@
         self.config.on_change(self._apply_config)
         self.config.start()
         self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
+        self._loops.repeat(self.fleet.tick, FLEET_TICK_S)
         self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
         self.jobs.start()
         logger.info(
--- a/src/pomeloshift/entry/_fleet_observer.py
+++ b/src/pomeloshift/entry/_fleet_observer.py
@@ -1,7 +1,17 @@
 """What an entry knows of the instances around it."""
 
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
+from loguru import logger
+
+from ..membership import (
+    FleetEffect,
+    FleetView,
+    MemberLost,
+    MembershipTiming,
+    StateChanged,
+)
 from ..model import Instance, InstanceRole, InstanceState
 from ..net import Clock
 from ..net._list_client import LiveListClient
@@ -9,11 +19,21 @@
 from ..wire import SidecarReport
 
 
+class FleetListener(Protocol):
+    """Who acts on heartbeats and losses; the job service is one."""
+
+    def heard(self, instance: str, incarnation: int) -> None:
+        """Takes note that a sidecar is alive."""
+
+    def instance_lost(self, instance: str, incarnation: int) -> None:
+        """Takes note that a backend server was lost with what it ran."""
+
+
 class FleetObserver:
     """Feeds the live list and the heartbeats to the router.
 
     ``own`` returns this entry's instance, which counts as live even while the list
-    does not show it yet.
+    does not show it yet. ``listener`` learns of heartbeats and of losses.
     """
 
     def __init__(
@@ -22,11 +42,14 @@
         router: Router,
         clock: Clock,
         own: Callable[[], Instance],
+        listener: FleetListener,
     ) -> None:
         self._live_list = live_list
         self._router = router
         self._clock = clock
         self._own = own
+        self._listener = listener
+        self._view = FleetView(MembershipTiming())
         self._instances: tuple[Instance, ...] = ()
         self._reports: dict[str, SidecarReport] = {}
         self._heard_at: dict[str, float] = {}
@@ -36,7 +59,9 @@
     async def read_list(self) -> None:
         """Reads the live list once."""
         self._instances = await self._live_list.instances()
-        self._router.observe_instances(self._instances, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._router.observe_instances(self._instances, now)
+        self._take(self._view.observe_list(self._instances, now))
         shown = {instance.name for instance in self._instances}
         self._reports = {k: v for k, v in self._reports.items() if k in shown}
 
@@ -46,8 +71,15 @@
         if known is not None and known.incarnation > report.incarnation:
             return
         self._reports[report.instance.name] = report
-        self._heard_at[report.instance.name] = self._clock.monotonic()
-        self._router.observe_report(report, self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._heard_at[report.instance.name] = now
+        self._router.observe_report(report, now)
+        self._take(self._view.observe_report(report, now))
+        self._listener.heard(report.instance.name, report.incarnation)
+
+    def tick(self) -> None:
+        """Notices backend servers that went silent."""
+        self._take(self._view.tick(self._clock.monotonic()))
 
     def observe_entry(self, name: str, config_version: int) -> None:
         """Takes a heartbeat of another entry."""
@@ -90,3 +122,16 @@
     def reports(self) -> dict[str, SidecarReport]:
         """Returns the latest heartbeat of each backend server by name."""
         return self._reports
+
+    def _take(self, effects: Sequence[FleetEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case MemberLost():
+                    logger.warning("event=instance_lost instance={}", effect.name)
+                    self._listener.instance_lost(effect.name, effect.incarnation)
+                case StateChanged():
+                    logger.info(
+                        "event=instance_state instance={} state={}",
+                        effect.name,
+                        effect.state.value,
+                    )
--- a/src/pomeloshift/sidecar/_batch_puller.py
+++ b/src/pomeloshift/sidecar/_batch_puller.py
@@ -27,6 +27,7 @@
 EMPTY_PULL_PAUSE_S = 0.2
 MAX_EMPTY_PULL_PAUSE_S = 2.0
 RESULT_RETRY_PAUSE_S = 0.5
+RENEW_INTERVAL_S = 1.0
 MAX_OUTCOMES_PER_MESSAGE = 64
 
 
@@ -68,6 +69,7 @@
         self._sending = False
         self._send_paused_until = 0.0
         self._stopped = False
+        self._renew_at = 0.0
         self._lanes: dict[str, tuple[EngineLane, str]] = {}
         self._releases: list[tuple[GrantedItem, bytes]] = []
 
@@ -100,6 +102,9 @@
     def tick(self) -> None:
         """Starts a pull or a delivery that is due."""
         now = self._clock.monotonic()
+        if self._lanes and now >= self._renew_at:
+            self._renew_at = now + RENEW_INTERVAL_S
+            spawn(self._renew())
         if self._demands and not self._pulling and now >= self._paused_until:
             spawn(self._pull())
         has_news = bool(self._outcomes or self._releases)
@@ -120,17 +125,8 @@
             return
         lane, demand = next(iter(self._demands.items()))
         del self._demands[lane]
-        self._nonce += 1
+        pull = self._make_pull(demand)
         entry = entries[self._nonce % len(entries)]
-        pull = ItemPull(
-            self._instance.name,
-            self._incarnation,
-            self._nonce,
-            self._instance.place.region,
-            self._instance.service,
-            demand.tokens,
-            demand.items,
-        )
         try:
             grants = await self._control.ask(entry.control_address, pull, ASK_TIMEOUT_S)
         except PomeloshiftError as exc:
@@ -141,6 +137,36 @@
             return
         self._take(lane, grants)
 
+    async def _renew(self) -> None:
+        """Asks every entry which leases to stop, and names those still held."""
+        pull = self._make_pull(_Demand(0, 0))
+        for entry in self._entries():
+            try:
+                grants = await self._control.ask(
+                    entry.control_address, pull, ASK_TIMEOUT_S
+                )
+            except PomeloshiftError as exc:
+                logger.warning(
+                    "event=renewal_failed entry={} code={}", entry.name, exc.code.value
+                )
+                continue
+            if isinstance(grants, ItemGrants):
+                self.cancel(grants.cancelled)
+
+    def _make_pull(self, demand: _Demand) -> ItemPull:
+        self._nonce += 1
+        unsettled = [outcome.lease_id for outcome in self._outcomes]
+        return ItemPull(
+            self._instance.name,
+            self._incarnation,
+            self._nonce,
+            self._instance.place.region,
+            self._instance.service,
+            demand.tokens,
+            demand.items,
+            (*self._lanes, *unsettled),
+        )
+
     def _take(self, lane: EngineLane, grants: Any) -> None:
         if not isinstance(grants, ItemGrants):
             self._pause()
