Resume batch items only from what the engine really sent

Cause: 3 of 400 items of the demo's job had a wrong text: a stream was resumed while pieces of its first run were still arriving, a finished stream was run again when its cancel came too late, and a released item lost the part it had produced. Ruled out: the engine stand-in, whose token names what it has sent before it closes. Change: one coroutine runs a stream to its end; it resumes after the first run has closed, takes a whole answer although it was taken back, and starts anew where the engine keeps no progress. A released item carries its part of the answer. Conclusion: progress is kept across taking back and across sidecars.

--- a/src/pomeloshift/sidecar/_answer_assembler.py
+++ b/src/pomeloshift/sidecar/_answer_assembler.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 import msgspec
 
 EVENT_PREFIX = b"data:"
@@ -9,6 +10,15 @@
 JOINED_FIELDS = ("content", "reasoning_content", "refusal", "text")
 
 
+@attrs.define
+class AnswerState:
+    """The part of an answer that has come so far, in a form that can be kept."""
+
+    top: dict[str, Any] = attrs.field(factory=dict)
+    choices: dict[int, dict[str, Any]] = attrs.field(factory=dict)
+    is_chat: bool = False
+
+
 class AnswerAssembler:
     """Joins OpenAI stream events into the answer to a call without streaming.
 
@@ -20,12 +30,14 @@
     them, so that an engine's own additions reach the caller.
     """
 
-    def __init__(self) -> None:
-        self._top: dict[str, Any] = {}
-        self._choices: dict[int, dict[str, Any]] = {}
-        self._is_chat = False
+    def __init__(self, state: AnswerState | None = None) -> None:
+        self._state = state or AnswerState()
         self.ended = False
 
+    def state(self) -> AnswerState:
+        """Returns what has come so far, from which another object can go on."""
+        return self._state
+
     def feed(self, payload: bytes) -> None:
         """Takes whole events as the engine sent them."""
         for line in payload.splitlines():
@@ -34,9 +46,11 @@
 
     def answer(self) -> bytes:
         """Returns the joined answer as JSON."""
-        choices = [self._choices[index] for index in sorted(self._choices)]
-        kind = "chat.completion" if self._is_chat else "text_completion"
-        return msgspec.json.encode({**self._top, "object": kind, "choices": choices})
+        choices = [self._state.choices[index] for index in sorted(self._state.choices)]
+        kind = "chat.completion" if self._state.is_chat else "text_completion"
+        return msgspec.json.encode(
+            {**self._state.top, "object": kind, "choices": choices}
+        )
 
     def _take_event(self, data: bytes) -> None:
         if data == END_OF_STREAM:
@@ -46,13 +60,15 @@
         for choice in event.pop("choices", ()):
             self._take_choice(choice)
         event.pop("object", None)
-        self._top.update({k: v for k, v in event.items() if v is not None})
+        self._state.top.update({k: v for k, v in event.items() if v is not None})
 
     def _take_choice(self, choice: dict[str, Any]) -> None:
-        joined = self._choices.setdefault(choice["index"], {"index": choice["index"]})
+        joined = self._state.choices.setdefault(
+            choice["index"], {"index": choice["index"]}
+        )
         delta = choice.pop("delta", None)
         if delta is not None:
-            self._is_chat = True
+            self._state.is_chat = True
             message = joined.setdefault("message", {"role": "assistant"})
             _merge(message, delta)
         _merge(joined, choice)
--- a/src/pomeloshift/sidecar/_batch_puller.py
+++ b/src/pomeloshift/sidecar/_batch_puller.py
@@ -179,7 +179,7 @@
         for item in grants.items:
             work = BatchWork(item, self._report, self._give_back)
             self._lanes[item.lease_id] = (lane, work.stream_id)
-            lane.offer(work, item.resume)
+            lane.offer(work, work.resume)
 
     def cancel(self, lease_ids: Sequence[str]) -> None:
         """Stops the items of cancelled jobs."""
--- a/src/pomeloshift/sidecar/_batch_work.py
+++ b/src/pomeloshift/sidecar/_batch_work.py
@@ -3,12 +3,22 @@
 from collections.abc import Callable
 
 import attrs
+import msgspec
 
 from ..admission import StreamOffered
 from ..errors import ErrorReport
 from ..model import Priority
 from ..wire import GrantedItem, ItemOutcome
-from ._answer_assembler import AnswerAssembler, request_stream
+from ._answer_assembler import AnswerAssembler, AnswerState, request_stream
+
+
+@attrs.frozen
+class _Progress:
+    """What an interrupted run of an item leaves to the next one."""
+
+    token: bytes
+    answer: AnswerState
+    tokens: int
 
 
 class BatchWork:
@@ -29,7 +39,9 @@
         self._give_back = give_back
         self._assembler = AnswerAssembler()
         self._tokens = 0
+        self.resume = self._restore()
         self.stream_id = f"item-{item.lease_id}"
+        self.is_batch = True
         self.path = item.path
         self.body = request_stream(item.body)
 
@@ -49,6 +61,11 @@
         self._assembler.feed(payload)
         self._tokens += tokens
 
+    def restart(self) -> None:
+        """Forgets what the engine sent."""
+        self._assembler = AnswerAssembler()
+        self._tokens = 0
+
     def finish(self, status: int, content_type: str) -> None:
         """Reports the joined answer."""
         self._report(self._outcome(status, self._assembler.answer()))
@@ -58,8 +75,25 @@
         self._report(attrs.evolve(self._outcome(0, b""), error=error))
 
     def release(self, resume: bytes) -> None:
-        """Gives the lease back."""
-        self._give_back(self.item, resume)
+        """Gives the lease back with the events so far, if they can go on."""
+        progress = b""
+        if resume:
+            progress = msgspec.msgpack.encode(
+                _Progress(resume, self._assembler.state(), self._tokens)
+            )
+        self._give_back(self.item, progress)
+
+    def _restore(self) -> bytes:
+        """Takes up the progress of an earlier lease; returns the engine's token."""
+        if not self.item.resume:
+            return b""
+        try:
+            progress = msgspec.msgpack.decode(self.item.resume, type=_Progress)
+        except msgspec.DecodeError:
+            return b""
+        self._assembler = AnswerAssembler(progress.answer)
+        self._tokens = progress.tokens
+        return progress.token
 
     def _outcome(self, status: int, body: bytes) -> ItemOutcome:
         return ItemOutcome(
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -4,6 +4,7 @@
 
 import attrs
 from loguru import logger
+from twisted.internet.defer import Deferred
 
 from ..admission import (
     Admission,
@@ -26,6 +27,7 @@
 from ..net import Clock
 from ..net._loops import spawn
 from ._engine_client import EngineClient
+from ._engine_types import EngineEnd
 from ._work import Work
 
 
@@ -38,13 +40,21 @@
 
 @attrs.define
 class _Run:
+    """What the lane knows of one stream.
+
+    ``cancelled`` gives the engine's resume token once a cancel was answered. A run
+    is parked when the engine knows it no more and admission has not resumed it.
+    """
+
     work: Work
     resume: bytes = b""
-    engine_knows_it: bool = False
-    cancelling: bool = False
+    at_engine: bool = False
+    withdrawn: bool = False
     taken_back: bool = False
     resume_wanted: bool = False
-    withdrawn: bool = False
+    releasing: bool = False
+    cancelled: Deferred[bytes] | None = None
+    stopped: Deferred[None] | None = None
 
 
 class EngineLane:
@@ -101,8 +111,8 @@
         if run is None:
             return
         run.withdrawn = True
-        if run.engine_knows_it:
-            spawn(self._cancel(run))
+        if run.at_engine:
+            self._cancel(run)
         self._tell(StreamEnded(stream_id))
 
     def tick(self) -> None:
@@ -135,7 +145,9 @@
             case ResumeStream():
                 self._resume(run)
             case TakeBackStream():
-                spawn(self._take_back(run))
+                run.taken_back = True
+                run.resume_wanted = False
+                self._cancel(run)
             case ReleaseStream():
                 spawn(self._release(run))
             case ShedStream():
@@ -143,9 +155,27 @@
                 run.work.fail(effect.error)
 
     async def _run(self, run: _Run) -> None:
+        """Runs a stream to its end, with every taking back and resuming between."""
+        run.at_engine = True
+        while run.at_engine:
+            end = await self._run_once(run)
+            if run.withdrawn:
+                run.at_engine = False
+            elif isinstance(end, EngineEnd) and end.whole:
+                self._end(run)
+                run.work.finish(end.status, end.content_type)
+            elif run.taken_back:
+                await self._park(run, isinstance(end, EngineEnd))
+            else:
+                self._end(run)
+                run.work.fail(_cut_error() if isinstance(end, EngineEnd) else end)
+        if run.stopped is not None:
+            run.stopped.callback(None)
+
+    async def _run_once(self, run: _Run) -> EngineEnd | ErrorReport:
         stream_id = run.work.stream_id
-        run.engine_knows_it = True
         run.taken_back = False
+        run.cancelled = None
 
         def on_chunk(payload: bytes, tokens: int) -> None:
             if run.withdrawn:
@@ -155,63 +185,57 @@
                 self._tell(TokensArrived(stream_id, tokens))
 
         try:
-            end = await self._engine.run(
+            return await self._engine.run(
                 stream_id, run.work.path, run.work.body, on_chunk, run.resume
             )
         except PomeloshiftError as exc:
-            run.engine_knows_it = False
-            if not self._was_stopped(run):
-                self._end(run)
-                run.work.fail(exc.report())
-            return
-        run.engine_knows_it = False
-        if self._was_stopped(run):
-            return
-        self._end(run)
-        if end.whole:
-            run.work.finish(end.status, end.content_type)
-        else:
-            run.work.fail(_cut_error())
+            return exc.report()
 
-    def _was_stopped(self, run: _Run) -> bool:
-        return run.withdrawn or run.taken_back
+    async def _park(self, run: _Run, was_closed_cleanly: bool) -> None:
+        """Keeps the progress of a stream that was taken back.
 
-    def _end(self, run: _Run) -> None:
-        self._runs.pop(run.work.stream_id, None)
-        self._tell(StreamEnded(run.work.stream_id))
-
-    async def _take_back(self, run: _Run) -> None:
-        run.taken_back = True
-        run.cancelling = True
-        run.resume = await self._cancel(run) or run.resume
-        run.cancelling = False
-        if run.resume_wanted and not run.withdrawn:
-            run.resume_wanted = False
-            spawn(self._run(run))
+        The engine closes a stream only after every token that its resume token
+        covers; after a broken connection the stream has to begin anew.
+        """
+        token = b"" if run.cancelled is None else await run.cancelled
+        run.resume = token if was_closed_cleanly else b""
+        if not run.resume:
+            run.work.restart()
+        run.at_engine = run.resume_wanted and not run.withdrawn
 
     def _resume(self, run: _Run) -> None:
-        if run.cancelling:
-            run.resume_wanted = True
-        else:
+        if run.at_engine:
+            run.resume_wanted = not run.releasing
+        elif not run.releasing:
             spawn(self._run(run))
 
-    async def _release(self, run: _Run) -> None:
+    def _end(self, run: _Run) -> None:
+        run.at_engine = False
         self._runs.pop(run.work.stream_id, None)
-        run.withdrawn = True
-        resume = run.resume
-        if run.engine_knows_it:
-            resume = await self._cancel(run) or resume
         self._tell(StreamEnded(run.work.stream_id))
-        run.work.release(resume)
 
-    async def _cancel(self, run: _Run) -> bytes:
+    async def _release(self, run: _Run) -> None:
+        run.releasing = True
+        run.taken_back = True
+        run.resume_wanted = False
+        if run.at_engine:
+            self._cancel(run)
+            run.stopped = Deferred()
+            await run.stopped
+        if self._runs.pop(run.work.stream_id, None) is not None:
+            self._tell(StreamEnded(run.work.stream_id))
+            run.work.release(run.resume)
+
+    def _cancel(self, run: _Run) -> None:
+        if run.cancelled is None:
+            run.cancelled = spawn(self._cancel_at_engine(run.work.stream_id))
+
+    async def _cancel_at_engine(self, stream_id: str) -> bytes:
         try:
-            return await self._engine.cancel(run.work.stream_id)
+            return await self._engine.cancel(stream_id)
         except PomeloshiftError as exc:
             logger.warning(
-                "event=cancel_failed stream={} code={}",
-                run.work.stream_id,
-                exc.code.value,
+                "event=cancel_failed stream={} code={}", stream_id, exc.code.value
             )
             return b""
 
--- a/src/pomeloshift/sidecar/_online_work.py
+++ b/src/pomeloshift/sidecar/_online_work.py
@@ -23,6 +23,7 @@
         self._sink = sink
         self._assembler = None if req.stream else AnswerAssembler()
         self.stream_id = req.attempt_id
+        self.is_batch = False
         self.path = req.path
         self.body = req.body if req.stream else request_stream(req.body)
 
@@ -45,6 +46,11 @@
             return
         self._append(payload, tokens, STREAM_CONTENT_TYPE)
 
+    def restart(self) -> None:
+        """Ends the attempt, because its frames cannot be taken back."""
+        message = "the engine lost the attempt's progress"
+        self.fail(ErrorReport(ErrorCode.BACKEND_SERVER_LOST, message, Ran.YES))
+
     def finish(self, status: int, content_type: str) -> None:
         """Publishes what is left and the last frame."""
         if self._assembler is not None:
--- a/src/pomeloshift/sidecar/_work.py
+++ b/src/pomeloshift/sidecar/_work.py
@@ -13,6 +13,10 @@
     def stream_id(self) -> str:
         """The id under which the engine knows the stream."""
 
+    @property
+    def is_batch(self) -> bool:
+        """Whether the work may be taken back and released."""
+
     @property
     def path(self) -> str:
         """The engine's path."""
@@ -27,6 +31,9 @@
     def take(self, payload: bytes, tokens: int) -> None:
         """Takes whole events from the engine."""
 
+    def restart(self) -> None:
+        """The engine begins anew; what it sent before does not count."""
+
     def finish(self, status: int, content_type: str) -> None:
         """The engine's answer is whole."""
 
