Carry and checkpoint what outlives the log's retention

Cause: the log drops records by age while results stay until the job's retention ends. Change: owners append live records anew at a third of the log's retention and the folded state as a checkpoint at a quarter; both name the offsets that they stand for, so that late or doubled ones change nothing; jobs and files end with a record at the end of their retention.

--- a/src/pomeloshift/batch/__init__.py
+++ b/src/pomeloshift/batch/__init__.py
@@ -55,10 +55,24 @@
 from ._result_lines import Result, result_line
 from ._snapshot import restore_state, snapshot_state
 from ._state import PartitionState
+from ._time_index import TimeIndex
+from ._upkeep import (
+    CarryOrder,
+    Retention,
+    carry_orders,
+    expiry_records,
+    is_checkpoint_due,
+)
 from ._views import FileView, JobView, file_view, job_view
 from ._window import window_seconds
 
 __all__ = [
+    "is_checkpoint_due",
+    "expiry_records",
+    "carry_orders",
+    "Retention",
+    "CarryOrder",
+    "TimeIndex",
     "Attempt",
     "AttemptStarted",
     "AttemptWithdrawn",
--- /dev/null
+++ b/src/pomeloshift/batch/_upkeep.py
@@ -0,0 +1,108 @@
+"""Keeps what is live readable although the log forgets."""
+
+from collections.abc import Iterator
+
+import attrs
+from attrs import validators as v
+
+from ..log import Record
+from ._file_state import FileState
+from ._job_state import NO_OFFSET, JobState
+from ._records import FileDeleted, JobExpired
+from ._state import PartitionState
+from ._time_index import TimeIndex
+
+CARRY_SHARE = 1 / 3
+CHECKPOINT_SHARE = 1 / 4
+
+
+@attrs.frozen
+class Retention:
+    """How long things are kept, in seconds.
+
+    ``log_s`` is the age at which the log drops a record, and ``result_s`` how long
+    files stay after their upload and jobs after their end.
+    """
+
+    log_s: float = attrs.field(validator=v.gt(0))
+    result_s: float = attrs.field(validator=v.gt(0))
+
+
+@attrs.frozen
+class CarryOrder:
+    """Append the record at ``offset`` anew: a chunk or the result of an item."""
+
+    owner_id: str
+    number: int
+    offset: int
+
+
+def expiry_records(
+    state: PartitionState, retention: Retention, wall: float
+) -> list[Record]:
+    """Returns records that end what has reached the end of its retention."""
+    oldest = wall - retention.result_s
+    jobs = [
+        Record(f"{job.job_id}/expired", JobExpired(job.job_id, wall))
+        for job in state.jobs.values()
+        if job.ended_at is not None and job.ended_at < oldest
+    ]
+    files = [
+        Record(
+            f"{file.file_id}/expired/{file.created_at}",
+            FileDeleted(file.file_id, wall),
+        )
+        for file in state.files.values()
+        if file.created_at < oldest
+    ]
+    return jobs + files
+
+
+def carry_orders(
+    state: PartitionState, index: TimeIndex, retention: Retention, wall: float
+) -> Iterator[CarryOrder]:
+    """Yields what has to be appended anew before the log drops it.
+
+    Records are carried at a third of the log's retention. An owner that starts from
+    a checkpoint takes older records to be as young as the checkpoint, so that they
+    may be two thirds of the retention old before they are carried.
+    """
+    end = index.offset_at(wall - retention.log_s * CARRY_SHARE)
+    if end <= 0:
+        return
+    for file in state.files.values():
+        yield from _old_chunks(file.file_id, file, end)
+    for job in state.jobs.values():
+        yield from _old_chunks(job.job_id, job, end)
+        yield from _old_results(job, end)
+
+
+def is_checkpoint_due(
+    state: PartitionState,
+    last_at: float | None,
+    retention: Retention,
+    wall: float,
+) -> bool:
+    """Tells whether the state has to be appended as a checkpoint.
+
+    ``last_at`` is when the latest checkpoint was appended, `None` before the first.
+    """
+    if not (state.files or state.jobs or state.deleted_ids):
+        return False
+    if last_at is None:
+        return True
+    return wall - last_at >= retention.log_s * CHECKPOINT_SHARE
+
+
+def _old_chunks(
+    owner_id: str, owner: FileState | JobState, end: int
+) -> Iterator[CarryOrder]:
+    for number, offset in enumerate(owner.chunks):
+        if offset < end:
+            yield CarryOrder(owner_id, number, offset)
+
+
+def _old_results(job: JobState, end: int) -> Iterator[CarryOrder]:
+    for number, offset in enumerate(job.results):
+        if NO_OFFSET < offset < end:
+            yield CarryOrder(job.job_id, number, offset)
--- a/src/pomeloshift/entry/batch/_partition_runner.py
+++ b/src/pomeloshift/entry/batch/_partition_runner.py
@@ -10,14 +10,19 @@
 from twisted.python.failure import Failure
 
 from ...batch import (
+    Carried,
+    CarryOrder,
     PartitionOwner,
     PartitionReplay,
     PartitionState,
+    TimeIndex,
     job_codec,
     partition_stream,
+    snapshot_state,
 )
 from ...errors import PomeloshiftError
 from ...log import (
+    Checkpoint,
     CommitBufferFullError,
     CommitEffect,
     GroupCommitter,
@@ -32,6 +37,7 @@
     StartAppend,
     StoredRecord,
     StreamFollower,
+    checkpoint_records,
 )
 from ...net import Clock
 from ...net._loops import spawn
@@ -69,6 +75,7 @@
         self.partition = partition
         self.stream = partition_stream(partition)
         self.used_at = clock.monotonic()
+        self.times = TimeIndex()
         self._name = name
         self._log = log
         self._reactor = reactor
@@ -253,6 +260,24 @@
                 raise LogUnavailableError(f"offset {start} cannot be read")
         return found
 
+    async def carry(self, orders: Sequence[CarryOrder]) -> None:
+        """Appends records anew that the log would drop."""
+        found = await self.records_at([order.offset for order in orders])
+        records = []
+        for order in orders:
+            data = self._codec.encode(found[order.offset])
+            body = Carried(order.owner_id, order.number, order.offset, data)
+            record_id = f"{order.owner_id}/carry/{order.offset}"
+            records.append(Record(record_id, body))
+        await self.commit(records, self._settings.accept_s)
+
+    async def append_checkpoint(self, checkpoint_id: str) -> None:
+        """Appends the state as a checkpoint, part by part."""
+        data = snapshot_state(self.state)
+        checkpoint = Checkpoint(checkpoint_id, self.state.next_offset, data)
+        for record in checkpoint_records(checkpoint):
+            await self.commit([record], self._settings.accept_s)
+
     async def sync(self) -> None:
         """Reads what others have appended."""
         if self._syncing or not self.is_open:
@@ -283,6 +308,7 @@
                 replay.has_lost_state,
             )
         self._follower.next_offset = replay.state.next_offset
+        self.times = replay.times
         self._owner = PartitionOwner(
             self.partition, replay.state, self._settings.owner, self._name, self._rng
         )
@@ -314,16 +340,23 @@
             )
             self.state.advance(stored.offset)
             return
-        self._cache.put((self.stream, stored.offset), record, len(stored.data))
+        key = (self.stream, stored.offset)
+        self._cache.put(key, self._unwrap(record), len(stored.data))
+        self.times.note(stored.offset, record.body)
         self.owner.apply(stored.offset, record)
         self._committer.observed(record.record_id, stored.offset)
         self._release(record.record_id, None)
 
     def _keep(self, stored: StoredRecord) -> Record:
-        record = self._codec.decode(stored.data)
+        record = self._unwrap(self._codec.decode(stored.data))
         self._cache.put((self.stream, stored.offset), record, len(stored.data))
         return record
 
+    def _unwrap(self, record: Record) -> Record:
+        if isinstance(record.body, Carried):
+            return self._codec.decode(record.body.data)
+        return record
+
     def _wait_for(self, record_id: str) -> Deferred[None]:
         waiter: Deferred[None] = Deferred()
         self._waiters.setdefault(record_id, []).append(waiter)
--- a/src/pomeloshift/entry/batch/_service.py
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -40,6 +40,7 @@
 from ._peer_client import PeerClient
 from ._record_cache import RecordCache
 from ._settings import BatchSettings
+from ._upkeep import Upkeep
 from ._upload import checked_chunks
 
 SERVE_TURN_S = 0.5
@@ -81,6 +82,7 @@
         self._peers = PeerClient(reactor, internal_key, settings.forward_s)
         self._api = PeerApi(self._serve_here, internal_key)
         self._loops = Loops(reactor)
+        self._upkeep = Upkeep(name, clock, rng, settings, current_config)
 
     @property
     def internal_resource(self) -> Any:
@@ -97,6 +99,7 @@
         self._loops.repeat(self._follow_ownership, self._settings.ownership_s)
         self._loops.repeat(self._poll, self._settings.poll_s)
         self._loops.repeat(self._tick, SERVE_TURN_S)
+        self._loops.repeat(self._keep_up, self._settings.upkeep_s)
 
     async def stop(self) -> None:
         """Stops serving at once."""
@@ -366,6 +369,11 @@
         for runner in self._open_runners():
             runner.tick()
 
+    async def _keep_up(self) -> None:
+        for partition, service in list(self._served.items()):
+            if self._is_owner(partition) and service.runner.is_open:
+                await self._upkeep.keep_up(service.runner)
+
     def _open_runners(self) -> list[PartitionRunner]:
         runners = [service.runner for service in self._served.values()]
         return [runner for runner in runners if runner.is_open]
--- a/src/pomeloshift/entry/batch/_settings.py
+++ b/src/pomeloshift/entry/batch/_settings.py
@@ -16,6 +16,7 @@
     ``settle_s`` is how long a sidecar waits for its results to become durable and
     ``accept_s`` how long a caller waits for its job or file. ``cache_bytes`` bounds
     the items and results kept in memory; all of them are read from the log again.
+    ``log_retention_s`` is the age at which the log service drops a record.
     """
 
     owner: OwnerSettings = OwnerSettings()
@@ -29,3 +30,5 @@
     forward_s: float = attrs.field(default=60.0, validator=v.gt(0))
     cache_bytes: int = attrs.field(default=8_388_608, validator=v.ge(0))
     max_file_bytes: int = attrs.field(default=104_857_600, validator=v.ge(1))
+    log_retention_s: float = attrs.field(default=86400.0, validator=v.gt(0))
+    upkeep_s: float = attrs.field(default=60.0, validator=v.gt(0))
