--- /dev/null
+++ b/src/pomeloshift/bench/faults/_callers.py
@@ -0,0 +1,185 @@
+"""Callers that send online requests and read the answers."""
+
+from typing import Any
+
+import msgspec
+from treq.client import HTTPClient
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
+from twisted.internet.error import ConnectError, ConnectionClosed
+from twisted.internet.task import deferLater
+from twisted.web.client import (
+    Agent,
+    HTTPConnectionPool,
+    PartialDownloadError,
+    ResponseFailed,
+    ResponseNeverReceived,
+)
+from twisted.web.http_headers import Headers
+
+from ...errors import Ran
+from ...standins.engine import expected_answer
+from ._engine import MODEL
+from ._history import OnlineCall
+from ._process import SimProcess
+from ._world import PLAIN, TOKEN, World
+
+CALLER_TIMEOUT_S = 30.0
+RESEND_PAUSE_S = 0.3
+MAX_SENDS = 4
+CONNECTION_LOST = "connection_lost"
+EVENT_PREFIX = b"data: "
+END_OF_STREAM = b"[DONE]"
+LOST_ANSWERS = (
+    CancelledError,
+    ConnectError,
+    ConnectionClosed,
+    PartialDownloadError,
+    ResponseFailed,
+    ResponseNeverReceived,
+    TimeoutError,
+)
+
+
+class HttpCaller:
+    """The HTTP client of one process; every request has its own connection."""
+
+    def __init__(self, process: SimProcess) -> None:
+        pool = HTTPConnectionPool(process, persistent=False)
+        agent: Any = Agent(process, connectTimeout=2.0, pool=pool)
+        self._http = HTTPClient(agent)
+        self.process = process
+
+    async def request(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
+        """Returns status and body; raises one of `LOST_ANSWERS`."""
+        fields = {"authorization": [f"Bearer {TOKEN}"]}
+        fields |= {name: [value] for name, value in (headers or {}).items()}
+        sending = Deferred.fromCoroutine(
+            self._request(method, url, body, Headers(fields))
+        )
+        sending.addTimeout(CALLER_TIMEOUT_S, self.process)
+        return await sending
+
+    async def _request(
+        self, method: str, url: str, body: Any, headers: Headers
+    ) -> tuple[int, bytes]:
+        response = await self._http.request(
+            method, url, data=body, headers=headers
+        )
+        return response.code, await response.content()
+
+    async def sleep(self, seconds: float) -> None:
+        """Waits."""
+        await deferLater(self.process, seconds, lambda: None)
+
+
+class OnlineCaller:
+    """Sends requests and, as clients do, sends them again after some failures."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self._http = HttpCaller(world.caller)
+
+    def complete(self, marker: str, entries: list[str], words: int = 6) -> OnlineCall:
+        """Sends a streamed completion to the entries in turn."""
+        prompt = " ".join([marker] + [f"word{n}" for n in range(words)])
+        if marker.startswith("poison"):
+            prompt += " CRASH-ENGINE"
+        fields = {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": 40,
+            "ignore_eos": True,
+            "stream": True,
+        }
+        body = msgspec.json.encode(fields)
+        call = self._new_call(marker, body, expected_answer(fields))
+        call.is_poison = marker.startswith("poison")
+        self._world.go(self._run(call, "/v1/completions", entries, {}))
+        return call
+
+    def call_service(self, key: str, entries: list[str]) -> OnlineCall:
+        """Sends a call that must not run twice."""
+        call = self._new_call(key, b"{}", "")
+        call.unrepeatable_key = key
+        headers = {"idempotency-key": key}
+        path = f"/v1/services/{PLAIN}/send/{key}"
+        self._world.go(self._run(call, path, entries, headers))
+        return call
+
+    def _new_call(self, marker: str, body: bytes, expected: str) -> OnlineCall:
+        now = self._world.clock.seconds()
+        call = OnlineCall(marker, body, expected, now)
+        self._world.history.online.append(call)
+        return call
+
+    async def _run(
+        self, call: OnlineCall, path: str, entries: list[str], headers: dict[str, str]
+    ) -> None:
+        for number in range(MAX_SENDS):
+            entry = entries[number % len(entries)]
+            await self._send(call, path, entry, headers)
+            if not self._is_worth_another_try(call):
+                break
+            await self._http.sleep(RESEND_PAUSE_S)
+        call.ended_at = self._world.clock.seconds()
+
+    def _is_worth_another_try(self, call: OnlineCall) -> bool:
+        if not call.error_code:
+            return False
+        return call.error_code == CONNECTION_LOST or call.ran is Ran.NO
+
+    async def _send(
+        self, call: OnlineCall, path: str, entry: str, headers: dict[str, str]
+    ) -> None:
+        call.text, call.whole, call.error_code, call.ran = "", False, "", None
+        address = self._world.entries[entry].entry.instance.address
+        url = f"http://{address}{path}"
+        headers = headers | {"content-type": "application/json"}
+        try:
+            status, body = await self._http.request("POST", url, call.body, headers)
+        except LOST_ANSWERS:
+            call.status, call.error_code = 0, CONNECTION_LOST
+            return
+        call.status = status
+        if call.unrepeatable_key and status == 200:
+            call.whole = True
+        elif status == 200:
+            _read_events(call, body)
+        else:
+            _read_error(call, body)
+
+
+def _read_events(call: OnlineCall, body: bytes) -> None:
+    for event in body.split(b"\n\n"):
+        data = event.removeprefix(EVENT_PREFIX)
+        if data == END_OF_STREAM:
+            call.whole = True
+        elif data:
+            _read_event(call, data)
+
+
+def _read_event(call: OnlineCall, data: bytes) -> None:
+    fields = msgspec.json.decode(data)
+    if "error" in fields:
+        _take_error(call, fields["error"])
+        return
+    for choice in fields["choices"]:
+        call.text += choice["text"]
+
+
+def _read_error(call: OnlineCall, body: bytes) -> None:
+    try:
+        _take_error(call, msgspec.json.decode(body)["error"])
+    except (msgspec.DecodeError, KeyError):
+        call.error_code = CONNECTION_LOST
+
+
+def _take_error(call: OnlineCall, error: dict[str, Any]) -> None:
+    call.error_code = error["code"]
+    call.ran = Ran(error["ran"])
--- /dev/null
+++ b/src/pomeloshift/bench/faults/_checker.py
@@ -0,0 +1,138 @@
+"""Judges a history; knows nothing of how the system works inside."""
+
+from collections import Counter
+
+from ...errors import Ran
+from ._counts import Counts
+from ._history import History, JobRecord, OnlineCall
+
+MAX_DEATHS_PER_REQUEST = 2
+GOOD_STATUS = 200
+
+
+def check(history: History) -> Counts:
+    """Counts the broken promises in a history."""
+    runs = Counter(run.marker for run in history.engine_runs)
+    counts = Counts(
+        doubled=_calls_run_twice(history),
+        reverted=_reverted(history) + _fenced_orders_reverted(history),
+        lost=_publications_lost(history),
+        orphaned=len(history.running_at_end),
+        poisoned=_deaths_beyond_limit(history),
+        unexpected=len(history.unexpected),
+    )
+    for call in history.online:
+        counts = counts.plus(_check_call(call, history, runs))
+    for job in history.jobs:
+        counts = counts.plus(_check_job(job, runs))
+    return counts
+
+
+def _check_call(call: OnlineCall, history: History, runs: Counter[str]) -> Counts:
+    if call.ended_at is None:
+        return Counts(lost=1)
+    ran = runs[call.marker] > 0 or any(
+        run.key == call.unrepeatable_key and call.unrepeatable_key
+        for run in history.calls_run
+    )
+    if call.ran is Ran.NO and ran and not call.unrepeatable_key:
+        return Counts(ran_after_refused=1)
+    if call.whole and not call.error_code and call.status == GOOD_STATUS:
+        return _check_text(call)
+    if not call.error_code:
+        return Counts(cut=1)
+    if history.planned_stop_at is not None and not call.is_poison:
+        return Counts(cut=1)
+    return Counts()
+
+
+def _check_text(call: OnlineCall) -> Counts:
+    if call.text == call.expected:
+        return Counts()
+    if call.expected.startswith(call.text):
+        return Counts(cut=1)
+    return Counts(crossed=1)
+
+
+def _calls_run_twice(history: History) -> int:
+    runs = Counter(run.key for run in history.calls_run)
+    return sum(count - 1 for count in runs.values())
+
+
+def _check_job(job: JobRecord, runs: Counter[str]) -> Counts:
+    ids = set(job.job_ids)
+    if not ids:
+        ran = sum(runs[marker] > 0 for marker in job.markers)
+        return Counts(ran_after_refused=ran if job.refused else 0)
+    doubled = len(ids) - 1
+    if not job.repeatable:
+        doubled += sum(max(0, runs[marker] - 1) for marker in job.markers)
+    counts = Counts(doubled=doubled, unreadable=job.unreadable)
+    if job.cancel_acknowledged_at is not None:
+        return counts.plus(_check_cancelled(job))
+    for marker in job.markers:
+        counts = counts.plus(_check_item(job, marker))
+    return counts
+
+
+def _check_item(job: JobRecord, marker: str) -> Counts:
+    texts = job.results.get(marker, [])
+    failures = job.failures.get(marker, [])
+    ends = len(texts) + len(failures)
+    if ends == 0:
+        return Counts(lost=1)
+    if ends > 1:
+        return Counts(doubled=ends - 1)
+    if failures:
+        excused = marker in job.poison or not job.repeatable
+        return Counts() if excused else Counts(lost=1)
+    return Counts(crossed=int(texts[0] != job.expected[marker]))
+
+
+def _check_cancelled(job: JobRecord) -> Counts:
+    if not job.statuses or job.statuses[-1] != "cancelled":
+        return Counts(lost=1)
+    after = job.statuses[job.statuses.index("cancelled") :]
+    return Counts(reverted=int(any(status != "cancelled" for status in after)))
+
+
+def _reverted(history: History) -> int:
+    reverted = 0
+    for versions in history.versions.values():
+        pairs = zip(versions, versions[1:], strict=False)
+        reverted += sum(later < earlier for earlier, later in pairs)
+    return reverted
+
+
+def _publications_lost(history: History) -> int:
+    """Counts accepted versions that are not in force, and processes left behind."""
+    accepted = [p.version for p in history.publications if p.version is not None]
+    duplicates = len(accepted) - len(set(accepted))
+    if not accepted:
+        return duplicates
+    newest = max(accepted)
+    behind = [v for v, _ in history.configs_at_end.values() if v < newest]
+    return duplicates + len(behind) + _differing_documents(history)
+
+
+def _differing_documents(history: History) -> int:
+    notes_by_version: dict[int, set[str]] = {}
+    for version, note in history.configs_at_end.values():
+        notes_by_version.setdefault(version, set()).add(note)
+    return sum(len(notes) - 1 for notes in notes_by_version.values())
+
+
+def _fenced_orders_reverted(history: History) -> int:
+    """Counts orders that took effect behind those of a later holder."""
+    newest: dict[str, int] = {}
+    reverted = 0
+    for order in history.orders:
+        seen = newest.get(order.engine, 0)
+        reverted += order.fencing_number < seen
+        newest[order.engine] = max(seen, order.fencing_number)
+    return reverted
+
+
+def _deaths_beyond_limit(history: History) -> int:
+    deaths = Counter(death.marker for death in history.deaths)
+    return sum(max(0, count - MAX_DEATHS_PER_REQUEST) for count in deaths.values())
--- a/src/pomeloshift/bench/faults/_control.py
+++ b/src/pomeloshift/bench/faults/_control.py
@@ -1,6 +1,6 @@
 """Carries control messages in virtual time, in place of pynng."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 import attrs
@@ -104,6 +104,12 @@
             raise ControlRefusedError(answer.error)
         return answer
 
+    def retain(self, urls: Iterable[str]) -> None:
+        """Forgets the connections to all peers but those given."""
+        keep = set(urls)
+        for url in [url for url in self._generations if url not in keep]:
+            del self._generations[url]
+
     async def close(self) -> None:
         """Has nothing to close."""
 
--- /dev/null
+++ b/src/pomeloshift/bench/faults/_engine.py
@@ -0,0 +1,95 @@
+"""An engine whose work is recorded in the history."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+import attrs
+
+from ...standins.engine import EngineServer, EngineSettings
+from ...standins.engine._orders import EngineOrder, EngineState
+from ._history import EngineDied, EngineEnded, EngineRan, History, OrderTookEffect
+from ._process import SimProcess
+
+MODEL = "lm"
+POISON = "poison"
+
+
+@attrs.define
+class RecordedState(EngineState):
+    """Tells each order that is carried out."""
+
+    on_order: Callable[[EngineOrder], None] | None = None
+
+    def apply(self, order: EngineOrder) -> None:
+        """Carries out an order."""
+        if self.on_order is not None:
+            self.on_order(order)
+        EngineState.apply(self, order)
+
+
+class RecordedEngine(EngineServer):
+    """The engine stand-in with its runs written down.
+
+    The caller's marker is the first word of the prompt.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        process: SimProcess,
+        rng: Random,
+        history: History,
+    ) -> None:
+        super().__init__(settings, process, process, rng)
+        self.name = settings.name
+        self.process = process
+        self._history = history
+        self._marker_of: dict[str, str] = {}
+        self.state = self._new_state()
+        self.on_submit: list[Callable[[str], None]] = []
+
+    @property
+    def running(self) -> list[str]:
+        """The markers of the work that the engine holds."""
+        return [self._marker_of[ident] for ident in self.model.stream_ids]
+
+    def crash(self) -> None:
+        """Dies; the poison request that was about to start is to blame."""
+        open_markers = [self._marker_of[ident] for ident in self._sessions]
+        blamed = [marker for marker in open_markers if marker.startswith(POISON)]
+        now = self.process.seconds()
+        for marker in blamed[:1]:
+            self._history.deaths.append(EngineDied(now, self.name, marker))
+        super().crash()
+
+    def restart(self) -> None:
+        """Comes back with empty memory."""
+        super().restart()
+        self.state = self._new_state()
+
+    def _submit(self, session: Any, done: int) -> None:
+        marker = session.generation.prompt_words[0]
+        self._marker_of[session.stream_id] = marker
+        now = self.process.seconds()
+        self._history.engine_runs.append(EngineRan(now, self.name, marker))
+        session.ended.addBoth(lambda _: self._note_end(marker))
+        super()._submit(session, done)
+        for hook in list(self.on_submit):
+            hook(marker)
+
+    def _note_end(self, marker: str) -> None:
+        now = self.process.seconds()
+        self._history.engine_ends.append(EngineEnded(now, self.name, marker))
+
+    def _new_state(self) -> RecordedState:
+        state = RecordedState(list(self.settings.models))
+        state.on_order = self._note_order
+        return state
+
+    def _note_order(self, order: EngineOrder) -> None:
+        now = self.process.seconds()
+        self._history.orders.append(
+            OrderTookEffect(now, self.name, order.value, order.fencing_number)
+        )
+
--- /dev/null
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -0,0 +1,306 @@
+"""A small deployment in virtual time that runs the programs' own code."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from random import Random
+from typing import Any
+from unittest.mock import patch
+
+import attrs
+from loguru import logger
+from twisted.internet import task
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock, Cooperator
+
+from ...config import (
+    CallPattern,
+    Configuration,
+    RegionConfig,
+    ServiceConfig,
+    ServiceKind,
+    WorkspaceConfig,
+    format_token,
+    make_api_key,
+)
+from ...entry import _entry as entry_module
+from ...entry._entry import Entry
+from ...model import Instance, InstanceState, Place
+from ...net._serve import serve
+from ...settings import EntrySettings, SidecarSettings
+from ...settings._sidecar import EngineAddress
+from ...sidecar import _sidecar as sidecar_module
+from ...sidecar._sidecar import Sidecar
+from ...standins.engine import EngineSettings
+from ...standins.livelist import ListModel
+from ...standins.log import LogModel, LogSettings
+from ...standins.service import PlainServiceServer, ServiceSettings
+from ._control import ControlSwitch, SimControlClient, SimControlServer
+from ._engine import MODEL, RecordedEngine
+from ._history import CallRan, History
+from ._log import LogWatch, SimLog
+from ._network import Network
+from ._process import SimProcess
+
+INTERNAL_KEY = "internal-key-of-the-bench"
+WORKSPACE = "vezi"
+SECRET = "a-long-secret-of-a-caller"
+TOKEN = format_token("k1", SECRET)
+PLAIN = "notes"
+ZONE_A = Place("west", "west-a")
+ZONE_B = Place("west", "west-b")
+ZONE_C = Place("east", "east-a")
+UNUSED_URL = "http://10.0.0.250:1"
+PARTITIONS = 2
+LIST_LAG_S = 0.5
+STEP_S = 0.04
+
+
+@attrs.define
+class EntryNode:
+    """An entry process."""
+
+    process: SimProcess
+    entry: Entry
+    place: Place
+    started: bool = False
+
+
+@attrs.define
+class SidecarNode:
+    """A backend server: its sidecar and its engine or plain service."""
+
+    process: SimProcess
+    sidecar: Sidecar
+    place: Place
+    engine: RecordedEngine | None = None
+    service: PlainServiceServer | None = None
+
+
+class SimList:
+    """The live list as one process reads it."""
+
+    def __init__(self, model: ListModel, process: SimProcess) -> None:
+        self._model = model
+        self._process = process
+
+    async def instances(self) -> tuple[Instance, ...]:
+        """Returns the instances that the list shows."""
+        return self._model.instances(self._process.seconds())
+
+
+class World:
+    """Entries, backend servers and the platform, and the time they run in."""
+
+    def __init__(self, seed: int, history: History) -> None:
+        self.clock = Clock()
+        self.rng = Random(seed)
+        self.history = history
+        self.network = Network(self.clock, self._fork())
+        self.switch = ControlSwitch()
+        self.log = LogModel(LogSettings(), self._fork())
+        self.watch = LogWatch()
+        self.live_list = ListModel(LIST_LAG_S)
+        self.entries: dict[str, EntryNode] = {}
+        self.sidecars: dict[str, SidecarNode] = {}
+        self._hosts = 0
+        self.caller = self.new_process("caller", ZONE_A)
+
+    def new_process(self, name: str, place: Place) -> SimProcess:
+        """Starts a process on an instance of its own."""
+        self._hosts += 1
+        host = f"10.0.0.{self._hosts}"
+        return SimProcess(name, host, place, self.clock, self.network)
+
+    def run(self, seconds: float) -> None:
+        """Lets the time pass."""
+        clock = self.clock
+        until = clock.seconds() + seconds
+        while clock.calls and clock.calls[0].getTime() <= until:
+            clock.rightNow = max(clock.rightNow, clock.calls[0].getTime())
+            clock.advance(0)
+        clock.rightNow = until
+
+    def run_until(self, is_done: Callable[[], bool], limit_s: float) -> bool:
+        """Lets the time pass until something holds; tells whether it does."""
+        give_up_at = self.clock.seconds() + limit_s
+        while not is_done() and self.clock.seconds() < give_up_at:
+            self.run(0.05)
+        return is_done()
+
+    def start_entry(self, name: str, place: Place) -> EntryNode:
+        """Starts an entry and has the platform list it."""
+        process = self.new_process(name, place)
+        settings = EntrySettings(
+            name=name,
+            place=place,
+            log_url=UNUSED_URL,
+            list_url=UNUSED_URL,
+            internal_key=INTERNAL_KEY,
+            host=process.host,
+            port=0,
+            control_port=0,
+            partitions=PARTITIONS,
+            drain_linger_s=1.0,
+        )
+        listed: Any = SimList(self.live_list, process)
+        log = SimLog(self.log, process, self.watch)
+        entry = Entry(settings, listed, process, process, self._fork(), log)
+        node = EntryNode(process, entry, place)
+        self.entries[name] = node
+        self.go(entry.start())
+        self.live_list.put(entry.instance, self.clock.seconds())
+        node.started = True
+        return node
+
+    def start_sidecar(
+        self, name: str, place: Place, *, checks_fencing: bool = True
+    ) -> SidecarNode:
+        """Starts a backend server with an engine."""
+        process = self.new_process(name, place)
+        settings = EngineSettings(
+            name=name,
+            models=(MODEL,),
+            step_base_s=STEP_S,
+            step_per_sequence_s=0.0,
+            checks_fencing=checks_fencing,
+            restart_s=1.0,
+            order_s=0.2,
+        )
+        engine = RecordedEngine(settings, process, self._fork(), self.history)
+        listener = serve(process, engine.resource, process.host)
+        node = self._start_sidecar(
+            process, name, place, MODEL, ServiceKind.MODEL, listener.address
+        )
+        node.engine = engine
+        return node
+
+    def start_plain(self, name: str, place: Place) -> SidecarNode:
+        """Starts a backend server with a plain service."""
+        process = self.new_process(name, place)
+        service = PlainServiceServer(ServiceSettings(delay_s=0.2), process, process)
+        self._record_calls(service)
+        listener = serve(process, service.resource, process.host)
+        node = self._start_sidecar(
+            process, name, place, PLAIN, ServiceKind.PLAIN, listener.address
+        )
+        node.service = service
+        return node
+
+    def restart_sidecar(self, name: str) -> SidecarNode:
+        """Starts a backend server of that name on a new instance."""
+        old = self.sidecars[name]
+        return self.start_sidecar(name, old.place)
+
+    def restart_entry(self, name: str) -> EntryNode:
+        """Starts an entry of that name on a new instance."""
+        return self.start_entry(name, self.entries[name].place)
+
+    def mark_leaving(self, instance: Instance) -> None:
+        """Has the platform list an instance as leaving."""
+        leaving = attrs.evolve(instance, state=InstanceState.LEAVING)
+        self.live_list.put(leaving, self.clock.seconds())
+
+    def go(self, coroutine: Any) -> Deferred[Any]:
+        """Starts a coroutine; a failure of it is kept in the history."""
+        running = Deferred.fromCoroutine(coroutine)
+        running.addErrback(self._note_failure)
+        return running
+
+    def _start_sidecar(
+        self,
+        process: SimProcess,
+        name: str,
+        place: Place,
+        service: str,
+        kind: ServiceKind,
+        address: str,
+    ) -> SidecarNode:
+        settings = SidecarSettings(
+            name=name,
+            place=place,
+            service=service,
+            engines=(EngineAddress(name, f"http://{address}"),),
+            list_url=UNUSED_URL,
+            internal_key=INTERNAL_KEY,
+            kind=kind,
+            host=process.host,
+            port=0,
+            lease_s=5.0,
+        )
+        listed: Any = SimList(self.live_list, process)
+        sidecar = Sidecar(settings, listed, process, process, self._fork())
+        node = SidecarNode(process, sidecar, place)
+        self.sidecars[name] = node
+        self.go(sidecar.start())
+        self.live_list.put(sidecar.instance, self.clock.seconds())
+        return node
+
+    def _record_calls(self, service: PlainServiceServer) -> None:
+        ledger = service.ledger
+        record = ledger.record
+
+        def recorded(call_id: str, method: str, path: str) -> int:
+            now = self.clock.seconds()
+            self.history.calls_run.append(CallRan(now, path.rsplit("/", 1)[-1]))
+            return record(call_id, method, path)
+
+        ledger.record = recorded  # type: ignore[method-assign]
+
+    def _note_failure(self, failure: Any) -> None:
+        self.history.unexpected.append(f"{failure.type.__name__}: {failure.value}")
+
+    def _fork(self) -> Random:
+        return Random(self.rng.getrandbits(64))
+
+
+def configuration(note: str) -> Configuration:
+    """Returns a configuration that can be told from others by its deployment."""
+    return Configuration(
+        deployment=note,
+        regions=(
+            RegionConfig("west", ("west-a", "west-b")),
+            RegionConfig("east", ("east-a",)),
+        ),
+        services=(
+            ServiceConfig(
+                MODEL,
+                online_deadline_s=20.0,
+                unrepeatable_calls=(CallPattern("POST", "/v1/chat"),),
+            ),
+            ServiceConfig(
+                PLAIN,
+                kind=ServiceKind.PLAIN,
+                online_deadline_s=20.0,
+                unrepeatable_calls=(CallPattern("POST", "/"),),
+            ),
+        ),
+        workspaces=(WorkspaceConfig(WORKSPACE),),
+        api_keys=(make_api_key("k1", WORKSPACE, SECRET, salt="s"),),
+    )
+
+
+@contextmanager
+def carriers(switch: ControlSwitch, clock: Clock, history: History) -> Iterator[None]:
+    """Puts the carriers of virtual time in the place of pynng for a while.
+
+    Bodies of HTTP requests are produced by twisted's one cooperator, which needs the
+    virtual clock too.
+    """
+    cooperator = Cooperator(scheduler=lambda turn: clock.callLater(0, turn))
+    client = type("Client", (SimControlClient,), {"switch": switch})
+    server = type("Server", (SimControlServer,), {"switch": switch})
+    sink = logger.add(
+        lambda message: history.unexpected.append(str(message).strip()),
+        level="ERROR",
+        format="{message} {exception}",
+    )
+    try:
+        with (
+            patch.object(entry_module, "ControlClient", client),
+            patch.object(entry_module, "ControlServer", server),
+            patch.object(sidecar_module, "ControlClient", client),
+            patch.object(task, "_theCooperator", cooperator),
+        ):
+            yield
+    finally:
+        logger.remove(sink)
