--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -53,15 +53,10 @@
         self.cfg = cfg
         self._roster = Roster()
         self._steps = StepModel()
-        weight = cfg.batch_weight
-        self._tail_ratio = 1.02 + 0.13 * weight
-        self._tail_quantile = 0.95 + 0.03 * weight
-        self._queue_quantile = 0.9
-        self._queue_streams = 2
-        self._burst_streams = 99
         self._first_tokens = FirstTokenModel(self._steps)
-        highest_scale = 0.75 + 0.3 * weight
-        self._pace = PaceGoal(cfg.between_tokens_target_s, LATE_SHARE, highest_scale)
+        self._pace = PaceGoal(
+            cfg.between_tokens_target_s, LATE_SHARE, cfg.highest_pace_scale
+        )
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
         )
@@ -73,6 +68,12 @@
         self._online_tokens = FIRST_STREAM_TOKENS
         self._sequence = 0
 
+    def reconfigure(self, cfg: AdmissionConfig) -> None:
+        """Applies other settings; what was learnt of the engine is kept."""
+        self.cfg = cfg
+        self._pace.target_s = cfg.between_tokens_target_s
+        self._pace.highest_scale = cfg.highest_pace_scale
+
     def handle(self, event: AdmissionEvent, now: float) -> list[AdmissionEffect]:
         """Takes an event at ``now`` and returns what the shell has to do, in order."""
         if type(event) is TokensArrived:
@@ -208,9 +209,9 @@
         self._shadow.advance(now, chunk)
         alone_s = self._shadow.wait_s(stream.read_tokens, chunk)
         model.observe_wait(alone_s)
-        queued = len(roster.online_reading) > self._queue_streams
-        quantile = self._queue_quantile if queued else self._tail_quantile
-        limit_s = max(model.tail_s(quantile), alone_s * self._tail_ratio)
+        queued = len(roster.online_reading) > self.cfg.queue_streams
+        quantile = self.cfg.queue_quantile if queued else self.cfg.tail_quantile
+        limit_s = max(model.tail_s(quantile), alone_s * self.cfg.tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
         stream.max_batch = max(0.0, room)
         batch_ahead = sum(s.read_tokens for s in roster.batch_reading.values())
@@ -244,7 +245,7 @@
 
     def _protected_cap(self) -> float:
         reading = self._roster.online_reading.values()
-        if len(reading) >= self._burst_streams:
+        if len(reading) >= self.cfg.burst_streams:
             return 0.0
         return min((s.max_batch for s in reading), default=float("inf"))
 
--- a/src/pomeloshift/cli/_main.py
+++ b/src/pomeloshift/cli/_main.py
@@ -1,18 +1,24 @@
 """Entry point of the command line."""
 
-import fire
+import sys
 
 from .. import __version__
+from ..errors import PomeloshiftError
 
-
-class Commands:
-    """Serves online and batch inference on one fleet."""
-
-    def version(self) -> str:
-        """Prints the version."""
-        return __version__
+EXIT_FAILURE = 1
 
 
 def main() -> None:
     """Runs the command that the process's arguments name."""
-    fire.Fire(Commands, name="pomeloshift")
+    if sys.argv[1:] in (["--version"], ["version"]):
+        print(f"pomeloshift {__version__}")
+        return
+    import fire
+
+    from ._commands import Commands
+
+    try:
+        fire.Fire(Commands, name="pomeloshift")
+    except PomeloshiftError as exc:
+        print(f"error {exc.code.value}: {exc.message}", file=sys.stderr)
+        sys.exit(EXIT_FAILURE)
--- /dev/null
+++ b/src/pomeloshift/net/_loops.py
@@ -0,0 +1,92 @@
+"""Functions that a process runs again and again."""
+
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.task import LoopingCall
+
+from ..errors import PomeloshiftError
+
+RETRY_S = 0.1
+
+
+class Loops:
+    """Runs functions at intervals until it is stopped.
+
+    A turn that fails is logged and the loop goes on; a turn never starts before the
+    last one has ended.
+    """
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._loops: list[LoopingCall] = []
+        self._calls: dict[Callable[[], float], Any] = {}
+
+    def repeat(self, function: Callable[[], Any], interval_s: float) -> None:
+        """Calls ``function`` now and every ``interval_s`` seconds.
+
+        The function may be a coroutine function that awaits deferreds.
+        """
+        loop = LoopingCall(_guard(function))
+        loop.clock = self._reactor
+        loop.start(interval_s, now=True)
+        self._loops.append(loop)
+
+    def repeat_as_needed(self, function: Callable[[], float]) -> None:
+        """Calls ``function`` now and again after the seconds that it returns."""
+        self._schedule(function, 0.0)
+
+    def _schedule(self, function: Callable[[], float], delay_s: float) -> None:
+        self._calls[function] = self._reactor.callLater(
+            delay_s, self._run_turn, function
+        )
+
+    def _run_turn(self, function: Callable[[], float]) -> None:
+        try:
+            delay_s = function()
+        except Exception as exc:
+            delay_s = RETRY_S
+            logger.opt(exception=exc).error(
+                "event=turn_failed task={}", function.__qualname__
+            )
+        if function in self._calls:
+            self._schedule(function, delay_s)
+
+    def stop(self) -> None:
+        """Ends all loops; a turn under way goes on to its end."""
+        for call in self._calls.values():
+            if call.active():
+                call.cancel()
+        self._calls.clear()
+        for loop in self._loops:
+            if loop.running:
+                loop.stop()
+        self._loops.clear()
+
+
+def spawn(coroutine: Any) -> Deferred[Any]:
+    """Starts a coroutine and logs the exception that ends it, if any."""
+    return Deferred.fromCoroutine(coroutine).addErrback(_log_failure, "task")
+
+
+def _guard(function: Callable[[], Any]) -> Callable[[], Deferred[Any]]:
+    name = getattr(function, "__qualname__", "loop")
+
+    def turn() -> Deferred[Any]:
+        return maybeDeferred(function).addErrback(_log_failure, name)
+
+    return turn
+
+
+def _log_failure(failure: Any, name: str) -> None:
+    if failure.check(PomeloshiftError):
+        logger.warning(
+            "event=turn_failed task={} code={} message={!r}",
+            name,
+            failure.value.code.value,
+            failure.value.message,
+        )
+    else:
+        logger.opt(exception=failure.value).error("event=turn_failed task={}", name)
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,51 @@
+from functools import partial
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from pomeloshift.net import install_reactor
+
+# Libraries that test modules import install another reactor if none is there yet.
+REACTOR = install_reactor()
+
+
+@pytest.fixture(scope="session")
+def reactor():
+    """The asyncio reactor, started: its thread pool resolves addresses."""
+    loop = REACTOR._asyncioEventloop
+    REACTOR.startRunning(installSignalHandlers=False)
+    yield REACTOR
+    stopped = REACTOR.fireSystemEvent("shutdown")
+    assert stopped is None
+    loop.run_until_complete(loop.shutdown_asyncgens())
+
+
+@pytest.fixture
+def run_async(reactor):
+    """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
+
+    def run(coroutine):
+        loop = reactor._asyncioEventloop
+        return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
+
+    return run
+
+
+@pytest.fixture
+def run_blocking(reactor):
+    """Runs a blocking function in a thread while the reactor's loop goes on."""
+
+    def run(function, *args, **kwargs):
+        loop = reactor._asyncioEventloop
+        call = partial(function, *args, **kwargs)
+        return loop.run_until_complete(loop.run_in_executor(None, call))
+
+    return run
+
+
+@pytest.fixture
+def pause(reactor):
+    """Returns a function whose result is a deferred that fires after seconds."""
+    from twisted.internet.task import deferLater
+
+    return lambda seconds: deferLater(reactor, seconds, lambda: None)
