Give batch work back in bursts and keep places at the engine free

Cause: under bursts batch work was given back only as predictions entered the tail; at twice the speed the engine's places ran out before its steps did. Change: batch keeps a small share of a step once prompts have been read without a break, no batch prompt is started while an online one is read, take back only beyond a bound above the limit, places learned from starts that stay stuck; protection and limit are classes of their own.

--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -1,6 +1,7 @@
 """The decisions of one backend server's admission."""
 
 from ..model import LoadReport
+from ._batch_limit import BatchLimit
 from ._config import AdmissionConfig
 from ._errors import DeadlinePassedError, EngineFullError
 from ._first_token_model import FirstTokenModel
@@ -20,17 +21,12 @@
 )
 from ._observer import Observer
 from ._pace_goal import PaceGoal
+from ._protection import Protection
 from ._roster import Roster
-from ._shadow_queue import ShadowQueue
 from ._step_model import StepModel
 from ._stream import Phase, Stream
 
 LATE_SHARE = 0.04
-FIRST_BATCH_LIMIT = 8.0
-SLOW_START_GROWTH = 1.0
-GROWTH_SHARE = 0.1
-HARD_LIMIT_SHARE = 1.12
-ONLINE_SHARE = 0.02
 RESUME_READ_TOKENS = 10
 CACHED_S = 20.0
 WANTED_INTERVAL_S = 0.1
@@ -38,6 +34,7 @@
 FIRST_STREAM_TOKENS = 1000.0
 FIRST_STREAM_S = 5.0
 RETRY_AFTER_S = 1.0
+MAX_TOKENS = 1e12
 
 
 class Admission:
@@ -60,10 +57,18 @@
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
         )
-        self._shadow = ShadowQueue(self._steps)
-        self._batch_limit = FIRST_BATCH_LIMIT
+        self._protection = Protection(
+            cfg, self._roster, self._steps, self._first_tokens, self._observer
+        )
+        self._limit = BatchLimit(
+            cfg,
+            self._roster,
+            self._steps,
+            self._first_tokens,
+            self._observer,
+            self._pace,
+        )
         self._wanted_at = float("-inf")
-        self._mean_online = 0.0
         self._online_s = FIRST_STREAM_S
         self._online_tokens = FIRST_STREAM_TOKENS
         self._sequence = 0
@@ -71,6 +76,8 @@
     def reconfigure(self, cfg: AdmissionConfig) -> None:
         """Applies other settings; what was learnt of the engine is kept."""
         self.cfg = cfg
+        self._protection.cfg = cfg
+        self._limit.cfg = cfg
         self._pace.target_s = cfg.between_tokens_target_s
         self._pace.highest_scale = cfg.highest_pace_scale
 
@@ -91,20 +98,10 @@
 
     def load(self, now: float) -> LoadReport:
         """Returns the load as this sidecar knows it."""
-        roster = self._roster
         self._sequence += 1
-        online = [s for s in roster.streams if s.is_online]
-        batch = [s for s in roster.streams if not s.is_online]
         capacity = self._online_limit() * self._online_tokens
-        return LoadReport(
-            online_streams=len(online),
-            batch_streams=len(batch),
-            online_tokens=sum(s.tokens_left for s in online),
-            batch_tokens=sum(s.tokens_left for s in batch),
-            queued_online=len(roster.online_waiting),
-            itl_s=self._observer.gap_s,
-            capacity_tokens=int(min(capacity, 1e12)),
-            sequence=self._sequence,
+        return self._roster.load_report(
+            self._observer.gap_s, int(min(capacity, MAX_TOKENS)), self._sequence
         )
 
     def _on_tokens(
@@ -150,34 +147,19 @@
     def _learn_end(self, stream: Stream, now: float) -> None:
         tokens = stream.held_tokens - self._online_tokens
         self._online_tokens += MEAN_SHARE * tokens
-        self._shadow.on_output(stream.tokens)
+        self._protection.on_online_end(stream)
         lasted_s = now - stream.started_at
         self._online_s += MEAN_SHARE * (lasted_s - self._online_s)
 
     def _on_tick(self, now: float) -> list[AdmissionEffect]:
-        self._shadow.advance(now, self._first_tokens.chunk_tokens)
-        self._adjust_limit()
+        self._protection.advance(now)
+        self._limit.adjust(now)
         effects = self._drop_late(now)
         effects += self._balance(now)
         effects += self._release_held(now)
         effects += self._ask_for_batch(now)
         return effects
 
-    def _adjust_limit(self) -> None:
-        roster = self._roster
-        limit = self._batch_limit
-        online = len(roster.online_decoding)
-        self._mean_online += ONLINE_SHARE * (online - self._mean_online)
-        if self._steps.is_fitted:
-            step_s = self._pace.goal_s - self._steps.read_extra_s
-            room = self._steps.sequences_within(step_s)
-            wanted = room - max(online, self._mean_online)
-            limit = min(wanted, limit + max(1.0, GROWTH_SHARE * limit))
-        elif roster.batch_running + 1 >= limit:
-            if self._observer.gap_s < self._pace.goal_s - self._steps.read_extra_s:
-                limit += SLOW_START_GROWTH
-        self._batch_limit = max(0.0, min(limit, self.cfg.max_batch_streams))
-
     def _balance(self, now: float) -> list[AdmissionEffect]:
         starts = self._start_online(now)
         effects = self._take_back(now)
@@ -194,42 +176,11 @@
                 break
             if stream.offer.alone and roster.has_suspect:
                 continue
-            self._protect(stream, now)
+            self._protection.on_online_start(stream, now)
             self._begin(stream, now)
             effects.append(StartStream(stream.stream_id))
         return effects
 
-    def _protect(self, stream: Stream, now: float) -> None:
-        roster = self._roster
-        model = self._first_tokens
-        stream.read_tokens = model.uncached_tokens(stream.offer.prompt_tokens)
-        tokens = stream.read_tokens + self._online_tokens_ahead()
-        online = len(roster.online_decoding)
-        chunk = model.chunk_tokens
-        self._shadow.advance(now, chunk)
-        alone_s = self._shadow.wait_s(stream.read_tokens, chunk)
-        model.observe_wait(alone_s)
-        queued = len(roster.online_reading) > self.cfg.queue_streams
-        quantile = self.cfg.queue_quantile if queued else self.cfg.tail_quantile
-        limit_s = max(model.tail_s(quantile), alone_s * self.cfg.tail_ratio)
-        room = model.sequences_within(tokens, limit_s) - online
-        stream.max_batch = max(0.0, room)
-        batch_ahead = sum(s.read_tokens for s in roster.batch_reading.values())
-        with_batch_s = model.wait_s(tokens + batch_ahead, roster.decoding)
-        stream.is_protected = with_batch_s > limit_s
-
-    def _online_tokens_ahead(self) -> float:
-        """Estimates the online prompt tokens that the engine has still to read."""
-        chunk = self._first_tokens.chunk_tokens
-        ahead = 0.0
-        read = float("inf")
-        for stream in self._roster.online_reading.values():
-            ahead += stream.read_tokens
-            read = min(
-                read, (self._observer.step_count - stream.steps_at_start) * chunk
-            )
-        return max(0.0, ahead - read) if ahead else 0.0
-
     def _online_limit(self) -> float:
         if not self._steps.is_fitted:
             return float("inf")
@@ -243,21 +194,11 @@
             return 0.0
         return ahead * self._online_s / max(1, roster.online_running)
 
-    def _protected_cap(self) -> float:
-        reading = self._roster.online_reading.values()
-        if len(reading) >= self.cfg.burst_streams:
-            return 0.0
-        return min((s.max_batch for s in reading), default=float("inf"))
-
-    def _is_protecting(self) -> bool:
-        reading = self._roster.online_reading.values()
-        return any(s.is_protected for s in reading)
-
     def _take_back(self, now: float) -> list[AdmissionEffect]:
         roster = self._roster
-        hard_limit = HARD_LIMIT_SHARE * self._batch_limit
-        excess = roster.batch_running - int(min(self._protected_cap(), hard_limit))
-        if self._is_protecting():
+        cap = min(self._protection.batch_cap(now), self._limit.bound)
+        excess = roster.batch_running - int(cap)
+        if self._protection.is_active:
             excess = max(excess, len(roster.batch_reading))
         if excess <= 0:
             return []
@@ -274,10 +215,9 @@
     def _start_batch(self, now: float) -> list[AdmissionEffect]:
         roster = self._roster
         effects: list[AdmissionEffect] = []
-        if roster.online_waiting or self._is_protecting():
+        if roster.online_waiting or roster.online_reading:
             return effects
-        cap = min(self._protected_cap(), self._batch_limit)
-        room = int(cap) - roster.batch_running
+        room = int(self._limit.streams) - roster.batch_running
         reading = sum(s.read_tokens for s in roster.batch_reading.values())
         while room > 0 and reading < self._first_tokens.chunk_tokens:
             stream = self._next_batch()
@@ -297,15 +237,20 @@
             stream.read_tokens = stream.held_tokens
 
     def _next_batch(self) -> Stream | None:
+        """Returns the stream to start next: taken back ones first, longest first."""
         roster = self._roster
-        taken_back = roster.batch_taken_back.values()
+        has_suspect = roster.has_suspect
+        taken_back = (
+            stream
+            for stream in roster.batch_taken_back.values()
+            if not (stream.offer.alone and has_suspect)
+        )
         stream = max(taken_back, key=lambda s: s.tokens, default=None)
         if stream is not None:
             return stream
-        suspect_runs = roster.has_suspect
-        for stream in roster.batch_waiting.values():
-            if not (stream.offer.alone and suspect_runs):
-                return stream
+        for waiting in roster.batch_waiting.values():
+            if not (waiting.offer.alone and has_suspect):
+                return waiting
         return None
 
     def _begin(self, stream: Stream, now: float) -> None:
@@ -340,11 +285,11 @@
         if now - self._wanted_at < WANTED_INTERVAL_S:
             return []
         roster = self._roster
-        room = max(0, int(self._batch_limit) - roster.batch_running)
+        room = max(0, int(self._limit.streams) - roster.batch_running)
         held = len(roster.batch_waiting) + len(roster.batch_taken_back)
         items = min(room, self.cfg.ready_batch_streams) - held
         items += self.cfg.ready_batch_streams
-        if items <= 0 or self._batch_limit < 1:
+        if items <= 0 or self._limit.streams < 1:
             return []
         self._wanted_at = now
         return [BatchWanted(int(items * self._online_tokens), items)]
--- a/src/pomeloshift/admission/_config.py
+++ b/src/pomeloshift/admission/_config.py
@@ -27,12 +27,12 @@
     @property
     def tail_ratio(self) -> float:
         """The first-token time allowed, as a multiple of that without batch."""
-        return 1.02 + 0.13 * self.batch_weight
+        return 1.0 + 0.13 * self.batch_weight
 
     @property
     def tail_quantile(self) -> float:
         """The quantile of first-token times that the allowed time stands for."""
-        return 0.95 + 0.03 * self.batch_weight
+        return 0.94 + 0.06 * self.batch_weight
 
     @property
     def queue_streams(self) -> int:
@@ -42,17 +42,22 @@
     @property
     def queue_quantile(self) -> float:
         """The quantile of first-token times that is allowed to queued arrivals."""
-        return 0.9
+        return 0.8
 
     @property
-    def burst_streams(self) -> int:
-        """The prompts being read from which no batch stream runs beside them."""
-        return 4
+    def busy_arrivals(self) -> int:
+        """The arrivals in one long time of reading from which batch gives way."""
+        return 3 if self.batch_weight >= 0.5 else 2
+
+    @property
+    def busy_s(self) -> float:
+        """The time of unbroken reading after which batch gives way in any case."""
+        return 0.1 + 0.3 * self.batch_weight
 
     @property
     def highest_pace_scale(self) -> float:
         """The share of the between-tokens target that steps may take at most."""
-        return 0.75 + 0.3 * self.batch_weight
+        return min(1.0, 0.86 + 0.18 * self.batch_weight)
 
 
 def admission_config(service: ServiceConfig) -> AdmissionConfig:
--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -23,6 +23,7 @@
     ) -> None:
         self.gap_s = 0.0
         self.step_count = 0
+        self.read_step = 0
         self._roster = roster
         self._steps = steps
         self._first_tokens = first_tokens
@@ -70,6 +71,7 @@
             self._pace.observe(gap_s, online)
 
     def _on_first_token(self, stream: Stream) -> None:
+        self.read_step = self.step_count
         if stream.read_alone and stream.is_online:
             steps = self.step_count - stream.steps_at_start
             self._first_tokens.observe_read(stream.offer.prompt_tokens, steps)
--- a/src/pomeloshift/admission/_roster.py
+++ b/src/pomeloshift/admission/_roster.py
@@ -1,5 +1,6 @@
 """All streams that admission knows, by what they are doing."""
 
+from ..model import LoadReport
 from ._messages import StreamOffered
 from ._stream import Phase, Stream
 
@@ -42,11 +43,6 @@
         del self._group(stream)[stream.stream_id]
         del self._streams[stream.stream_id]
 
-    @property
-    def streams(self) -> tuple[Stream, ...]:
-        """All streams."""
-        return tuple(self._streams.values())
-
     @property
     def online_running(self) -> int:
         """The online streams that the engine holds."""
@@ -78,5 +74,22 @@
         )
         return any(s.offer.alone for group in running for s in group.values())
 
+    def load_report(
+        self, itl_s: float, capacity_tokens: int, sequence: int
+    ) -> LoadReport:
+        """Returns the load of all streams."""
+        online = [s for s in self._streams.values() if s.is_online]
+        batch = [s for s in self._streams.values() if not s.is_online]
+        return LoadReport(
+            online_streams=len(online),
+            batch_streams=len(batch),
+            online_tokens=sum(s.tokens_left for s in online),
+            batch_tokens=sum(s.tokens_left for s in batch),
+            queued_online=len(self.online_waiting),
+            itl_s=itl_s,
+            capacity_tokens=capacity_tokens,
+            sequence=sequence,
+        )
+
     def _group(self, stream: Stream) -> Group:
         return self._groups[stream.is_online, stream.phase]
--- a/src/pomeloshift/bench/policy/_server.py
+++ b/src/pomeloshift/bench/policy/_server.py
@@ -92,6 +92,7 @@
         self._read_before = 0
         self._bursts: dict[int, float] = {}
         self._pulls: deque[int] = deque()
+        self._finished: frozenset[str] = frozenset()
 
     def offer_online(self, arrival: Arrival, extra_s: float, now: float) -> None:
         """Takes an arrival; ``extra_s`` is the time its answer takes to travel."""
@@ -125,6 +126,7 @@
         outputs = self.model.advance(now)
         seen_at = now + self._rng.random() * CLOCK_NOISE_S
         finished = [o.stream_id for o in outputs if isinstance(o, WorkFinished)]
+        self._finished = frozenset(finished)
         started = [o.stream_id for o in outputs if isinstance(o, FirstToken)]
         for stream_id in started:
             self._on_first_token(stream_id, now)
@@ -136,6 +138,7 @@
         for stream_id in finished:
             del self._jobs[stream_id]
             self.send(StreamEnded(stream_id), seen_at)
+        self._finished = frozenset()
 
     def deliver_batch(self, items: int, now: float) -> None:
         """Hands items of the backlog to the policy."""
@@ -176,6 +179,10 @@
                 self._apply(effect, now)
 
     def _apply(self, effect: AdmissionEffect, now: float) -> None:
+        if isinstance(effect, TakeBackStream | ResumeStream):
+            # The end of these streams is on its way to the policy.
+            if effect.stream_id in self._finished:
+                return
         if isinstance(effect, StartStream | ResumeStream):
             self._start(self._jobs[effect.stream_id], now)
         elif isinstance(effect, TakeBackStream):
