--- a/src/pomeloshift/batch/_job_state.py
+++ b/src/pomeloshift/batch/_job_state.py
@@ -31,7 +31,8 @@
     ``status`` holds an `ItemStatus`, ``results`` the offset of the record with the
     result, and ``tokens`` the estimated tokens, for each item. ``chunks`` holds
     the offsets of the records with the input lines and ``first_indexes`` the first
-    item of each chunk. Times are wall-clock seconds.
+    item of each chunk. ``withdrawn`` names the claims that were given back, which a
+    late repeat must not bring back. Times are wall-clock seconds.
     """
 
     job_id: str
@@ -57,6 +58,7 @@
     finished_at: float | None = None
     strikes: dict[int, dict[str, bool]] = attrs.field(factory=dict)
     attempts: dict[int, Attempt] = attrs.field(factory=dict)
+    withdrawn: dict[int, tuple[str, ...]] = attrs.field(factory=dict)
 
     @property
     def items(self) -> int:
@@ -110,5 +112,6 @@
             self.failed += 1
         self.strikes.pop(index, None)
         self.attempts.pop(index, None)
+        self.withdrawn.pop(index, None)
         if self.waiting == 0:
             self.finished_at = at
--- a/src/pomeloshift/batch/_snapshot.py
+++ b/src/pomeloshift/batch/_snapshot.py
@@ -42,6 +42,7 @@
     results: bytes
     strikes: dict[int, dict[str, bool]]
     attempts: dict[int, Attempt]
+    withdrawn: dict[int, tuple[str, ...]]
 
 
 @attrs.frozen
@@ -136,7 +137,8 @@
             index: dict(sorted(job.strikes[index].items()))
             for index in sorted(job.strikes)
         },
-        {index: job.attempts[index] for index in sorted(job.attempts)},
+        _sorted(job.attempts),
+        _sorted(job.withdrawn),
     )
 
 
@@ -151,6 +153,7 @@
         results=_to_array(OFFSETS, image.results),
         strikes=image.strikes,
         attempts=image.attempts,
+        withdrawn=image.withdrawn,
     )
 
 
--- a/src/pomeloshift/batch/_state.py
+++ b/src/pomeloshift/batch/_state.py
@@ -161,11 +161,12 @@
         job.cancelled_at = record.body.at
         job.strikes.clear()
         job.attempts.clear()
+        job.withdrawn.clear()
         return True
 
     def _expire_job(self, offset: int, record: Record) -> bool:
         job = self.jobs.get(record.body.job_id)
-        if job is None or not job.is_over:
+        if job is None or job.ended_at is None or record.body.at < job.ended_at:
             return False
         del self.jobs[job.job_id]
         return True
@@ -175,6 +176,8 @@
         job = self._job_with_waiting_item(body.job_id, body.index)
         if job is None or body.index in job.attempts:
             return False
+        if body.attempt_id in job.withdrawn.get(body.index, ()):
+            return False
         job.attempts[body.index] = Attempt(body.attempt_id, body.instance)
         return True
 
@@ -185,6 +188,8 @@
         if job is None or attempt is None or attempt.attempt_id != body.attempt_id:
             return False
         del job.attempts[body.index]
+        earlier = job.withdrawn.get(body.index, ())
+        job.withdrawn[body.index] = (*earlier, body.attempt_id)
         return True
 
     def _strike_item(self, offset: int, record: Record) -> bool:
--- a/src/pomeloshift/entry/batch/_upkeep.py
+++ b/src/pomeloshift/entry/batch/_upkeep.py
@@ -20,6 +20,7 @@
 from ._settings import BatchSettings
 
 CARRIES_PER_COMMIT = 256
+CARRIES_PER_SCAN = 4096
 CHECKPOINT_ID_BITS = 64
 
 
@@ -62,14 +63,23 @@
         expired = expiry_records(runner.state, retention, wall)
         if expired:
             await runner.commit(expired, self._settings.accept_s)
-        orders = list(carry_orders(runner.state, runner.times, retention, wall))
-        for batch in _batches(orders):
-            await runner.carry(batch)
+        await self._carry(runner, retention, wall)
         runner.times.forget_before(wall - retention.log_s)
         last_at = self._checkpointed_at.get(runner.partition)
         if is_checkpoint_due(runner.state, last_at, retention, wall):
             await self._checkpoint(runner, wall)
 
+    async def _carry(
+        self, runner: PartitionRunner, retention: Retention, wall: float
+    ) -> None:
+        while True:
+            due = carry_orders(runner.state, runner.times, retention, wall)
+            orders = list(islice(due, CARRIES_PER_SCAN))
+            for batch in _batches(orders):
+                await runner.carry(batch)
+            if len(orders) < CARRIES_PER_SCAN:
+                return
+
     async def _checkpoint(self, runner: PartitionRunner, wall: float) -> None:
         ident = f"{self._name}/{self._rng.getrandbits(CHECKPOINT_ID_BITS):016x}"
         await runner.append_checkpoint(ident)
