--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -317,9 +317,12 @@
     extra = [
         Record("s", AttemptStarted(job_id, 0, "l", "s1")),
         Record("x", ItemStruck(job_id, 1, "l", True, 1.0)),
+        Record("t", AttemptStarted(job_id, 2, "m", "s1")),
+        Record("u", AttemptWithdrawn(job_id, 2, "m")),
     ]
     for offset, record in enumerate([*records, *extra]):
         state.apply(offset, record)
     again = restore_state(Checkpoint("c", state.next_offset, snapshot_state(state)))
     fields = attrs.asdict(state.jobs[job_id], recurse=False)
+    assert all(fields[name] for name in ("strikes", "attempts", "withdrawn"))
     assert attrs.asdict(again.jobs[job_id], recurse=False) == fields
