Test batch work under every fault of the log in virtual time

Cause: outages, lost answers, slowness, expiry and two owners had not been run against the whole service. Change: 56 tests of whole entries over the in-memory log. They found and this mends: a resend of waiting results counted as new and was refused for ever; a committer without work stayed failing, so that no claim was tried again; marks of time taken at intervals only left the newest records uncarried. The marks are now part of the folded state. Read failures are logged when they begin and end.

--- a/src/pomeloshift/batch/__init__.py
+++ b/src/pomeloshift/batch/__init__.py
@@ -55,7 +55,6 @@
 from ._result_lines import Result, result_line
 from ._snapshot import restore_state, snapshot_state
 from ._state import PartitionState
-from ._time_index import TimeIndex
 from ._upkeep import (
     CarryOrder,
     Retention,
@@ -72,7 +71,6 @@
     "carry_orders",
     "Retention",
     "CarryOrder",
-    "TimeIndex",
     "Attempt",
     "AttemptStarted",
     "AttemptWithdrawn",
--- a/src/pomeloshift/batch/_records.py
+++ b/src/pomeloshift/batch/_records.py
@@ -146,6 +146,7 @@
     owner_id: str
     number: int
     from_offset: int
+    at: float
     data: bytes
 
 
--- a/src/pomeloshift/batch/_replay.py
+++ b/src/pomeloshift/batch/_replay.py
@@ -14,7 +14,6 @@
 )
 from ._snapshot import restore_state
 from ._state import PartitionState
-from ._time_index import TimeIndex
 
 
 class PartitionReplay:
@@ -31,7 +30,6 @@
 
     def __init__(self, codec: RecordCodec) -> None:
         self.state = PartitionState()
-        self.times = TimeIndex()
         self.is_done = False
         self.unreadable = 0
         self.has_lost_state = False
@@ -50,7 +48,6 @@
     def expired(self, first_offset: int) -> None:
         """Starts anew after a read that came too late."""
         self.state = PartitionState()
-        self.times = TimeIndex()
         self._assembler = CheckpointAssembler()
         self._first_kept = first_offset
         self._searched_to = first_offset
@@ -74,7 +71,6 @@
             self.state.advance(stored.offset)
             return
         self.state.apply(stored.offset, record)
-        self.times.note(stored.offset, record.body)
 
     def _search(self, page: LogPage, assembler: CheckpointAssembler) -> None:
         checkpoint = self._find(page.records, assembler)
--- a/src/pomeloshift/batch/_snapshot.py
+++ b/src/pomeloshift/batch/_snapshot.py
@@ -16,6 +16,7 @@
 
 COMPRESSION_LEVEL = 1
 OFFSETS = "q"
+TIMES = "d"
 COUNTS = "I"
 
 
@@ -52,6 +53,9 @@
     jobs: tuple[_JobImage, ...]
     pending: dict[str, PendingChunks]
     deleted_ids: tuple[str, ...]
+    mark_offsets: bytes
+    mark_times: bytes
+    latest_mark: tuple[int, float]
 
 
 PLAIN_JOB_FIELDS = (
@@ -81,6 +85,9 @@
         tuple(_job_image(state.jobs[key]) for key in sorted(state.jobs)),
         state.pending,
         tuple(state.deleted_ids),
+        _to_bytes(state.times.offsets),
+        _to_bytes(state.times.times),
+        state.times.latest,
     )
     return zlib.compress(msgspec.msgpack.encode(image), COMPRESSION_LEVEL)
 
@@ -95,6 +102,9 @@
     state.jobs = {each.fields["job_id"]: _job(each) for each in image.jobs}
     state.pending = image.pending
     state.deleted_ids = dict.fromkeys(image.deleted_ids)
+    state.times.offsets = _to_array(OFFSETS, image.mark_offsets)
+    state.times.times = _to_array(TIMES, image.mark_times)
+    state.times.latest = image.latest_mark
     return state
 
 
--- a/src/pomeloshift/batch/_state.py
+++ b/src/pomeloshift/batch/_state.py
@@ -22,6 +22,7 @@
     JobCreated,
     JobExpired,
 )
+from ._time_index import TimeIndex
 
 MAX_CERTAIN_STRIKES = 2
 MAX_STRIKES = 4
@@ -43,6 +44,7 @@
         self.jobs: dict[str, JobState] = {}
         self.pending: dict[str, PendingChunks] = {}
         self.deleted_ids: dict[str, None] = {}
+        self.times = TimeIndex()
 
     def apply(self, offset: int, record: Record) -> bool:
         """Applies the record at ``offset``; returns whether it took effect.
@@ -52,6 +54,11 @@
         """
         if not self.advance(offset):
             return False
+        at = getattr(record.body, "at", None) or getattr(
+            record.body, "created_at", None
+        )
+        if at is not None:
+            self.times.note(offset, at)
         handler = _handlers.get(type(record.body))
         if handler is None:
             return False
--- a/src/pomeloshift/batch/_time_index.py
+++ b/src/pomeloshift/batch/_time_index.py
@@ -2,44 +2,41 @@
 
 from array import array
 from bisect import bisect_right
-from typing import Any
 
-MARK_INTERVAL_S = 10.0
+MARK_INTERVAL_S = 60.0
+MAX_MARKS = 4096
 
 
 class TimeIndex:
-    """Marks of offset and time, taken from the records themselves.
+    """Marks of offset and time, taken from the times that records carry.
 
-    Marks are in order of both, so that clocks that step back do not disturb it.
+    A mark says that all records before its offset were appended by its time. Marks
+    are in order of both, whatever the clocks of the records' writers do; the latest
+    one is always kept and the others at intervals.
     """
 
     def __init__(self) -> None:
-        self._offsets = array("q")
-        self._times = array("d")
-
-    def note(self, offset: int, body: Any) -> None:
-        """Takes the time that a record carries, if it has one."""
-        at = getattr(body, "at", None) or getattr(body, "created_at", None)
-        if at is not None:
-            self.mark(offset, at)
-
-    def mark(self, offset: int, wall: float) -> None:
-        """Notes that the record at ``offset`` was appended at ``wall``."""
-        if not self._times or wall >= self._times[-1] + MARK_INTERVAL_S:
-            self._offsets.append(offset)
-            self._times.append(wall)
+        self.offsets = array("q")
+        self.times = array("d")
+        self.latest: tuple[int, float] = (0, 0.0)
+
+    def note(self, offset: int, wall: float) -> None:
+        """Takes the time of the record at ``offset``."""
+        self.latest = (offset + 1, max(wall, self.latest[1]))
+        if self.times and wall < self.times[-1] + MARK_INTERVAL_S:
+            return
+        self.offsets.append(offset + 1)
+        self.times.append(wall)
+        if len(self.times) > MAX_MARKS:
+            del self.offsets[0]
+            del self.times[0]
 
     def offset_at(self, wall: float) -> int:
-        """Returns an offset with no record behind it older than ``wall``.
+        """Returns an offset before which all records were appended by ``wall``.
 
         It is 0 where nothing is known of that time.
         """
-        position = bisect_right(self._times, wall)
-        return self._offsets[position - 1] if position else 0
-
-    def forget_before(self, wall: float) -> None:
-        """Drops marks older than ``wall`` but for the latest of them."""
-        position = bisect_right(self._times, wall) - 1
-        if position > 0:
-            del self._offsets[:position]
-            del self._times[:position]
+        if self.latest[1] <= wall:
+            return self.latest[0]
+        position = bisect_right(self.times, wall)
+        return self.offsets[position - 1] if position else 0
--- a/src/pomeloshift/batch/_upkeep.py
+++ b/src/pomeloshift/batch/_upkeep.py
@@ -10,7 +10,6 @@
 from ._job_state import NO_OFFSET, JobState
 from ._records import FileDeleted, JobExpired
 from ._state import PartitionState
-from ._time_index import TimeIndex
 
 CARRY_SHARE = 1 / 3
 CHECKPOINT_SHARE = 1 / 4
@@ -59,15 +58,14 @@
 
 
 def carry_orders(
-    state: PartitionState, index: TimeIndex, retention: Retention, wall: float
+    state: PartitionState, retention: Retention, wall: float
 ) -> Iterator[CarryOrder]:
     """Yields what has to be appended anew before the log drops it.
 
-    Records are carried at a third of the log's retention. An owner that starts from
-    a checkpoint takes older records to be as young as the checkpoint, so that they
-    may be two thirds of the retention old before they are carried.
+    Records are carried at a third of the log's retention, which leaves the rest for
+    an outage of the log and for a time without an owner.
     """
-    end = index.offset_at(wall - retention.log_s * CARRY_SHARE)
+    end = state.times.offset_at(wall - retention.log_s * CARRY_SHARE)
     if end <= 0:
         return
     for file in state.files.values():
--- a/src/pomeloshift/entry/batch/_item_server.py
+++ b/src/pomeloshift/entry/batch/_item_server.py
@@ -15,9 +15,8 @@
 )
 from ...config import Configuration
 from ...errors import ErrorReport, PomeloshiftError
-from ...log import CommitBufferFullError
 from ...net import Clock
-from ...wire import GrantedItem, ItemOutcome, ItemPull, ItemResults, LeaseRelease
+from ...wire import GrantedItem, ItemPull, ItemResults, LeaseRelease
 from ._errors import NotAcceptedError
 from ._partition_runner import PartitionRunner
 from ._settings import BatchSettings
@@ -68,12 +67,11 @@
                 outcomes[record.record_id] = (outcome, record)
         if not outcomes:
             return None
-        try:
-            is_settled = await runner.settle([rec for _, rec in outcomes.values()])
-        except PomeloshiftError as exc:
-            self._reopen(runner, [outcome for outcome, _ in outcomes.values()], exc)
-            return exc.report()
-        if is_settled:
+        settlement = await runner.settle([rec for _, rec in outcomes.values()])
+        for record in settlement.left:
+            outcome, _ = outcomes[record.record_id]
+            runner.owner.reopen(outcome.lease_id, self._clock.monotonic())
+        if settlement.is_settled and not settlement.left:
             return None
         return NotAcceptedError(
             "the log has not acknowledged the results yet",
@@ -158,16 +156,6 @@
         now, wall = self._clock.monotonic(), self._clock.wall()
         runner.post(runner.owner.withdraw(lease.lease_id, now, wall))
 
-    def _reopen(
-        self,
-        runner: PartitionRunner,
-        outcomes: list[ItemOutcome],
-        exc: PomeloshiftError,
-    ) -> None:
-        if isinstance(exc, CommitBufferFullError):
-            for outcome in outcomes:
-                runner.owner.reopen(outcome.lease_id, self._clock.monotonic())
-
     def _shares(self) -> Mapping[str, float]:
         cfg = self._current_config()
         if cfg is None:
--- a/src/pomeloshift/entry/batch/_job_store.py
+++ b/src/pomeloshift/entry/batch/_job_store.py
@@ -20,7 +20,7 @@
 )
 from ...config import Configuration
 from ...errors import ErrorCode, PomeloshiftError, Ran
-from ...log import CommitBufferFullError, Record
+from ...log import Record
 from ...net import Clock
 from ._calls import CancelJob, CreateJob, GetJob, JobList, ListJobs
 from ._errors import NotAcceptedError
@@ -89,10 +89,8 @@
         job = self._job(call.job_id, call.workspace)
         record = self._runner.owner.cancel(job.job_id, self._clock.wall())
         if record is not None:
-            try:
-                await self._runner.settle([record])
-            except CommitBufferFullError:
-                self._runner.post([record])
+            settlement = await self._runner.settle([record])
+            self._runner.post(settlement.left)
         return self._view(job)
 
     async def list_newest(self, call: ListJobs) -> JobList:
--- a/src/pomeloshift/entry/batch/_partition_runner.py
+++ b/src/pomeloshift/entry/batch/_partition_runner.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+import attrs
 from loguru import logger
 from twisted.internet.defer import Deferred, gatherResults
 from twisted.internet.task import deferLater
@@ -15,7 +16,6 @@
     PartitionOwner,
     PartitionReplay,
     PartitionState,
-    TimeIndex,
     job_codec,
     partition_stream,
     snapshot_state,
@@ -54,6 +54,18 @@
 MAX_READ_RETRY_S = 5.0
 
 
+@attrs.frozen
+class Settlement:
+    """What became of records that were to be appended.
+
+    ``is_settled`` tells whether all that were taken took effect in time, and
+    ``left`` holds the ones for which there was no room.
+    """
+
+    is_settled: bool
+    left: tuple[Record, ...] = ()
+
+
 class PartitionRunner:
     """The shell around a partition's owner, its committer and its follower.
 
@@ -75,7 +87,6 @@
         self.partition = partition
         self.stream = partition_stream(partition)
         self.used_at = clock.monotonic()
-        self.times = TimeIndex()
         self._name = name
         self._log = log
         self._reactor = reactor
@@ -92,6 +103,7 @@
         self._backlog: list[Record] = []
         self._timer: Any = None
         self._syncing = False
+        self._is_read_failing = False
         self._stopped = False
 
     @property
@@ -195,32 +207,41 @@
         stream within ``timeout_s`` seconds, `AcceptanceUnknownError` if that is
         not known, and `CommitBufferFullError` before anything was offered.
         """
-        payloads = [self._codec.encode(record) for record in records]
-        size = sum(len(payload) for payload in payloads)
-        if not self._committer.has_room(len(records), size):
-            raise CommitBufferFullError(
-                "too many records wait for the log",
-                retry_after_s=self._settings.commit.retry_max_s,
-            )
+        payloads = {rec.record_id: self._codec.encode(rec) for rec in records}
+        new = [p for ident, p in payloads.items() if not self._committer.has(ident)]
+        if not self._committer.has_room(len(new), sum(map(len, new))):
+            raise self._full()
         now = self._clock.monotonic()
         give_up_at = None if timeout_s is None else now + timeout_s
         waiters = []
-        for record, payload in zip(records, payloads, strict=True):
-            self._committer.offer(record.record_id, payload, now, give_up_at)
-            waiters.append(self._wait_for(record.record_id))
+        for record_id, payload in payloads.items():
+            self._committer.offer(record_id, payload, now, give_up_at)
+            waiters.append(self._wait_for(record_id))
         self._pump()
         await gatherResults(waiters, consumeErrors=True).addErrback(_first_error)
 
-    async def settle(self, records: Sequence[Record]) -> bool:
+    async def settle(self, records: Sequence[Record]) -> Settlement:
         """Appends records that are kept until they are part of the stream.
 
-        Returns whether all of them took effect within the settling time.
+        Takes as many as there is room for and waits for them for the settling time.
         """
-        done = Deferred.fromCoroutine(self.commit(records))
+        now = self._clock.monotonic()
+        waiters: list[Deferred[None]] = []
+        left: list[Record] = []
+        for record in records:
+            try:
+                payload = self._codec.encode(record)
+                self._committer.offer(record.record_id, payload, now)
+            except CommitBufferFullError:
+                left.append(record)
+            else:
+                waiters.append(self._wait_for(record.record_id))
+        self._pump()
+        done = gatherResults(waiters, consumeErrors=True)
         waiting: Deferred[bool] = Deferred()
         done.addBoth(_pass_on, waiting)
         waiting.addTimeout(self._settings.settle_s, self._reactor, lambda *_: False)
-        return await waiting
+        return Settlement(await waiting, tuple(left))
 
     def post(self, records: Iterable[Record]) -> None:
         """Appends records that nobody waits for, as soon as there is room."""
@@ -263,10 +284,11 @@
     async def carry(self, orders: Sequence[CarryOrder]) -> None:
         """Appends records anew that the log would drop."""
         found = await self.records_at([order.offset for order in orders])
+        wall = self._clock.wall()
         records = []
         for order in orders:
             data = self._codec.encode(found[order.offset])
-            body = Carried(order.owner_id, order.number, order.offset, data)
+            body = Carried(order.owner_id, order.number, order.offset, wall, data)
             record_id = f"{order.owner_id}/carry/{order.offset}"
             records.append(Record(record_id, body))
         await self.commit(records, self._settings.accept_s)
@@ -285,10 +307,9 @@
         self._syncing = True
         try:
             await self._read_to_end()
+            self._note_read(None)
         except PomeloshiftError as exc:
-            logger.warning(
-                "event=read_failed stream={} code={}", self.stream, exc.code.value
-            )
+            self._note_read(exc)
         finally:
             self._syncing = False
 
@@ -308,7 +329,6 @@
                 replay.has_lost_state,
             )
         self._follower.next_offset = replay.state.next_offset
-        self.times = replay.times
         self._owner = PartitionOwner(
             self.partition, replay.state, self._settings.owner, self._name, self._rng
         )
@@ -318,6 +338,16 @@
             if not opener.called:
                 opener.callback(None)
 
+    def _note_read(self, error: PomeloshiftError | None) -> None:
+        """Logs only when reads begin to fail and when they work again."""
+        if error is not None and not self._is_read_failing:
+            logger.warning(
+                "event=read_failing stream={} code={}", self.stream, error.code.value
+            )
+        elif error is None and self._is_read_failing:
+            logger.info("event=read_recovered stream={}", self.stream)
+        self._is_read_failing = error is not None
+
     async def _read_to_end(self) -> None:
         while not self._stopped:
             page = await self._log.read(
@@ -342,7 +372,6 @@
             return
         key = (self.stream, stored.offset)
         self._cache.put(key, self._unwrap(record), len(stored.data))
-        self.times.note(stored.offset, record.body)
         self.owner.apply(stored.offset, record)
         self._committer.observed(record.record_id, stored.offset)
         self._release(record.record_id, None)
@@ -357,6 +386,12 @@
             return self._codec.decode(record.body.data)
         return record
 
+    def _full(self) -> CommitBufferFullError:
+        return CommitBufferFullError(
+            "too many records wait for the log",
+            retry_after_s=self._settings.commit.retry_max_s,
+        )
+
     def _wait_for(self, record_id: str) -> Deferred[None]:
         waiter: Deferred[None] = Deferred()
         self._waiters.setdefault(record_id, []).append(waiter)
@@ -434,7 +469,7 @@
 
 def _pass_on(result: Any, waiting: Deferred[bool]) -> None:
     if not waiting.called:
-        waiting.callback(result if isinstance(result, Failure) else True)
+        waiting.callback(not isinstance(result, Failure))
 
 
 def _first_error(failure: Any) -> Any:
--- a/src/pomeloshift/entry/batch/_upkeep.py
+++ b/src/pomeloshift/entry/batch/_upkeep.py
@@ -64,7 +64,6 @@
         if expired:
             await runner.commit(expired, self._settings.accept_s)
         await self._carry(runner, retention, wall)
-        runner.times.forget_before(wall - retention.log_s)
         last_at = self._checkpointed_at.get(runner.partition)
         if is_checkpoint_due(runner.state, last_at, retention, wall):
             await self._checkpoint(runner, wall)
@@ -73,7 +72,7 @@
         self, runner: PartitionRunner, retention: Retention, wall: float
     ) -> None:
         while True:
-            due = carry_orders(runner.state, runner.times, retention, wall)
+            due = carry_orders(runner.state, retention, wall)
             orders = list(islice(due, CARRIES_PER_SCAN))
             for batch in _batches(orders):
                 await runner.carry(batch)
--- a/src/pomeloshift/log/_committer.py
+++ b/src/pomeloshift/log/_committer.py
@@ -68,8 +68,12 @@
 
     @property
     def is_failing(self) -> bool:
-        """Whether the latest append was not acknowledged."""
-        return self._failures > 0
+        """Whether records wait although an append was tried."""
+        return self._failures > 0 and bool(self._waiting)
+
+    def has(self, record_id: str) -> bool:
+        """Tells whether a record waits to be settled."""
+        return record_id in self._waiting
 
     def has_room(self, records: int, size: int) -> bool:
         """Tells whether so many records and bytes would be taken."""
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -12,6 +12,7 @@
 from pomeloshift.wire import ItemOutcome, ItemPull, ItemResults
 
 PARTITIONS = 4
+RESULT_TRIES = 50
 ENDPOINT = "/v1/chat/completions"
 PLACE = Place("gorenjska", "kranj-a")
 SETTINGS = BatchSettings(
@@ -84,9 +85,11 @@
         outcomes = tuple(self.outcome(item, error) for item in grants.items)
         if not outcomes:
             return 0
-        answer = await service.results(ItemResults(self.name, 1, outcomes))
-        assert answer.error is None
-        return len(outcomes)
+        for _ in range(RESULT_TRIES):
+            answer = await service.results(ItemResults(self.name, 1, outcomes))
+            if answer.error is None:
+                return len(outcomes)
+        raise AssertionError("the results were never taken")
 
     def outcome(self, item, error=None):
         body = json.dumps({"n": item.index}).encode()
--- /dev/null
+++ b/tests/_virtual.py
@@ -0,0 +1,106 @@
+"""Job services over an in-memory log in virtual time."""
+
+from random import Random
+
+import attrs
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.internet.testing import MemoryReactorClock
+
+from _jobs import ENDPOINT, SETTINGS, entry, job_service, jsonl
+from pomeloshift.standins.log import LogModel, LogSettings, MemoryLog
+
+EPOCH = 1_700_000_000.0
+STEP_S = 0.05
+
+
+class VirtualClock:
+    """A clock that moves with a reactor of tests."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def monotonic(self):
+        return self.reactor.seconds()
+
+    def wall(self):
+        return EPOCH + self.reactor.seconds()
+
+
+class Deployment:
+    """Entries over one log; time moves only in `run` and `advance`."""
+
+    def __init__(self, log_settings=None, settings=SETTINGS, seed=1):
+        self.reactor = MemoryReactorClock()
+        self.clock = VirtualClock(self.reactor)
+        self.settings = settings
+        limits = log_settings or LogSettings(appends_per_s=2000, burst=500)
+        self.model = LogModel(limits, Random(seed))
+        self.log = MemoryLog(
+            self.model,
+            self.clock.monotonic,
+            lambda seconds: deferLater(self.reactor, seconds),
+        )
+        self.services = []
+
+    def start(self, name, entries=None, **kwargs):
+        known = [entry(name)] if entries is None else entries
+        service = job_service(
+            name,
+            self.log,
+            self.reactor,
+            known,
+            self.clock,
+            kwargs.pop("settings", self.settings),
+            **kwargs,
+        )
+        service.start()
+        self.services.append(service)
+        return service
+
+    def stop(self, service):
+        self.services.remove(service)
+        self.run(service.stop())
+
+    def stop_all(self):
+        for service in list(self.services):
+            self.stop(service)
+
+    def advance(self, seconds, step_s=STEP_S):
+        end = self.reactor.seconds() + seconds
+        while self.reactor.seconds() < end:
+            self.reactor.advance(min(step_s, end - self.reactor.seconds()))
+
+    def run(self, coroutine, limit_s=600.0):
+        """Returns a coroutine's result; time moves on while it waits."""
+        done = self.begin(coroutine)
+        end = self.reactor.seconds() + limit_s
+        while not done.called and self.reactor.seconds() < end:
+            self.reactor.advance(STEP_S)
+        assert done.called, "the coroutine did not end in time"
+        return result_of(done)
+
+    def begin(self, coroutine):
+        return Deferred.fromCoroutine(coroutine)
+
+    def submit(self, service, items=5, key="", **kwargs):
+        file = self.run(service.upload_file("w", "f", "batch", jsonl(items)))
+        return self.run(
+            service.create_job(
+                "w", file.file_id, ENDPOINT, idempotency_key=key, **kwargs
+            )
+        )
+
+
+def result_of(deferred):
+    """Returns the result of a deferred that has fired, or raises its exception."""
+    kept = []
+    deferred.addBoth(kept.append)
+    (result,) = kept
+    if hasattr(result, "raiseException"):
+        result.raiseException()
+    return result
+
+
+def with_settings(**changes):
+    return attrs.evolve(SETTINGS, **changes)
--- a/tests/test_batch_state.py
+++ b/tests/test_batch_state.py
@@ -27,7 +27,6 @@
     PartitionState,
     Retention,
     StreamGapError,
-    TimeIndex,
     carry_orders,
     expiry_records,
     is_checkpoint_due,
@@ -165,7 +164,7 @@
     def carry(self, data, number):
         stored = data.draw(st.sampled_from(self.stored))
         owner_id = data.draw(jobs | st.just("file-000-a"))
-        self.append(Carried(owner_id, number, stored.offset, stored.data))
+        self.append(Carried(owner_id, number, stored.offset, 13.0, stored.data))
 
     @rule()
     def take_checkpoint(self):
@@ -284,22 +283,22 @@
 
 
 def test_what_gets_old_is_carried_and_what_is_over_expires():
-    state, index = PartitionState(), TimeIndex()
+    state = PartitionState()
     job_id, records = job_records("k", 2, created_at=1000.0)
     done = [
         Record(f"c{n}", ItemCompleted(job_id, n, "l", 200, b"", 1, 1100.0 + 100 * n))
         for n in range(2)
     ]
     for offset, record in enumerate([*file_records(), *records, *done]):
-        index.note(offset, record.body)
         state.apply(offset, record)
     keep = Retention(log_s=900.0, result_s=5000.0)
-    assert list(carry_orders(state, index, keep, 1250.0)) == []
-    due = list(carry_orders(state, index, keep, 1450.0))
+    assert list(carry_orders(state, keep, 1250.0)) == []
+    due = list(carry_orders(state, keep, 1450.0))
     assert [(order.owner_id, order.offset) for order in due] == [
         ("file-000-a", 0),
         ("file-000-a", 1),
         (job_id, 3),
+        (job_id, 5),
     ]
     assert is_checkpoint_due(state, None, keep, 1300.0)
     assert not is_checkpoint_due(state, 1300.0, keep, 1400.0)
--- /dev/null
+++ b/tests/test_jobs_faults.py
@@ -0,0 +1,306 @@
+import json
+from collections import Counter
+
+import attrs
+import pytest
+
+from _jobs import CONFIG, ENDPOINT, SETTINGS, PlayedSidecar, entry, jsonl
+from _virtual import Deployment, result_of, with_settings
+from pomeloshift.batch import UnknownFileError, UnknownJobError
+from pomeloshift.config import CallPattern, ServiceConfig
+from pomeloshift.errors import ErrorCode, PomeloshiftError, Ran
+from pomeloshift.standins.log import LogFaults, LogSettings
+from pomeloshift.wire import ItemResults
+
+UNREPEATABLE = attrs.evolve(
+    CONFIG,
+    services=(ServiceConfig("lm", unrepeatable_calls=(CallPattern("POST", "/v1"),)),),
+)
+SEEDS = range(6)
+
+
+@pytest.fixture
+def deploy():
+    made = []
+
+    def build(*args, **kwargs):
+        made.append(Deployment(*args, **kwargs))
+        return made[-1]
+
+    yield build
+    for deployment in made:
+        deployment.model.faults = LogFaults()
+        deployment.stop_all()
+
+
+def finish(deployment, service, job_id, sidecar=None):
+    sidecar = sidecar or PlayedSidecar()
+    for _ in range(2000):
+        view = deployment.run(service.get_job("w", job_id))
+        if view.status != "in_progress":
+            return view
+        deployment.run(sidecar.run(service))
+        deployment.advance(0.1)
+    raise AssertionError("the job did not end")
+
+
+def read_lines(deployment, service, file_id):
+    async def read():
+        return b"".join([p async for p in service.file_content("w", file_id)])
+
+    return [json.loads(line) for line in deployment.run(read()).splitlines()]
+
+
+def test_results_outlive_the_log_and_end_with_their_retention(deploy):
+    cfg = attrs.evolve(CONFIG, result_retention_s=2000.0)
+    kept = with_settings(log_retention_s=240.0, upkeep_s=10.0, cache_bytes=0)
+    deployment = deploy(LogSettings(retention_s=240.0), kept)
+    service = deployment.start("e1", cfg=cfg)
+    done_job = deployment.submit(service, 20, "done")
+    view = finish(deployment, service, done_job.job_id)
+    open_job = deployment.submit(service, 30, "open")
+    output = view.as_json()["output_file_id"]
+    before = read_lines(deployment, service, output)
+    for round_number in range(4):
+        deployment.advance(400.0, 1.0)
+        deployment.stop(service)
+        service = deployment.start(f"e{round_number + 2}", cfg=cfg)
+        assert read_lines(deployment, service, output) == before
+        again = deployment.submit(service, 20, "done")
+        assert (again.job_id, again.status) == (done_job.job_id, "completed")
+    stream = f"jobs-{int(open_job.job_id.split('_')[1]):03d}"
+    end = deployment.run(deployment.log.read(stream, 10**9)).first_offset
+    assert end > 0
+    assert finish(deployment, service, open_job.job_id).completed == 30
+    deployment.advance(600.0, 1.0)
+    with pytest.raises(UnknownFileError):
+        read_lines(deployment, service, output)
+    with pytest.raises(UnknownJobError):
+        deployment.run(service.get_job("w", done_job.job_id))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_owners_under_lost_answers_complete_each_item_once(deploy, seed):
+    deployment = deploy(seed=seed)
+    services = [deployment.start(name) for name in ("e1", "e2")]
+    job = deployment.submit(services[0], 40)
+    deployment.model.faults = LogFaults(lost_answer_rate=0.3, refusal_rate=0.1)
+    sidecars = [PlayedSidecar("s1"), PlayedSidecar("s2")]
+    for _ in range(200):
+        for service, sidecar in zip(services, sidecars, strict=True):
+            pulled = deployment.run(sidecar.pull(service, items=5))
+            outcomes = tuple(sidecar.outcome(item) for item in pulled.items)
+            sidecar.ran += [item.index for item in pulled.items]
+            for _ in range(50):
+                results = ItemResults(sidecar.name, 1, outcomes)
+                if deployment.run(service.results(results)).error is None:
+                    break
+        if deployment.run(services[0].get_job("w", job.job_id)).status == "completed":
+            break
+    deployment.model.faults = LogFaults()
+    deployment.advance(2.0)
+    views = [deployment.run(each.get_job("w", job.job_id)) for each in services]
+    assert views[0] == views[1]
+    assert (views[0].completed, views[0].failed) == (40, 0)
+    results = [
+        read_lines(deployment, each, views[0].as_json()["output_file_id"])
+        for each in services
+    ]
+    assert results[0] == results[1]
+    assert Counter(line["custom_id"] for line in results[0]) == Counter(
+        f"c{n}" for n in range(40)
+    )
+    assert deployment.model.lost_answers > 0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_unrepeatable_items_are_handed_out_once_by_two_owners(deploy, seed):
+    deployment = deploy(seed=seed)
+    services = [deployment.start(name, cfg=UNREPEATABLE) for name in ("e1", "e2")]
+    job = deployment.submit(services[0], 20)
+    deployment.model.faults = LogFaults(lost_answer_rate=0.3, refusal_rate=0.1)
+    handed_out = Counter()
+    sidecars = [PlayedSidecar("s1"), PlayedSidecar("s2")]
+    for turn in range(120):
+        for service, sidecar in zip(services, sidecars, strict=True):
+            grants = deployment.run(sidecar.pull(service, items=3))
+            handed_out.update(item.index for item in grants.items)
+            assert not any(item.idempotent for item in grants.items)
+            outcomes = tuple(sidecar.outcome(item) for item in grants.items)
+            if turn % 3:
+                deployment.run(service.results(ItemResults(sidecar.name, 1, outcomes)))
+        deployment.advance(0.2)
+    deployment.model.faults = LogFaults()
+    deployment.advance(20.0)
+    view = deployment.run(services[0].get_job("w", job.job_id))
+    assert view.status == "completed"
+    assert max(handed_out.values()) == 1
+    assert deployment.model.lost_answers > 0
+    if view.failed:
+        errors = read_lines(deployment, services[0], view.as_json()["error_file_id"])
+        assert {line["error"]["code"] for line in errors} == {"outcome_unknown"}
+
+
+def test_unrepeatable_items_wait_while_the_log_is_down(deploy):
+    deployment = deploy()
+    service = deployment.start("e1", cfg=UNREPEATABLE)
+    deployment.submit(service, 3)
+    deployment.model.faults = LogFaults(is_down=True)
+    sidecar = PlayedSidecar()
+    for _ in range(3):
+        assert deployment.run(sidecar.pull(service)).items == ()
+    deployment.model.faults = LogFaults()
+    deployment.advance(1.0)
+    assert len(deployment.run(sidecar.pull(service)).items) == 3
+
+
+def test_batch_work_goes_on_without_the_log_within_its_buffer(deploy):
+    commit = attrs.evolve(SETTINGS.commit, buffer_records=40)
+    deployment = deploy(settings=with_settings(commit=commit, settle_s=0.2))
+    service = deployment.start("e1")
+    job = deployment.submit(service, 100)
+    sidecar = PlayedSidecar()
+    deployment.model.faults = LogFaults(is_down=True)
+    kept, started_at = [], deployment.reactor.seconds()
+    for _ in range(60):
+        grants = deployment.run(sidecar.pull(service, items=5))
+        kept += [sidecar.outcome(item) for item in grants.items]
+        answer = deployment.run(service.results(ItemResults("s1", 1, tuple(kept))))
+        assert kept == [] or answer.error.code is ErrorCode.LOG_UNAVAILABLE
+        deployment.advance(1.0)
+    assert deployment.reactor.seconds() - started_at > 60
+    assert 20 <= len(kept) <= 40
+    waiting = [runner._committer.waiting_records for runner in service.runners.values()]
+    assert sum(waiting) <= 40
+    deployment.model.faults = LogFaults()
+    deployment.advance(1.0)
+    answer = deployment.run(service.results(ItemResults("s1", 1, tuple(kept))))
+    assert answer.error is None
+    view = finish(deployment, service, job.job_id, sidecar)
+    assert (view.completed, view.failed) == (100, 0)
+
+
+def test_cancel_without_the_log_stops_at_once_and_shows_as_pending(deploy):
+    deployment = deploy(settings=with_settings(settle_s=0.2))
+    service = deployment.start("e1")
+    job = deployment.submit(service, 10)
+    sidecar = PlayedSidecar()
+    held = deployment.run(sidecar.pull(service, items=2)).items
+    deployment.model.faults = LogFaults(is_down=True)
+    view = deployment.run(service.cancel_job("w", job.job_id))
+    assert view.status == "cancelling"
+    after = deployment.run(sidecar.pull(service))
+    assert after.items == ()
+    assert set(after.cancelled) == {item.lease_id for item in held}
+    deployment.model.faults = LogFaults()
+    deployment.advance(2.0)
+    assert deployment.run(service.get_job("w", job.job_id)).status == "cancelled"
+
+
+def test_slow_log_delays_acceptance_and_loses_nothing(deploy):
+    deployment = deploy()
+    service = deployment.start("e1")
+    deployment.model.faults = LogFaults(delay_s=1.5)
+    job = deployment.submit(service, 10)
+    view = finish(deployment, service, job.job_id)
+    assert (view.completed, view.failed) == (10, 0)
+    assert deployment.reactor.seconds() > 6
+
+
+def test_partition_is_not_served_before_its_stream_is_read(deploy):
+    deployment = deploy(settings=with_settings(open_s=1.0))
+    service = deployment.start("e1")
+    job = deployment.submit(service, 3)
+    deployment.stop(service)
+    deployment.model.faults = LogFaults(is_down=True)
+    successor = deployment.start("e2")
+    with pytest.raises(PomeloshiftError) as caught:
+        deployment.run(successor.get_job("w", job.job_id))
+    assert caught.value.code is ErrorCode.LOG_UNAVAILABLE
+    assert caught.value.ran is Ran.NO
+    assert caught.value.retry_after_s
+    deployment.model.faults = LogFaults()
+    deployment.advance(10.0)
+    assert deployment.run(successor.get_job("w", job.job_id)).items == 3
+
+
+@pytest.mark.parametrize("seed", range(30))
+def test_answer_about_acceptance_agrees_with_the_log(deploy, seed):
+    deployment = deploy(settings=with_settings(accept_s=0.3), seed=seed)
+    service = deployment.start("e1")
+    file = deployment.run(service.upload_file("w", "f", "batch", jsonl(3)))
+    faults = LogFaults(lost_answer_rate=0.4, refusal_rate=0.4)
+    deployment.model.faults = faults
+    seen = {}
+    for key in "abcdef":
+        call = service.create_job("w", file.file_id, ENDPOINT, idempotency_key=key)
+        try:
+            seen[key] = deployment.run(call).job_id
+        except PomeloshiftError as exc:
+            seen[key] = exc.ran
+            assert exc.ran in (Ran.NO, Ran.UNKNOWN)
+    deployment.model.faults = LogFaults()
+    deployment.advance(20.0)
+    deployment.stop(service)
+    successor = deployment.start("e2")
+    jobs, _ = deployment.run(successor.list_jobs("w", limit=100))
+    accepted = {job.job_id for job in jobs}
+    told = {job_id for job_id in seen.values() if isinstance(job_id, str)}
+    unknown = [key for key, verdict in seen.items() if verdict is Ran.UNKNOWN]
+    assert told <= accepted
+    assert len(accepted) <= len(told) + len(unknown)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_entries_that_come_and_go_lose_nothing(deploy, seed):
+    deployment = deploy(seed=seed)
+    entries = []
+    first = deployment.start("e1", [entry("e1")])
+    job = deployment.submit(first, 30)
+    deployment.model.faults = LogFaults(lost_answer_rate=0.2)
+    sidecar, entries = PlayedSidecar(), [first]
+    for number in range(12):
+        if number % 3 == 2:
+            deployment.stop(entries.pop(0))
+            entries.append(deployment.start(f"e{number}"))
+        deployment.run(sidecar.run(entries[-1], items=4))
+        deployment.advance(1.0)
+    deployment.model.faults = LogFaults()
+    view = finish(deployment, entries[-1], job.job_id, sidecar)
+    assert (view.completed, view.failed) == (30, 0)
+    output = view.as_json()["output_file_id"]
+    lines = read_lines(deployment, entries[-1], output)
+    assert len({line["custom_id"] for line in lines}) == len(lines) == 30
+
+
+def test_instance_lost_right_after_acknowledging_keeps_the_job(deploy):
+    deployment = deploy()
+    service = deployment.start("e1")
+    file = deployment.run(service.upload_file("w", "f", "batch", jsonl(3)))
+    creating = deployment.begin(service.create_job("w", file.file_id, ENDPOINT))
+    while not creating.called:
+        deployment.advance(0.01, 0.01)
+    job = result_of(creating)
+    deployment.stop(service)
+    successor = deployment.start("e2")
+    assert finish(deployment, successor, job.job_id).completed == 3
+
+
+def test_poison_item_fails_and_its_job_finishes(deploy):
+    deployment = deploy()
+    service = deployment.start("e1")
+    job = deployment.submit(service, 4)
+    lost = 0
+    for number in range(20):
+        sidecar = PlayedSidecar(f"s{number}")
+        grants = deployment.run(sidecar.pull(service))
+        if any(item.index == 2 for item in grants.items):
+            lost += 1
+            service.instance_lost(sidecar.name, 1)
+        else:
+            outcomes = tuple(sidecar.outcome(item) for item in grants.items)
+            deployment.run(service.results(ItemResults(sidecar.name, 1, outcomes)))
+        deployment.advance(0.5)
+    view = deployment.run(service.get_job("w", job.job_id))
+    assert lost == 2
+    assert view.status == "completed"
