--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,14 @@
 from functools import partial
 
+import hypothesis
 import pytest
 from twisted.internet.defer import Deferred
 
 from pomeloshift.net import install_reactor
 
+hypothesis.settings.register_profile("ci", deadline=None, derandomize=True)
+hypothesis.settings.load_profile("ci")
+
 # Libraries that test modules import install another reactor if none is there yet.
 REACTOR = install_reactor()
 
