Keep the appends of all partitions to their share of the log's rate

Cause: each partition appends on its own, so that many partitions at low rates would use up the log's appends: 128 of them at 4 completions/s about 640/s. Change: the shortest interval between two appends of a partition follows from the share of the rate and the number of partitions; the number of entries does not count. bench.batch measures state and appends. In virtual time 1, 3 and 9 entries stay within the share. Conclusion: appends follow from partitions and time, not from items or nodes.

--- /dev/null
+++ b/src/pomeloshift/bench/batch/__init__.py
@@ -0,0 +1,7 @@
+"""Measures the state of batch work: replay, memory, checkpoints and appends."""
+
+from ._appends import measure_appends
+from ._command import run_command
+from ._state import measure_state
+
+__all__ = ["measure_appends", "measure_state", "run_command"]
--- a/src/pomeloshift/entry/batch/_peer_client.py
+++ b/src/pomeloshift/entry/batch/_peer_client.py
@@ -1,6 +1,6 @@
 """Calls the entry that owns a partition."""
 
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 from treq.client import HTTPClient
@@ -20,6 +20,20 @@
 HTTP_OK = 200
 
 
+class Peers(Protocol):
+    """Reaches other entries."""
+
+    async def call(self, address: str, call: Call) -> Reply:
+        """Returns the answer of the entry at ``address``.
+
+        Raises `OwnerUnreachableError` where there is none, and `RemoteError` with
+        the error that the entry answered.
+        """
+
+    async def close(self) -> None:
+        """Closes the connections that are kept open."""
+
+
 class PeerClient:
     """Sends calls to other entries over HTTP."""
 
@@ -35,16 +49,14 @@
         agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
         self._http = HTTPClient(agent)
 
-    async def call(
-        self, address: str, call: Call, timeout_s: float | None = None
-    ) -> Reply:
+    async def call(self, address: str, call: Call) -> Reply:
         """Returns the answer of the entry at ``address``.
 
         Raises `OwnerUnreachableError` where there is none, and `RemoteError` with
         the error that the entry answered.
         """
         running: Deferred = Deferred.fromCoroutine(self._post(address, call))
-        running.addTimeout(timeout_s or self._timeout_s, self._reactor)
+        running.addTimeout(self._timeout_s, self._reactor)
         try:
             status, data = await running
         except Exception as exc:
--- a/src/pomeloshift/entry/batch/_service.py
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+import attrs
 from loguru import logger
 
 from ...batch import (
@@ -37,7 +38,7 @@
 from ._partition_runner import PartitionRunner
 from ._partition_service import PartitionService
 from ._peer_api import PeerApi
-from ._peer_client import PeerClient
+from ._peer_client import PeerClient, Peers
 from ._record_cache import RecordCache
 from ._settings import BatchSettings
 from ._upkeep import Upkeep
@@ -51,7 +52,8 @@
 
     Each partition is served by the live entry that rendezvous hashing names; calls
     for others are forwarded, and served here where their owner cannot be reached.
-    That two entries serve a partition at once costs work at most.
+    That two entries serve a partition at once costs work at most. ``peers`` replaces
+    the HTTP client that reaches other entries.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         partitions: int,
         internal_key: str,
         settings: BatchSettings = BatchSettings(),
+        peers: Peers | None = None,
     ) -> None:
         self.name = name
         self.partitions = partitions
@@ -75,11 +78,13 @@
         self._rng = rng
         self._entries = entries
         self._current_config = current_config
-        self._settings = settings
+        self._settings = attrs.evolve(
+            settings, commit=settings.commit_limits(partitions)
+        )
         self._cache = RecordCache(settings.cache_bytes)
         self._items = ItemServer(clock, settings, current_config)
         self._served: dict[int, PartitionService] = {}
-        self._peers = PeerClient(reactor, internal_key, settings.forward_s)
+        self._peers = peers or PeerClient(reactor, internal_key, settings.forward_s)
         self._api = PeerApi(self._serve_here, internal_key)
         self._loops = Loops(reactor)
         self._upkeep = Upkeep(name, clock, rng, settings, current_config)
--- a/src/pomeloshift/entry/batch/_settings.py
+++ b/src/pomeloshift/entry/batch/_settings.py
@@ -17,6 +17,8 @@
     ``accept_s`` how long a caller waits for its job or file. ``cache_bytes`` bounds
     the items and results kept in memory; all of them are read from the log again.
     ``log_retention_s`` is the age at which the log service drops a record.
+    ``appends_per_s`` is the share of the log's append rate that all partitions of
+    the deployment may use together.
     """
 
     owner: OwnerSettings = OwnerSettings()
@@ -30,5 +32,11 @@
     forward_s: float = attrs.field(default=60.0, validator=v.gt(0))
     cache_bytes: int = attrs.field(default=8_388_608, validator=v.ge(0))
     max_file_bytes: int = attrs.field(default=104_857_600, validator=v.ge(1))
+    appends_per_s: float = attrs.field(default=150.0, validator=v.gt(0))
     log_retention_s: float = attrs.field(default=86400.0, validator=v.gt(0))
     upkeep_s: float = attrs.field(default=60.0, validator=v.gt(0))
+
+    def commit_limits(self, partitions: int) -> CommitLimits:
+        """Returns a partition's limits so that all together keep to their share."""
+        interval_s = max(self.commit.min_interval_s, partitions / self.appends_per_s)
+        return attrs.evolve(self.commit, min_interval_s=interval_s)
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -19,6 +19,7 @@
     OwnerSettings(lease_s=5, retry_delay_s=0.01),
     CommitLimits(min_interval_s=0.005, retry_base_s=0.02, retry_max_s=0.1),
     ownership_s=0.05,
+    appends_per_s=2000,
     poll_s=0.05,
     settle_s=2.0,
     accept_s=5.0,
@@ -50,7 +51,9 @@
     return Instance(name, InstanceRole.ENTRY, PLACE, address)
 
 
-def job_service(name, log, reactor, entries, clock=None, settings=SETTINGS, cfg=CONFIG):
+def job_service(
+    name, log, reactor, entries, clock=None, settings=SETTINGS, cfg=CONFIG, peers=None
+):
     return JobService(
         name,
         log,
@@ -62,6 +65,7 @@
         PARTITIONS,
         "internal-key",
         settings,
+        peers,
     )
 
 
--- a/tests/_virtual.py
+++ b/tests/_virtual.py
@@ -8,6 +8,9 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from _jobs import ENDPOINT, SETTINGS, entry, job_service, jsonl
+from pomeloshift.entry.batch._calls import decode_call, encode_call
+from pomeloshift.entry.batch._errors import OwnerUnreachableError, RemoteError
+from pomeloshift.errors import PomeloshiftError
 from pomeloshift.standins.log import LogModel, LogSettings, MemoryLog
 
 EPOCH = 1_700_000_000.0
@@ -27,6 +30,26 @@
         return EPOCH + self.reactor.seconds()
 
 
+class VirtualPeers:
+    """Calls other entries of a deployment within the process."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.unreachable = set()
+
+    async def call(self, address, call):
+        service = self.deployment.by_address.get(address)
+        if service is None or address in self.unreachable:
+            raise OwnerUnreachableError(f"nobody answers at {address}")
+        try:
+            return await service._serve_here(decode_call(encode_call(call)))
+        except PomeloshiftError as exc:
+            raise RemoteError(exc.report()) from exc
+
+    async def close(self):
+        pass
+
+
 class Deployment:
     """Entries over one log; time moves only in `run` and `advance`."""
 
@@ -42,6 +65,8 @@
             lambda seconds: deferLater(self.reactor, seconds),
         )
         self.services = []
+        self.by_address = {}
+        self.peers = VirtualPeers(self)
 
     def start(self, name, entries=None, **kwargs):
         known = [entry(name)] if entries is None else entries
@@ -52,14 +77,17 @@
             known,
             self.clock,
             kwargs.pop("settings", self.settings),
+            peers=self.peers,
             **kwargs,
         )
         service.start()
+        self.by_address[name] = service
         self.services.append(service)
         return service
 
     def stop(self, service):
         self.services.remove(service)
+        del self.by_address[service.name]
         self.run(service.stop())
 
     def stop_all(self):
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -304,3 +304,26 @@
     view = deployment.run(service.get_job("w", job.job_id))
     assert lost == 2
     assert view.status == "completed"
+
+
+@pytest.mark.parametrize("count", [1, 3, 9])
+def test_appends_keep_to_their_share_whatever_the_number_of_entries(deploy, count):
+    limited = with_settings(appends_per_s=10.0, settle_s=2.0, accept_s=60.0)
+    deployment = deploy(LogSettings(), settings=limited)
+    entries = [entry(f"e{number}", f"e{number}") for number in range(count)]
+    services = [deployment.start(each.name, entries) for each in entries]
+    for service in services:
+        deployment.begin(service.upload_file("w", "f", "batch", jsonl(40)))
+    before, started_at = deployment.model.appends, deployment.reactor.seconds()
+    sidecar = PlayedSidecar()
+    for key in "abcdef":
+        deployment.submit(services[0], 40, key)
+    while len(sidecar.ran) < 240:
+        for service in services:
+            deployment.run(sidecar.run(service, items=9))
+            deployment.advance(0.1)
+    spent_s = deployment.reactor.seconds() - started_at
+    appends = deployment.model.appends - before
+    partitions = services[0].partitions
+    assert spent_s > 5
+    assert appends <= spent_s * 10.0 + partitions
