Work out each role at the target from measured slopes: bench control

Change: bench control measures slopes, an exchange over loopback and idle processes of both roles, and works out one sidecar and one entry at the target. Tests bound bytes and memory by the stated budgets; processor time is printed only.

--- a/src/pomeloshift/bench/control/_entry_work.py
+++ b/src/pomeloshift/bench/control/_entry_work.py
@@ -115,7 +115,7 @@
 def count_metrics(count: int) -> Outcome:
     """Counts requests and their times."""
     metrics = Metrics("entry")
-    labels = {"service": "lm-a", "class": "online"}
+    labels: Any = {"service": "lm-a", "class": "online"}
     for _ in range(count):
         metrics.inc("requests_total", outcome="ok", **labels)
         metrics.observe("first_token_seconds", 0.3, **labels)
--- a/src/pomeloshift/bench/control/_slope.py
+++ b/src/pomeloshift/bench/control/_slope.py
@@ -98,6 +98,8 @@
 
 
 def _sizes(workload: Workload, size: int) -> tuple[int, int]:
+    # Fills caches that a process has only once.
+    workload.run(workload.prepare(size))
     prepared = workload.prepare(size)
     gc.collect()
     tracemalloc.start()
--- /dev/null
+++ b/tests/test_bench_control.py
@@ -0,0 +1,79 @@
+import attrs
+import pytest
+
+from pomeloshift.bench.control._batch_work import BATCH_WORK
+from pomeloshift.bench.control._capacity import work_out
+from pomeloshift.bench.control._carrier import CarrierCost, measure_carrier
+from pomeloshift.bench.control._entry_work import ENTRY_WORK
+from pomeloshift.bench.control._sidecar_work import SIDECAR_WORK
+from pomeloshift.bench.control._slope import Slope, fit, measure_sizes
+from pomeloshift.bench.control._target import Target
+
+WORK = (*SIDECAR_WORK, *ENTRY_WORK, *BATCH_WORK)
+TARGET = Target()
+
+
+@pytest.fixture(scope="module")
+def slopes():
+    """The slopes of bytes, which are the same in each run."""
+    small = (
+        attrs.evolve(w, sizes=tuple(min(s, 2000) for s in w.sizes[:2])) for w in WORK
+    )
+    return {(s.role, s.work, s.unit): s for s in map(measure_sizes, small)}
+
+
+def test_line_is_fitted():
+    assert fit((1, 2, 3), (5, 7, 9)) == pytest.approx((2, 3))
+
+
+def test_every_workload_is_measured_by_bytes(slopes):
+    assert len(slopes) == len(WORK)
+    assert slopes["sidecar", "heartbeat", "heartbeat"].wire_bytes > 0
+    assert slopes["sidecar", "heartbeat", "heartbeat"].kept_bytes < 1
+    assert slopes["entry", "item run", "item"].wire_bytes > 0
+
+
+def test_memory_of_a_sidecar_does_not_grow_with_heartbeats_and_items(slopes):
+    for work, unit in (("heartbeat", "heartbeat"), ("batch items", "item")):
+        assert abs(slopes["sidecar", work, unit].kept_bytes) < 1
+
+
+def test_heartbeats_to_a_few_entries_stay_below_a_node_s_bytes(slopes):
+    entries_of_today = 4
+    size = slopes["sidecar", "heartbeat", "heartbeat"].wire_bytes
+    rate = entries_of_today / TARGET.heartbeat_s
+    assert size * rate < TARGET.node_bytes_per_s
+
+
+def test_configuration_of_the_target_fits_into_a_node_s_memory(slopes):
+    workspace = slopes["sidecar", "configuration", "workspace"].kept_bytes
+    server = slopes["sidecar", "configuration", "backend server"].kept_bytes
+    kept = workspace * TARGET.workspaces + server * TARGET.nodes
+    assert kept < TARGET.node_resident_bytes / 10
+
+
+def test_open_items_of_a_day_fit_into_the_entries_of_today(slopes):
+    per_item = slopes["entry", "job fold", "item"].kept_bytes
+    assert per_item * TARGET.largest_job < TARGET.node_resident_bytes
+    assert per_item * TARGET.items_per_day / 4 < 1e9
+
+
+def test_capacity_follows_from_the_slopes():
+    unit_slopes = [Slope(w.role, w.work, w.unit, 10.0, 100.0, 1000.0) for w in WORK]
+    capacity = work_out(unit_slopes, CarrierCost(200.0, 300.0), TARGET)
+    cores = 10 * TARGET.tokens_per_s / 1e6 + 20 * TARGET.requests_per_s / 1e6
+    assert capacity.entry_cores == pytest.approx(cores)
+    assert capacity.entries == 202
+    beats = capacity.demands[0]
+    assert beats.per_s == pytest.approx(202 / TARGET.heartbeat_s)
+    assert beats.core_share == pytest.approx(beats.per_s * 110 / 1e6)
+    total = capacity.total("sidecar")
+    assert total.core_share < sum(
+        d.core_share for d in capacity.demands if d.role == "sidecar"
+    )
+
+
+def test_carrier_exchanges_messages_on_real_sockets(reactor, run_async):
+    cost = run_async(measure_carrier(reactor))
+    assert cost.cpu_us > 0
+    assert cost.elapsed_us > 0
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -1,4 +1,3 @@
-from _loop import shared_loop
 from twisted.web.resource import Resource
 
 from pomeloshift.net._serve import serve
