--- a/src/pomeloshift/admission/_admission.py
+++ b/src/pomeloshift/admission/_admission.py
@@ -21,6 +21,7 @@
 from ._observer import Observer
 from ._pace_goal import PaceGoal
 from ._roster import Roster
+from ._shadow_queue import ShadowQueue
 from ._step_model import StepModel
 from ._stream import Phase, Stream
 
@@ -59,6 +60,7 @@
         self._observer = Observer(
             self._roster, self._steps, self._first_tokens, self._pace
         )
+        self._shadow = ShadowQueue(self._steps)
         self._batch_limit = FIRST_BATCH_LIMIT
         self._wanted_at = float("-inf")
         self._mean_online = 0.0
@@ -145,10 +147,12 @@
     def _learn_end(self, stream: Stream, now: float) -> None:
         tokens = stream.held_tokens - self._online_tokens
         self._online_tokens += MEAN_SHARE * tokens
+        self._shadow.on_output(stream.tokens)
         lasted_s = now - stream.started_at
         self._online_s += MEAN_SHARE * (lasted_s - self._online_s)
 
     def _on_tick(self, now: float) -> list[AdmissionEffect]:
+        self._shadow.advance(now, self._first_tokens.chunk_tokens)
         self._adjust_limit()
         effects = self._drop_late(now)
         effects += self._balance(now)
@@ -167,7 +171,7 @@
             wanted = room - max(online, self._mean_online)
             limit = min(wanted, limit + max(1.0, GROWTH_SHARE * limit))
         elif roster.batch_running + 1 >= limit:
-            if self._observer.gap_s < self._pace.goal_s:
+            if self._observer.gap_s < self._pace.goal_s - self._steps.read_extra_s:
                 limit += SLOW_START_GROWTH
         self._batch_limit = max(0.0, min(limit, self.cfg.max_batch_streams))
 
@@ -187,18 +191,20 @@
                 break
             if stream.offer.alone and roster.has_suspect:
                 continue
-            self._protect(stream)
+            self._protect(stream, now)
             self._begin(stream, now)
             effects.append(StartStream(stream.stream_id))
         return effects
 
-    def _protect(self, stream: Stream) -> None:
+    def _protect(self, stream: Stream, now: float) -> None:
         roster = self._roster
-        ahead = sum(s.read_tokens for s in roster.online_reading.values())
-        tokens = ahead + stream.read_tokens
         model = self._first_tokens
+        stream.read_tokens = model.uncached_tokens(stream.offer.prompt_tokens)
+        tokens = stream.read_tokens + self._online_tokens_ahead()
         online = len(roster.online_decoding)
-        alone_s = model.wait_s(tokens, online)
+        chunk = model.chunk_tokens
+        self._shadow.advance(now, chunk)
+        alone_s = self._shadow.wait_s(stream.read_tokens, chunk)
         model.observe_wait(alone_s)
         limit_s = max(model.tail_s, alone_s * self.cfg.tail_ratio)
         room = model.sequences_within(tokens, limit_s) - online
@@ -207,6 +213,18 @@
         with_batch_s = model.wait_s(tokens + batch_ahead, roster.decoding)
         stream.is_protected = with_batch_s > limit_s
 
+    def _online_tokens_ahead(self) -> float:
+        """Estimates the online prompt tokens that the engine has still to read."""
+        chunk = self._first_tokens.chunk_tokens
+        ahead = 0.0
+        read = float("inf")
+        for stream in self._roster.online_reading.values():
+            ahead += stream.read_tokens
+            read = min(
+                read, (self._observer.step_count - stream.steps_at_start) * chunk
+            )
+        return max(0.0, ahead - read) if ahead else 0.0
+
     def _online_limit(self) -> float:
         if not self._steps.is_fitted:
             return float("inf")
