Tell attempts, backend server and region of ended requests

Cause: what spends a budget can only be told if it is known whether a request was retried, crossed regions, and where it ran. Change: four fields with defaults in FinishedRequest, filled by Run. Conclusion: additive; no other behaviour changes.

--- a/src/pomeloshift/entry/online/_finished.py
+++ b/src/pomeloshift/entry/online/_finished.py
@@ -11,6 +11,9 @@
 
     ``first_token_s`` is `None` if nothing was delivered, and ``error`` is `None` for
     a whole answer. ``caller_gone`` is set where the caller did not wait for it.
+    ``attempts`` counts the orders to backend servers, the last of which went to
+    ``backend_server`` in ``region``. ``stream`` tells whether tokens were passed on
+    as they came.
     """
 
     request_id: str
@@ -21,3 +24,7 @@
     tokens: int = 0
     error: ErrorCode | None = None
     caller_gone: bool = False
+    attempts: int = 0
+    backend_server: str = ""
+    region: str = ""
+    stream: bool = True
--- a/src/pomeloshift/entry/online/_run.py
+++ b/src/pomeloshift/entry/online/_run.py
@@ -53,6 +53,9 @@
         self._tokens = 0
         self._error: ErrorReport | None = None
         self._complete = False
+        self._attempt_ids: set[str] = set()
+        self._backend_server = ""
+        self._region = ""
         tokens = order.prompt_tokens + order.max_tokens
         self._ledger = Ledger(router, suspects, order.fingerprint, tokens)
         self._exchange = Exchange(core, req, client, reactor, clock, self._observe)
@@ -74,6 +77,10 @@
             self._tokens,
             None if self._error is None else self._error.code,
             caller_gone=not self._complete and self._error is None,
+            attempts=len(self._attempt_ids),
+            backend_server=self._backend_server,
+            region=self._region,
+            stream=self._order.stream,
         )
 
     def outcome(self, first_token_target_s: float) -> Outcome:
@@ -90,6 +97,9 @@
         match effect:
             case OpenAttempt():
                 self._ledger.opened(effect)
+                self._attempt_ids.add(effect.request.attempt_id)
+                self._backend_server = effect.instance.name
+                self._region = effect.instance.place.region
             case Deliver(tokens=tokens):
                 self._deliver(tokens)
             case ServerFailed():
