--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -17,7 +17,7 @@
     MetricSpec(
         "requests_total",
         COUNTER,
-        "Requests that ended; the outcome is ok or the code of the error.",
+        "Requests that ended; the outcome is ok, caller_gone or an error's code.",
         ("service", "class", "outcome"),
     ),
     MetricSpec(
@@ -49,8 +49,8 @@
     MetricSpec(
         "retries_total",
         COUNTER,
-        "Attempts after the first one, by what ended the one before.",
-        ("service", "reason"),
+        "Attempts after the first one.",
+        ("service",),
         ENTRY,
     ),
     MetricSpec(
