--- a/src/pomeloshift/cli/_commands.py
+++ b/src/pomeloshift/cli/_commands.py
@@ -5,6 +5,7 @@
 from ._admin_commands import JobCommands, KeyCommands
 from ._bench import BenchCommands
 from ._questionnaire import QuestionnaireCommands
+from ._report import ReportCommands
 from ._standin import StandinCommands
 
 
@@ -20,6 +21,7 @@
         self.questionnaire = QuestionnaireCommands()
         self.key = KeyCommands()
         self.job = JobCommands()
+        self.report = ReportCommands()
 
     def entry(self, settings: str) -> None:
         """Runs an entry instance.
--- a/src/pomeloshift/cli/_kinds.py
+++ b/src/pomeloshift/cli/_kinds.py
@@ -15,6 +15,9 @@
     "sidecar": ("settings", "SidecarSettings"),
     "engine": ("standins.engine", "EngineSettings"),
     "log": ("standins.log", "LogSettings"),
+    "list": ("standins.livelist", "ListSettings"),
+    "weights": ("standins.weights", "WeightsSettings"),
+    "service": ("standins.service", "ServiceSettings"),
 }
 KINDS = tuple(_classes_by_kind)
 
--- a/tests/test_cli_check.py
+++ b/tests/test_cli_check.py
@@ -17,6 +17,9 @@
     '"list_url": "http://h:2", "internal_key": "0123456789abcdef"}',
     "engine": '{"name": "engine-1", "models": ["m"], "decode_slots": 3}',
     "log": '{"appends_per_s": 100}',
+    "list": '{"lag_s": 2}',
+    "weights": '{"loads_per_s": 2}',
+    "service": '{"delay_s": 2}',
 }
 
 
