--- /dev/null
+++ b/src/pomeloshift/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decision cores in virtual time."""
--- a/src/pomeloshift/entry/online/_route_chooser.py
+++ b/src/pomeloshift/entry/online/_route_chooser.py
@@ -37,15 +37,18 @@
             if self.suspects.servers_running(self.fingerprint):
                 return None
             excluded = excluded | self.suspects.servers_with_suspects(now)
-        return self._ask(excluded, alone, now)
+        return self._ask(excluded, alone, now, self.query.body_bytes)
 
     def is_blocked(self, excluded: frozenset[str], now: float) -> bool:
         """Tells whether only other suspects keep a suspect from running."""
-        return self._ask(excluded, True, now) is not None
+        return self._ask(excluded, True, now, body_bytes=0) is not None
 
-    def _ask(self, excluded: frozenset[str], alone: bool, now: float) -> Target | None:
+    def _ask(
+        self, excluded: frozenset[str], alone: bool, now: float, body_bytes: int
+    ) -> Target | None:
         query = attrs.evolve(
             self.query,
+            body_bytes=body_bytes,
             excluded=excluded,
             alone=alone,
             deadline_s=max(0.0, self.deadline_at - now),
--- a/src/pomeloshift/entry/online/_service.py
+++ b/src/pomeloshift/entry/online/_service.py
@@ -155,6 +155,7 @@
     def _chooser(
         self, order: OnlineOrder, service: ServiceConfig, prefix: str
     ) -> RouteChooser:
+        self._router.apply_link(self.configuration().link)
         answer_bytes = order.max_tokens * ANSWER_BYTES_PER_TOKEN
         query = RouteQuery(
             order.service,
--- a/src/pomeloshift/routing/_backend_server.py
+++ b/src/pomeloshift/routing/_backend_server.py
@@ -5,7 +5,9 @@
 from ..model import Instance, InstanceState, LoadReport
 from ..wire import SidecarReport
 from ._config import RouterConfig
+from ._decaying_sum import DecayingSum
 from ._own_work import OwnWork
+from ._report_lag import ReportLag
 
 
 @attrs.define
@@ -17,13 +19,15 @@
     incarnation: int = 0
     sequence: int = -1
     reported_at: float | None = None
-    heard_at: float | None = None
+    heard_at: float = 0.0
     listed: bool = False
     leaving: bool = False
     engine_alive: bool = True
     suspect_until: float = 0.0
     suspect_s: float = 0.0
     own: OwnWork = attrs.field(factory=OwnWork)
+    lag: ReportLag = attrs.field(factory=ReportLag)
+    sent: DecayingSum = attrs.field(factory=lambda: DecayingSum(2.0))
 
     def take_report(self, report: SidecarReport, now: float, lag_s: float) -> bool:
         """Takes a report unless a newer one is known; returns whether it did."""
@@ -37,9 +41,10 @@
         self.load = report.load
         self.leaving = report.draining or self.leaving
         self.engine_alive = report.engine_alive
-        self.reported_at = now
         self.heard_at = now
-        self.own.drop_until(now - lag_s)
+        late_s = self.lag.measure(report.load.made_at_s, now)
+        self.reported_at = now - late_s
+        self.own.drop_until(self.reported_at - lag_s)
         return True
 
     def take_instance(self, instance: Instance) -> None:
@@ -67,16 +72,24 @@
         return not self.leaving and self.engine_alive and now >= self.suspect_until
 
     def is_silent(self, now: float, silent_s: float) -> bool:
-        """Tells whether neither report nor answer came within ``silent_s`` seconds."""
-        return self.heard_at is None or now - self.heard_at > silent_s
+        """Tells whether reports have stopped and no answer came either.
+
+        A server that has not reported yet is not silent: it may be new, or its
+        reports may not reach this entry at all.
+        """
+        return self.reported_at is not None and now - self.heard_at > silent_s
 
     def age(self, now: float) -> float:
-        """Returns the seconds since the last report."""
+        """Returns the seconds since the last report was made."""
         return float("inf") if self.reported_at is None else now - self.reported_at
 
+    def other_tokens(self) -> int:
+        """Returns the online tokens of other entries in the last report."""
+        return max(0, self.load.online_tokens - self.own.reported)
+
     def online_tokens(self) -> int:
         """Returns the estimated online tokens, this entry's own included."""
-        return max(0, self.load.online_tokens + self.own.tokens)
+        return self.other_tokens() + self.own.running
 
     def capacity_tokens(self, cfg: RouterConfig) -> int:
         """Returns the capacity in tokens."""
@@ -92,5 +105,5 @@
 
     def _restart(self) -> None:
         self.leaving = False
-        self.own = OwnWork()
+        self.lag = ReportLag()
         self.clear()
--- a/src/pomeloshift/routing/_fleet.py
+++ b/src/pomeloshift/routing/_fleet.py
@@ -6,6 +6,7 @@
 from ..wire import SidecarReport
 from ._backend_server import BackendServer
 from ._config import RouterConfig
+from ._decaying_sum import DecayingSum
 from ._rendezvous import top_names
 
 
@@ -40,7 +41,7 @@
         gone = [
             name
             for name, server in self._servers.items()
-            if not server.listed and server.is_silent(now, self._cfg.silent_s)
+            if not server.listed and now - server.heard_at > self._cfg.silent_s
         ]
         for name in gone:
             del self._servers[name]
@@ -56,7 +57,9 @@
     def _known(self, instance: Instance) -> BackendServer:
         server = self._servers.get(instance.name)
         if server is None:
-            server = self._servers[instance.name] = BackendServer(instance)
+            server = self._servers[instance.name] = BackendServer(
+                instance, sent=DecayingSum(self._cfg.sent_fade_s)
+            )
             self._tiers.clear()
         return server
 
--- a/src/pomeloshift/routing/_link_budget.py
+++ b/src/pomeloshift/routing/_link_budget.py
@@ -15,6 +15,12 @@
     def __attrs_post_init__(self) -> None:
         self._level = self.burst_bytes
 
+    def resize(self, bytes_per_s: float, burst_bytes: float) -> None:
+        """Applies a new rate and burst."""
+        self.bytes_per_s = bytes_per_s
+        self.burst_bytes = burst_bytes
+        self._level = min(self._level, burst_bytes)
+
     def allows(self, size: int, now: float) -> bool:
         """Tells whether ``size`` bytes may be sent; a large size may take all."""
         self._fill(now)
--- a/src/pomeloshift/routing/_own_work.py
+++ b/src/pomeloshift/routing/_own_work.py
@@ -7,17 +7,24 @@
 
 @attrs.define
 class OwnWork:
-    """Tokens that this entry added or took away, and that no report shows yet."""
+    """Tokens of this entry that run now, and the changes that no report shows yet."""
 
+    running: int = 0
+    unreported: int = 0
     changes: deque[tuple[float, int]] = attrs.field(factory=deque)
-    tokens: int = 0
 
     def add(self, tokens: int, now: float) -> None:
-        """Notes a change of the load."""
+        """Notes work that was started, or ended if ``tokens`` is negative."""
         self.changes.append((now, tokens))
-        self.tokens += tokens
+        self.unreported += tokens
+        self.running += tokens
 
     def drop_until(self, until: float) -> None:
         """Forgets the changes that a report made at ``until`` shows."""
         while self.changes and self.changes[0][0] <= until:
-            self.tokens -= self.changes.popleft()[1]
+            self.unreported -= self.changes.popleft()[1]
+
+    @property
+    def reported(self) -> int:
+        """The tokens of this entry that the last report shows."""
+        return self.running - self.unreported
--- a/src/pomeloshift/routing/_pick.py
+++ b/src/pomeloshift/routing/_pick.py
@@ -8,55 +8,80 @@
 from ._rendezvous import top_names
 
 AFFINITY_CHOICES = 2
+MAX_SENT_WEIGHT = 4.0
 
 
 class Pick:
-    """One choice: prefix affinity within a load bound, then power of two choices."""
+    """One choice among servers of a region, on the loads estimated at this time."""
 
-    def __init__(self, cfg: RouterConfig, rng: Random, now: float) -> None:
+    def __init__(
+        self,
+        cfg: RouterConfig,
+        rng: Random,
+        now: float,
+        servers: list[BackendServer],
+        other_entries: int,
+    ) -> None:
         self._cfg = cfg
         self._rng = rng
         self._now = now
+        self._sent_weight = min(MAX_SENT_WEIGHT, cfg.sent_weight * other_entries)
+        self._loads = self._estimate(servers)
+
+    def load(self, server: BackendServer) -> float:
+        """Returns the estimated load as a share of the capacity."""
+        return self._loads[server.instance.name]
 
     def pick(self, group: list[BackendServer], prefix: str) -> BackendServer | None:
-        """Returns a server of ``group``, or `None` if it is empty."""
+        """Returns a server of ``group``, or `None` if it is empty.
+
+        One that may hold the prefix is taken up to a load a little above the mean;
+        otherwise the less loaded of two random ones.
+        """
         if not group:
             return None
-        mean = sum(map(self._raw_load, group)) / len(group)
         if prefix:
-            server = self._pick_by_prefix(group, prefix, mean)
+            server = self._pick_by_prefix(group, prefix)
             if server is not None:
                 return server
-        return self._pick_of_two(group, mean)
+        return self._pick_of_two(group)
 
-    def load(self, server: BackendServer, mean: float) -> float:
-        """Estimates a load; one with an old report is taken nearer the mean.
+    def _estimate(self, servers: list[BackendServer]) -> dict[str, float]:
+        """Estimates the loads of ``servers``.
 
-        An old report says little, and many entries that believe the same one would
-        all send their work to the same server.
+        This entry's own work is known exactly. Of the other entries' work an old
+        report says little, and many entries that believe the same one would all send
+        their work to the same server. As it ages, it is replaced by the mean and by
+        what this entry sent lately, since the others choose as it does.
         """
-        trust = math.exp(-server.age(self._now) / self._cfg.trust_s)
-        capacity = server.capacity_tokens(self._cfg)
-        reported = server.load.online_tokens / capacity
-        own = server.own.tokens / capacity
-        return max(0.0, trust * reported + (1 - trust) * mean + own)
+        if not servers:
+            return {}
+        others = [self._other_load(server) for server in servers]
+        mean = sum(others) / len(others)
+        loads = {}
+        for server, other in zip(servers, others, strict=True):
+            trust = math.exp(-server.age(self._now) / self._cfg.trust_s)
+            capacity = server.capacity_tokens(self._cfg)
+            own = server.own.running / capacity
+            guess = mean + self._sent_weight * server.sent.at(self._now) / capacity
+            loads[server.instance.name] = own + trust * other + (1 - trust) * guess
+        return loads
 
-    def _raw_load(self, server: BackendServer) -> float:
-        return server.online_tokens() / server.capacity_tokens(self._cfg)
+    def _other_load(self, server: BackendServer) -> float:
+        return server.other_tokens() / server.capacity_tokens(self._cfg)
 
     def _pick_by_prefix(
-        self, group: list[BackendServer], prefix: str, mean: float
+        self, group: list[BackendServer], prefix: str
     ) -> BackendServer | None:
+        bound = sum(map(self.load, group)) / len(group) + self._cfg.affinity_load
         by_name = {server.instance.name: server for server in group}
         for name in top_names(prefix, by_name, AFFINITY_CHOICES):
-            if self.load(by_name[name], mean) <= mean + self._cfg.affinity_load:
+            if self._loads[name] <= bound:
                 return by_name[name]
         return None
 
-    def _pick_of_two(self, group: list[BackendServer], mean: float) -> BackendServer:
+    def _pick_of_two(self, group: list[BackendServer]) -> BackendServer:
         if len(group) == 1:
             return group[0]
         first, second = self._rng.sample(group, 2)
-        if self.load(second, mean) < self.load(first, mean):
-            return second
-        return first
+        return second if self.load(second) < self.load(first) else first
--- a/src/pomeloshift/routing/_router.py
+++ b/src/pomeloshift/routing/_router.py
@@ -1,9 +1,11 @@
 """The choice of a backend server at one entry."""
 
-from collections.abc import Callable, Iterable
+import math
+from collections.abc import Iterable
 from random import Random
 
-from ..model import Instance, Place, Priority
+from ..config import LinkConfig
+from ..model import Instance, InstanceRole, Place, Priority
 from ..wire import SidecarReport
 from ._backend_server import BackendServer
 from ._config import RouterConfig
@@ -26,10 +28,11 @@
         self._rng = rng
         self._fleet = Fleet(cfg, place)
         self._now = 0.0
-        self._budgets = {
-            Priority.ONLINE: _budget(cfg.link_online_bytes_per_s, cfg),
-            Priority.BATCH: _budget(cfg.link_batch_bytes_per_s, cfg),
-        }
+        self._place = place
+        self._link = LinkConfig()
+        self._entries = 1
+        self._budgets = {priority: LinkBudget(0.0, math.inf) for priority in Priority}
+        self._share_link()
 
     def observe_report(self, report: SidecarReport, now: float) -> None:
         """Takes a heartbeat of a sidecar."""
@@ -39,7 +42,18 @@
     def observe_instances(self, instances: Iterable[Instance], now: float) -> None:
         """Takes the live list, which lags."""
         self._now = max(self._now, now)
-        self._fleet.take_instances(instances, now)
+        listed = list(instances)
+        self._fleet.take_instances(listed, now)
+        self._entries = max(1, sum(map(self._is_near_entry, listed)))
+        self._share_link()
+
+    def apply_link(self, link: LinkConfig) -> None:
+        """Applies the byte budgets of the paid link.
+
+        They are shared evenly by the live entries of the region.
+        """
+        self._link = link
+        self._share_link()
 
     def mark_leaving(self, name: str) -> None:
         """Takes a backend server out until it starts again."""
@@ -86,12 +100,10 @@
         local = self._choose_local(query, zone, region)
         if local is not None and self._is_fast_enough(local, query):
             return Route(local.instance)
-        if local is None:
-            local = self._choose_unheard(query)
         paid = self._choose_paid(query, remote, local)
         if paid is not None:
             return Route(paid.instance, paid=True)
-        local = local or self._choose_lost(query)
+        local = local or self._choose_silent(query)
         return None if local is None else Route(local.instance)
 
     def _choose_local(
@@ -100,14 +112,13 @@
         zone: list[BackendServer],
         region: list[BackendServer],
     ) -> BackendServer | None:
-        pick = Pick(self._cfg, self._rng, self._now)
+        pick = self._pick(zone + region)
         near = pick.pick(zone, query.prefix)
-        if near is not None and self._load(near) <= self._cfg.spill_load:
-            return near
         far = pick.pick(region, query.prefix)
         if near is None or far is None:
             return near or far
-        return far if self._load(far) < self._load(near) else near
+        is_far_better = pick.load(far) + self._cfg.zone_bias < pick.load(near)
+        return far if is_far_better else near
 
     def _choose_paid(
         self,
@@ -118,32 +129,17 @@
         budget = self._budgets[query.priority]
         if not remote or not budget.allows(query.body_bytes, self._now):
             return None
-        paid = Pick(self._cfg, self._rng, self._now).pick(remote, query.prefix)
+        paid = self._pick(remote).pick(remote, query.prefix)
         if paid is None or not _is_better(paid, local, self._cfg):
             return None
         budget.spend(query.body_bytes, self._now)
         return paid
 
-    def _choose_unheard(self, query: RouteQuery) -> BackendServer | None:
-        """Falls back to local servers that have not reported yet."""
-        return self._choose_silent(query, lambda server: server.heard_at is None)
-
-    def _choose_lost(self, query: RouteQuery) -> BackendServer | None:
+    def _choose_silent(self, query: RouteQuery) -> BackendServer | None:
         """Falls back to local servers whose reports have stopped."""
-        return self._choose_silent(query, lambda server: server.heard_at is not None)
-
-    def _choose_silent(
-        self, query: RouteQuery, accepts: Callable[[BackendServer], bool]
-    ) -> BackendServer | None:
         zone, region, _ = self._fleet.tiers(query.service)
-        usable = [
-            server
-            for server in zone + region
-            if self._is_usable(server, query)
-            and self._is_silent(server)
-            and accepts(server)
-        ]
-        return Pick(self._cfg, self._rng, self._now).pick(usable, query.prefix)
+        usable = [s for s in zone + region if self._is_usable(s, query)]
+        return self._pick(usable).pick(usable, query.prefix)
 
     def _usable(
         self, tier: list[BackendServer], query: RouteQuery
@@ -168,17 +164,30 @@
         itl_s = server.load.itl_s or self._cfg.default_itl_s
         return wait_s + query.max_tokens * itl_s <= query.deadline_s
 
-    def _load(self, server: BackendServer) -> float:
-        return server.online_tokens() / server.capacity_tokens(self._cfg)
+    def _pick(self, servers: list[BackendServer]) -> Pick:
+        return Pick(self._cfg, self._rng, self._now, servers, self._entries - 1)
 
     def _count(self, name: str, tokens: int) -> None:
         server = self._fleet.get(name)
-        if server is not None:
-            server.own.add(tokens, self._now)
-
-
-def _budget(bytes_per_s: float, cfg: RouterConfig) -> LinkBudget:
-    return LinkBudget(bytes_per_s, bytes_per_s * cfg.link_burst_s)
+        if server is None:
+            return
+        server.own.add(tokens, self._now)
+        if tokens > 0:
+            server.sent.add(tokens, self._now)
+
+    def _is_near_entry(self, instance: Instance) -> bool:
+        is_entry = instance.role is InstanceRole.ENTRY
+        return is_entry and instance.place.region == self._place.region
+
+    def _share_link(self) -> None:
+        shares = {
+            Priority.ONLINE: self._link.online_share,
+            Priority.BATCH: self._link.batch_share,
+        }
+        for priority, share in shares.items():
+            bytes_per_s = self._link.bytes_per_s * share / self._entries
+            burst_bytes = bytes_per_s * self._cfg.link_burst_s
+            self._budgets[priority].resize(bytes_per_s, burst_bytes)
 
 
 def _is_better(
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,6 +4,7 @@
 import attrs
 import pytest
 
+from pomeloshift.config import LinkConfig
 from pomeloshift.model import (
     Instance,
     InstanceRole,
@@ -76,10 +77,9 @@
     router = make_router(
         report(server("a"), 50_000),
         report(server("c", "z9", "r2")),
-        link_online_bytes_per_s=1000.0,
         link_burst_s=1.0,
-        link_batch_bytes_per_s=0.0,
     )
+    router.apply_link(LinkConfig(1000.0, online_share=1.0, batch_share=0.0))
     query = attrs.evolve(QUERY, body_bytes=300)
     routes = [router.choose(query, 0.0) for _ in range(20)]
     assert sum(route.paid for route in routes) == 3
@@ -88,6 +88,18 @@
     assert not router.choose(batch, 9.0).paid
 
 
+def test_entries_of_a_region_share_the_paid_link(make_router):
+    router = make_router(report(server("a"), 50_000), link_burst_s=1.0)
+    router.apply_link(LinkConfig(1200.0, online_share=1.0))
+    remote = server("c", "z9", "r2")
+    entries = [Instance(f"e{n}", InstanceRole.ENTRY, HOME, "") for n in range(2)]
+    far = Instance("e9", InstanceRole.ENTRY, At("r2", "z9"), "")
+    router.observe_instances([server("a"), remote, far, *entries], 0.0)
+    router.observe_report(report(remote), 0.0)
+    query = attrs.evolve(QUERY, body_bytes=300)
+    assert sum(router.choose(query, 0.0).paid for _ in range(20)) == 2
+
+
 @pytest.mark.parametrize("field", ["draining", "engine_alive"])
 def test_report_takes_a_server_out_at_once(make_router, field):
     router = make_router(report(server("a")), report(server("b")))
@@ -166,6 +178,22 @@
     assert max(counts.values()) <= 30
 
 
+def test_late_report_does_not_hide_work_that_was_sent_meanwhile(make_router):
+    def made_at(name, tokens, sequence, made_at_s):
+        full = report(server(name), tokens, sequence=sequence)
+        load = attrs.evolve(full.load, made_at_s=made_at_s)
+        return attrs.evolve(full, load=load)
+
+    router = make_router(made_at("a", 0, 1, 1000.0), made_at("b", 0, 1, 1000.0))
+    router.choose(QUERY, 1.0)
+    router.started("a", 3_000)
+    router.observe_report(made_at("a", 0, 2, 1000.5), 2.0)
+    router.observe_report(made_at("b", 0, 2, 1000.5), 2.0)
+    assert set(chosen(router, now=2.0)) == {"b"}
+    router.finished("a", 3_000)
+    assert set(chosen(router, now=2.0)) == {"a", "b"}
+
+
 def test_own_work_is_corrected_by_the_report_that_shows_it(make_router):
     router = make_router(report(server("a")), report(server("b")))
     router.choose(QUERY, 1.0)
