--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -55,11 +55,12 @@
         self._steps.observe(gap_s, self._sequences, reading or self._was_reading)
         self._was_reading = reading
         self.gap_s += GAP_SHARE * (gap_s - self.gap_s)
-        if self._roster.online_decoding:
-            self._pace.observe(gap_s)
+        online = len(self._roster.online_decoding)
+        if online:
+            self._pace.observe(gap_s, online)
 
     def _on_first_token(self, stream: Stream) -> None:
-        if stream.read_alone:
+        if stream.read_alone and stream.is_online:
             steps = self.step_count - stream.steps_at_start
-            self._first_tokens.observe_read(stream.read_tokens, steps)
+            self._first_tokens.observe_read(stream.offer.prompt_tokens, steps)
         self._was_reading = True
