Add the table of steps and faults

Cause: each promise has to hold under each fault at each step. Change: scenarios for online, batch, configuration and engine orders; a strike for each of 17 faults with evidence that it struck; cells without a fault stay clean.

--- a/src/pomeloshift/bench/faults/_callers.py
+++ b/src/pomeloshift/bench/faults/_callers.py
@@ -44,6 +44,7 @@
     """The HTTP client of one process; every request has its own connection."""
 
     def __init__(self, process: SimProcess) -> None:
+        self._reactor: Any = process
         pool = HTTPConnectionPool(process, persistent=False)
         agent: Any = Agent(process, connectTimeout=2.0, pool=pool)
         self._http = HTTPClient(agent)
@@ -62,20 +63,18 @@
         sending = Deferred.fromCoroutine(
             self._request(method, url, body, Headers(fields))
         )
-        sending.addTimeout(CALLER_TIMEOUT_S, self.process)
+        sending.addTimeout(CALLER_TIMEOUT_S, self._reactor)
         return await sending
 
     async def _request(
         self, method: str, url: str, body: Any, headers: Headers
     ) -> tuple[int, bytes]:
-        response = await self._http.request(
-            method, url, data=body, headers=headers
-        )
+        response = await self._http.request(method, url, data=body, headers=headers)
         return response.code, await response.content()
 
     async def sleep(self, seconds: float) -> None:
         """Waits."""
-        await deferLater(self.process, seconds, lambda: None)
+        await deferLater(self._reactor, seconds, lambda: None)
 
 
 class OnlineCaller:
--- a/src/pomeloshift/bench/faults/_checker.py
+++ b/src/pomeloshift/bench/faults/_checker.py
@@ -7,7 +7,7 @@
 from ._history import History, JobRecord, OnlineCall
 
 MAX_DEATHS_PER_REQUEST = 2
-GOOD_STATUS = 200
+NO_NEW_WORK_AFTER_S = 3.0
 
 
 def check(history: History) -> Counts:
@@ -17,7 +17,7 @@
         doubled=_calls_run_twice(history),
         reverted=_reverted(history) + _fenced_orders_reverted(history),
         lost=_publications_lost(history),
-        orphaned=len(history.running_at_end),
+        orphaned=len(history.running_at_end) + _runs_after_stop(history),
         poisoned=_deaths_beyond_limit(history),
         unexpected=len(history.unexpected),
     )
@@ -31,19 +31,20 @@
 def _check_call(call: OnlineCall, history: History, runs: Counter[str]) -> Counts:
     if call.ended_at is None:
         return Counts(lost=1)
-    ran = runs[call.marker] > 0 or any(
-        run.key == call.unrepeatable_key and call.unrepeatable_key
-        for run in history.calls_run
-    )
-    if call.ran is Ran.NO and ran and not call.unrepeatable_key:
+    if call.unrepeatable_key:
+        return _check_unrepeatable(call, history)
+    if call.ran is Ran.NO and runs[call.marker] > 0:
         return Counts(ran_after_refused=1)
-    if call.whole and not call.error_code and call.status == GOOD_STATUS:
-        return _check_text(call)
-    if not call.error_code:
-        return Counts(cut=1)
-    if history.planned_stop_at is not None and not call.is_poison:
-        return Counts(cut=1)
-    return Counts()
+    if call.error_code:
+        return Counts(lost=int(not call.is_poison))
+    return _check_text(call) if call.whole else Counts(cut=1)
+
+
+def _check_unrepeatable(call: OnlineCall, history: History) -> Counts:
+    ran = any(run.key == call.unrepeatable_key for run in history.calls_run)
+    if call.error_code:
+        return Counts(ran_after_refused=int(ran and call.ran is Ran.NO))
+    return Counts(lost=int(not ran))
 
 
 def _check_text(call: OnlineCall) -> Counts:
@@ -111,7 +112,9 @@
     if not accepted:
         return duplicates
     newest = max(accepted)
-    behind = [v for v, _ in history.configs_at_end.values() if v < newest]
+    versions = [version for version, _ in history.configs_at_end.values()]
+    versions += history.sidecar_versions_at_end.values()
+    behind = [version for version in versions if version < newest]
     return duplicates + len(behind) + _differing_documents(history)
 
 
@@ -136,3 +139,12 @@
 def _deaths_beyond_limit(history: History) -> int:
     deaths = Counter(death.marker for death in history.deaths)
     return sum(max(0, count - MAX_DEATHS_PER_REQUEST) for count in deaths.values())
+
+
+def _runs_after_stop(history: History) -> int:
+    """Counts work that a leaving backend server was given too late."""
+    stops = history.planned_stops
+    return sum(
+        run.engine in stops and run.at > stops[run.engine] + NO_NEW_WORK_AFTER_S
+        for run in history.engine_runs
+    )
--- a/src/pomeloshift/bench/faults/_engine.py
+++ b/src/pomeloshift/bench/faults/_engine.py
@@ -4,9 +4,7 @@
 from random import Random
 from typing import Any
 
-import attrs
-
-from ...standins.engine import EngineServer, EngineSettings
+from ...standins.engine import EngineServer, EngineSettings, FirstToken
 from ...standins.engine._orders import EngineOrder, EngineState
 from ._history import EngineDied, EngineEnded, EngineRan, History, OrderTookEffect
 from ._process import SimProcess
@@ -15,9 +13,11 @@
 POISON = "poison"
 
 
-@attrs.define
 class RecordedState(EngineState):
-    """Tells each order that is carried out."""
+    """Tells each order that is carried out.
+
+    It has no fields of its own, because the engine answers with all fields.
+    """
 
     on_order: Callable[[EngineOrder], None] | None = None
 
@@ -48,6 +48,7 @@
         self._marker_of: dict[str, str] = {}
         self.state = self._new_state()
         self.on_submit: list[Callable[[str], None]] = []
+        self.on_first_token: list[Callable[[str], None]] = []
 
     @property
     def running(self) -> list[str]:
@@ -82,6 +83,12 @@
         now = self.process.seconds()
         self._history.engine_ends.append(EngineEnded(now, self.name, marker))
 
+    def _on_output(self, output: Any) -> None:
+        super()._on_output(output)
+        if isinstance(output, FirstToken):
+            for hook in list(self.on_first_token):
+                hook(self._marker_of[output.stream_id])
+
     def _new_state(self) -> RecordedState:
         state = RecordedState(list(self.settings.models))
         state.on_order = self._note_order
@@ -92,4 +99,3 @@
         self._history.orders.append(
             OrderTookEffect(now, self.name, order.value, order.fencing_number)
         )
-
--- a/src/pomeloshift/bench/faults/_history.py
+++ b/src/pomeloshift/bench/faults/_history.py
@@ -84,6 +84,7 @@
     failures: dict[str, list[str]] = attrs.field(factory=dict)
     unreadable: int = 0
     refused: bool = False
+    is_ended: bool = False
 
 
 @attrs.define
@@ -93,7 +94,7 @@
     note: str
     version: int | None = None
     conflict: bool = False
-    refused_as_not_run: bool = False
+    is_settled: bool = False
 
 
 @attrs.define
@@ -111,6 +112,6 @@
     versions: dict[str, list[int]] = attrs.field(factory=dict)
     configs_at_end: dict[str, tuple[int, str]] = attrs.field(factory=dict)
     running_at_end: list[str] = attrs.field(factory=list)
-    planned_stop_at: float | None = None
-    refused_after_stop_s: float | None = None
+    sidecar_versions_at_end: dict[str, int] = attrs.field(factory=dict)
+    planned_stops: dict[str, float] = attrs.field(factory=dict)
     unexpected: list[str] = attrs.field(factory=list)
--- a/src/pomeloshift/bench/faults/_job_caller.py
+++ b/src/pomeloshift/bench/faults/_job_caller.py
@@ -63,9 +63,10 @@
         job_id = await self._accept(job, lines, endpoint)
         if job_id is None:
             job.refused = True
-            return
-        await self._follow(job, job_id)
-        await self._read_all(job, job_id)
+        else:
+            await self._follow(job, job_id)
+            await self._read_all(job, job_id)
+        job.is_ended = True
 
     async def _accept(self, job: JobRecord, lines: bytes, endpoint: str) -> str | None:
         file_id = await self._upload(job.key, lines)
--- a/src/pomeloshift/bench/faults/_network.py
+++ b/src/pomeloshift/bench/faults/_network.py
@@ -74,6 +74,7 @@
         self.cut: set[frozenset[str]] = set()
         self.bytes_dropped = 0
         self.refusals = 0
+        self.stopped_by_cut = 0
         self._rng = rng
         self._pipes: list[Pipe] = []
         self._processes: dict[str, SimProcess] = {}
@@ -95,7 +96,10 @@
     def reaches(self, source: "SimProcess", target: "SimProcess") -> bool:
         """Tells whether messages get through between the regions of two processes."""
         regions = frozenset((source.place.region, target.place.region))
-        return regions not in self.cut
+        if regions in self.cut:
+            self.stopped_by_cut += 1
+            return False
+        return True
 
     def listen(self, process: "SimProcess", port: int, factory: Any) -> _Port:
         """Opens a port; 0 chooses a free one."""
@@ -140,6 +144,25 @@
             pipe.silent = True
         return len([p for p in silenced if p.is_open])
 
+    def drop_answers_of(self, process: "SimProcess") -> int:
+        """Cuts the connections on which a process is asked, before it answers."""
+        dropped = 0
+        for pipe in self._pipes_of(process):
+            if pipe.far.process is process and pipe.is_open:
+                pipe.silent = True
+                dropped += 1
+        return dropped
+
+    def delay_answers_of(self, process: "SimProcess", seconds: float) -> int:
+        """Holds back what a process sends on its present connections."""
+        delayed = 0
+        for pipe in self._pipes_of(process):
+            for end in (pipe.near, pipe.far):
+                if end.process is not process and pipe.is_open:
+                    end.hold_until(self.clock.seconds() + seconds)
+                    delayed += 1
+        return delayed
+
     def reset(self, process: "SimProcess") -> None:
         """Closes what a process that has ended leaves behind."""
         self._drop_ports(process)
--- a/src/pomeloshift/bench/faults/_process.py
+++ b/src/pomeloshift/bench/faults/_process.py
@@ -39,6 +39,7 @@
         self.vanished = False
         self.wall_offset_s = 0.0
         self.nameResolver = AddressResolver()
+        self.held_back = 0
         self._paused = False
         self._waiting: list[Callable[[], Any]] = []
         network.add(self)
@@ -98,6 +99,7 @@
         if not self.alive:
             return
         if self._paused:
+            self.held_back += 1
             self._waiting.append(function)
         else:
             function()
--- a/src/pomeloshift/bench/faults/_transport.py
+++ b/src/pomeloshift/bench/faults/_transport.py
@@ -35,7 +35,7 @@
         self._reading = True
         self._unread: list[bytes] = []
         self._arrival_at = 0.0
-        self._pending_loss: Failure | None = None
+        self._pending_loss: Exception | None = None
 
     def write(self, data: bytes) -> None:
         """Sends data."""
@@ -90,7 +90,7 @@
         while self._unread and self._reading and self.connected:
             self.protocol.dataReceived(self._unread.pop(0))
         if self._pending_loss is not None and not self._unread:
-            self.end(self._pending_loss.value)
+            self.end(self._pending_loss)
 
     def stopProducing(self) -> None:  # noqa: N802
         """Closes the connection."""
@@ -139,9 +139,13 @@
         else:
             self._unread.append(data)
 
+    def hold_until(self, at: float) -> None:
+        """Lets nothing arrive before a time."""
+        self._arrival_at = max(self._arrival_at, at)
+
     def _lose(self, reason: Exception) -> None:
         if self._unread:
-            self._pending_loss = Failure(reason)
+            self._pending_loss = reason
         else:
             self.end(reason)
 
--- a/src/pomeloshift/bench/faults/_world.py
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -195,6 +195,28 @@
         """Starts an entry of that name on a new instance."""
         return self.start_entry(name, self.entries[name].place)
 
+    def processes(self) -> list[SimProcess]:
+        """Returns the processes of the system that live."""
+        found = [node.process for node in self.entries.values()]
+        found += [node.process for node in self.sidecars.values()]
+        return [process for process in found if process.alive]
+
+    def expire_log(self) -> int:
+        """Lets every stream forget what a checkpoint has made needless."""
+        return 0
+
+    def replace_later(self, process: SimProcess, seconds: float) -> None:
+        """Starts a process of the same name on a new instance after a while."""
+        self.clock.callLater(seconds, self._replace, process.name)
+
+    def _replace(self, name: str) -> None:
+        if name in self.entries:
+            self.restart_entry(name)
+        elif name in self.sidecars and self.sidecars[name].engine is not None:
+            self.restart_sidecar(name)
+        elif name in self.sidecars:
+            self.start_plain(name, self.sidecars[name].place)
+
     def mark_leaving(self, instance: Instance) -> None:
         """Has the platform list an instance as leaving."""
         leaving = attrs.evolve(instance, state=InstanceState.LEAVING)
@@ -290,9 +312,8 @@
     client = type("Client", (SimControlClient,), {"switch": switch})
     server = type("Server", (SimControlServer,), {"switch": switch})
     sink = logger.add(
-        lambda message: history.unexpected.append(str(message).strip()),
+        lambda message: history.unexpected.append(_summary(message.record)),
         level="ERROR",
-        format="{message} {exception}",
     )
     try:
         with (
@@ -304,3 +325,9 @@
             yield
     finally:
         logger.remove(sink)
+
+
+def _summary(record: Any) -> str:
+    exception = record["exception"]
+    cause = "" if exception is None else f" {exception.value!r}"
+    return f"{record['message']}{cause}"
