Judge jobs that are shown open again; leave connections within an instance alone

Cause: a trial showed a completed job as in progress after its owner's death, and silence on a loopback connection, which no fault of a network brings about. Change: checker and strikes.

--- a/src/pomeloshift/bench/faults/_job_caller.py
+++ b/src/pomeloshift/bench/faults/_job_caller.py
@@ -111,6 +111,11 @@
         if view is None:
             job.unreadable += 1
             return
+        job.statuses.append(view["status"])
+        if view["status"] not in OVER:
+            await self._follow(job, job_id)
+            await self._read_all(job, job_id)
+            return
         for name in ("output_file_id", "error_file_id"):
             if view[name] is not None:
                 await self._read_file(job, view[name])
@@ -127,7 +132,8 @@
 
     async def _cancel(self, job: JobRecord) -> None:
         path = f"/v1/batches/{job.job_ids[0]}/cancel"
-        if await self._insist("POST", path, b"") is not None:
+        answer = await self._insist("POST", path, b"")
+        if answer is not None and answer["status"] in ("cancelling", "cancelled"):
             job.cancel_acknowledged_at = self._world.clock.seconds()
 
     async def _insist(
--- a/src/pomeloshift/bench/faults/_log.py
+++ b/src/pomeloshift/bench/faults/_log.py
@@ -29,6 +29,7 @@
     on_appended: list[Callable[[SimProcess, str, Sequence[bytes]], None]] = attrs.field(
         factory=list
     )
+    operations: int = 0
 
 
 class SimLog:
@@ -71,6 +72,7 @@
         def arrive() -> None:
             if not process.alive:
                 return
+            self._watch.operations += 1
             try:
                 result = operation()
             except PomeloshiftError as exc:
--- a/src/pomeloshift/bench/faults/_network.py
+++ b/src/pomeloshift/bench/faults/_network.py
@@ -148,7 +148,7 @@
         """Cuts the connections on which a process is asked, before it answers."""
         dropped = 0
         for pipe in self._pipes_of(process):
-            if pipe.far.process is process and pipe.is_open:
+            if pipe.far.process is process and not pipe.is_local:
                 pipe.silent = True
                 dropped += 1
         return dropped
@@ -158,7 +158,7 @@
         delayed = 0
         for pipe in self._pipes_of(process):
             for end in (pipe.near, pipe.far):
-                if end.process is not process and pipe.is_open:
+                if end.process is not process:
                     end.hold_until(self.clock.seconds() + seconds)
                     delayed += 1
         return delayed
--- a/src/pomeloshift/bench/faults/_transport.py
+++ b/src/pomeloshift/bench/faults/_transport.py
@@ -202,6 +202,11 @@
         self.near.other = self.far
         self.far.other = self.near
 
+    @property
+    def is_local(self) -> bool:
+        """Whether both ends are on one instance."""
+        return self.near.process is self.far.process
+
     @property
     def is_open(self) -> bool:
         """Whether either end takes it for open."""
