--- a/src/pomeloshift/bench/faults/_cell.py
+++ b/src/pomeloshift/bench/faults/_cell.py
@@ -55,7 +55,13 @@
             striker.strike(process, scenario)
 
     checks_fencing = Fault.IGNORES_FENCING not in cell.faults
-    scenario = Scenario(world, cell.step, strike, checks_fencing=checks_fencing)
+    scenario = Scenario(
+        world,
+        cell.step,
+        strike,
+        checks_fencing=checks_fencing,
+        has_rival=Fault.CONFLICTING_OPERATORS in cell.faults,
+    )
     with carriers(world.switch, world.clock, history):
         scenario.start()
         scenario.finish()
--- a/src/pomeloshift/bench/faults/_checker.py
+++ b/src/pomeloshift/bench/faults/_checker.py
@@ -69,9 +69,7 @@
     doubled = len(ids) - 1
     if not job.repeatable:
         doubled += sum(max(0, runs[marker] - 1) for marker in job.markers)
-    counts = Counts(
-        doubled=doubled, unreadable=job.unreadable, reverted=_reopened(job)
-    )
+    counts = Counts(doubled=doubled, unreadable=job.unreadable, reverted=_reopened(job))
     if job.cancel_acknowledged_at is not None:
         return counts.plus(_check_cancelled(job))
     for marker in job.markers:
--- a/src/pomeloshift/bench/faults/_control.py
+++ b/src/pomeloshift/bench/faults/_control.py
@@ -23,13 +23,14 @@
 class ControlFaults:
     """Faults of the next control messages, by the type of the request.
 
-    ``lose_answers`` counts answers that are lost after the request was handled,
-    ``repeat`` requests that arrive twice, and ``delay_s`` holds answers back.
+    ``lose_answers`` counts answers that are lost after the request was handled and
+    ``repeat`` requests that arrive twice; ``late`` holds the delays in seconds of the
+    next answers.
     """
 
     lose_answers: dict[str, int] = attrs.field(factory=dict)
     repeat: dict[str, int] = attrs.field(factory=dict)
-    late: dict[str, float] = attrs.field(factory=dict)
+    late: dict[str, list[float]] = attrs.field(factory=dict)
     struck: int = 0
 
     def take(self, counts: dict[str, int], message: Any) -> bool:
@@ -41,6 +42,14 @@
         self.struck += 1
         return True
 
+    def take_delay(self, message: Any) -> float:
+        """Uses up one delay for the answer to this message."""
+        delays = self.late.get(type(message).__name__)
+        if not delays:
+            return 0.0
+        self.struck += 1
+        return delays.pop(0)
+
 
 class ControlSwitch:
     """Knows the control handlers of all processes."""
@@ -185,7 +194,7 @@
         if not network.reaches(peer, client.process):
             return
         data = encode_message(answer)
-        late_s = client.switch.faults.late.get(type(self._message).__name__, 0.0)
+        late_s = client.switch.faults.take_delay(self._message)
         delay_s = network.latency(peer, client.process) + late_s
         network.clock.callLater(
             delay_s, client.process.run, lambda: self._take(decode_message(data))
--- a/src/pomeloshift/bench/faults/_scenario.py
+++ b/src/pomeloshift/bench/faults/_scenario.py
@@ -48,17 +48,25 @@
     """
 
     def __init__(
-        self, world: World, step: Step, strike: Strike, *, checks_fencing: bool = True
+        self,
+        world: World,
+        step: Step,
+        strike: Strike,
+        *,
+        checks_fencing: bool = True,
+        has_rival: bool = False,
     ) -> None:
         self.world = world
         self.step = step
         self.part = PART_OF_STEP[step]
         self.reached = False
+        self.has_rival = has_rival
         self._strike = strike
         self._checks_fencing = checks_fencing
         self._codec = job_codec()
         self.jobs: list[JobRecord] = []
         self.holders: OrderHolders | None = None
+        self._calls = 12 if step is Step.DRAIN else 6
 
     def start(self) -> None:
         """Starts all processes, publishes a configuration and begins the work."""
@@ -70,6 +78,7 @@
             world.start_sidecar(f"s{number}", place, checks_fencing=checks)
         if self.part is Part.ONLINE:
             world.start_plain("p1", ZONE_B)
+            world.start_plain("p2", ZONE_C)
         self.online = OnlineCaller(world)
         self.job_caller = JobCaller(world, ["e1", "e2"])
         world.run(WARM_UP_S)
@@ -129,9 +138,14 @@
             marker = f"req{number}"
             entries = ["e1", "e2"] if number % 2 else ["e2", "e1"]
             self.world.clock.callLater(delay_s, self.online.complete, marker, entries)
-        self.online.call_service("call1", ["e1", "e2"])
+        self.world.clock.callLater(0.5, self.online.call_service, "call1", ["e1", "e2"])
         if self.step is Step.DRAIN:
             self.world.clock.callLater(1.0, self._drain, "s1")
+            for number in range(5, 11):
+                delay_s = 4.5 + 0.2 * (number - 5)
+                self.world.clock.callLater(
+                    delay_s, self.online.complete, f"req{number}", ["e1", "e2"]
+                )
 
     def _begin_batch(self) -> None:
         items = tuple(f"item{number}" for number in range(ITEMS))
@@ -150,11 +164,23 @@
             self._when(lambda: "completed" in self.jobs[0].statuses, self._read)
 
     def _begin_config(self) -> None:
-        self.world.clock.callLater(0.5, self.publish, "two", "e1", 1)
+        clock = self.world.clock
+        clock.callLater(0.5, self.publish, "two", "e1", 1)
+        if self.has_rival:
+            clock.callLater(0.5, self.publish, "rival", "e2", 1)
+        clock.callLater(1.2, self._publish_next)
         if self.step is Step.APPLY:
             entry = self.world.entries["e1"]
             entry.entry.config.on_change(lambda cfg, version: self.reach(entry.process))
 
+    def _publish_next(self) -> None:
+        """Publishes on top of the newest version, as soon as its entry knows it."""
+        entry = self.world.entries["e1"].entry
+        if entry.config.version < 2:
+            self.world.clock.callLater(0.1, self._publish_next)
+        else:
+            self.publish("three", "e1", entry.config.version)
+
     def _begin_orders(self) -> None:
         node = self.world.sidecars["s1"]
         url = node.sidecar._settings.engines[0].url
@@ -209,7 +235,11 @@
             hooks = after if self.step is Step.ACKNOWLEDGE else before
             hooks.append(self._watch_append)
         if self.step is Step.CONFIG_APPEND:
-            before.append(self._watch_config_append)
+            before.append(self._watch_stream("config"))
+        if self.step is Step.CALL_CLAIM:
+            after.append(self._watch_stream("calls"))
+        if self.step is Step.CALL_RUN:
+            world.on_call.append(self.reach)
         if self.step in MESSAGE_OF_STEP:
             world.switch.on_request.append(self._watch_message)
         if self.step in (Step.RUN, Step.FIRST_TOKEN, Step.MID_STREAM):
@@ -229,11 +259,14 @@
             if isinstance(record.body, wanted):
                 self.reach(process)
 
-    def _watch_config_append(
-        self, process: SimProcess, stream: str, payloads: Sequence[bytes]
-    ) -> None:
-        if stream == "config":
-            self.reach(process)
+    def _watch_stream(
+        self, prefix: str
+    ) -> Callable[[SimProcess, str, Sequence[bytes]], None]:
+        def watch(process: SimProcess, stream: str, payloads: Sequence[bytes]) -> None:
+            if stream.startswith(prefix):
+                self.reach(process)
+
+        return watch
 
     def _watch_message(
         self, source: SimProcess, target: SimProcess, message: Any
@@ -275,6 +308,8 @@
             return False
         if not all(p.is_settled for p in history.publications):
             return False
+        if self.part is Part.ONLINE and len(history.online) < self._calls:
+            return False
         return self.part not in (Part.CONFIG, Part.ORDERS) or self._has_lasted()
 
     def _has_lasted(self) -> bool:
--- a/src/pomeloshift/bench/faults/_step.py
+++ b/src/pomeloshift/bench/faults/_step.py
@@ -15,6 +15,8 @@
     RUN = "run"
     FIRST_TOKEN = "first token"
     MID_STREAM = "mid-stream"
+    CALL_CLAIM = "call claim"
+    CALL_RUN = "call run"
     COMPLETION_APPEND = "completion append"
     RESULT_READ = "result read"
     CANCEL = "cancel"
@@ -45,6 +47,8 @@
     Step.RUN: Part.BATCH,
     Step.FIRST_TOKEN: Part.ONLINE,
     Step.MID_STREAM: Part.ONLINE,
+    Step.CALL_CLAIM: Part.ONLINE,
+    Step.CALL_RUN: Part.ONLINE,
     Step.COMPLETION_APPEND: Part.BATCH,
     Step.RESULT_READ: Part.BATCH,
     Step.CANCEL: Part.BATCH,
--- a/src/pomeloshift/bench/faults/_strike.py
+++ b/src/pomeloshift/bench/faults/_strike.py
@@ -16,7 +16,8 @@
 SLOW_S = 6.0
 SLOW_DELAY_S = 1.5
 PAUSE_S = 8.0
-LATE_S = 2.5
+IN_TIME_S = 1.2
+TOO_LATE_S = 2.5
 PARTITION_S = 5.0
 STALE_LAG_S = 12.0
 CLOCK_STEP_S = -3600.0
@@ -116,8 +117,9 @@
 
 
 def _race(striker: Striker, process: SimProcess, scenario: Scenario) -> None:
-    rival = scenario.publish("rival", "e2", 1)
-    striker.expect(lambda: rival.is_settled)
+    """Publishes on the same base again; the first rival has raced from the start."""
+    rival = scenario.publish("late rival", "e2", 1)
+    striker.expect(lambda: rival.is_settled and scenario.has_rival)
 
 
 def _poison(striker: Striker, process: SimProcess, scenario: Scenario) -> None:
@@ -134,10 +136,9 @@
 def _answer_late(striker: Striker, process: SimProcess, scenario: Scenario) -> None:
     world = scenario.world
     for name in CONTROL_MESSAGES:
-        world.switch.faults.late[name] = LATE_S
+        world.switch.faults.late[name] = [IN_TIME_S, TOO_LATE_S, 0.0, IN_TIME_S]
         world.switch.faults.repeat[name] = 1
-    world.clock.callLater(SLOW_S, world.switch.faults.late.clear)
-    held = world.network.delay_answers_of(process, LATE_S)
+    held = world.network.delay_answers_of(process, TOO_LATE_S)
     striker.expect(lambda: world.switch.faults.struck + held > 0)
 
 
--- a/src/pomeloshift/bench/faults/_world.py
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -100,6 +100,7 @@
         self.log = LogModel(LogSettings(), self._fork())
         self.watch = LogWatch()
         self.live_list = ListModel(LIST_LAG_S)
+        self.on_call: list[Callable[[SimProcess], None]] = []
         self.entries: dict[str, EntryNode] = {}
         self.sidecars: dict[str, SidecarNode] = {}
         self._hosts = 0
@@ -178,7 +179,7 @@
         """Starts a backend server with a plain service."""
         process = self.new_process(name, place)
         service = PlainServiceServer(ServiceSettings(delay_s=0.2), process, process)
-        self._record_calls(service)
+        self._record_calls(service, process)
         listener = serve(process, service.resource, process.host)
         node = self._start_sidecar(
             process, name, place, PLAIN, ServiceKind.PLAIN, listener.address
@@ -257,13 +258,15 @@
         self.live_list.put(sidecar.instance, self.clock.seconds())
         return node
 
-    def _record_calls(self, service: PlainServiceServer) -> None:
+    def _record_calls(self, service: PlainServiceServer, process: SimProcess) -> None:
         ledger = service.ledger
         record = ledger.record
 
         def recorded(call_id: str, method: str, path: str) -> int:
             now = self.clock.seconds()
             self.history.calls_run.append(CallRan(now, path.rsplit("/", 1)[-1]))
+            for hook in list(self.on_call):
+                self.clock.callLater(0, hook, process)
             return record(call_id, method, path)
 
         ledger.record = recorded  # type: ignore[method-assign]
--- /dev/null
+++ b/tests/test_faults_mutants.py
@@ -0,0 +1,177 @@
+import attrs
+import pytest
+
+from pomeloshift.attempts import AttemptRegistry, OnlineRequest, SuspectTracker
+from pomeloshift.attempts import _online_request as online_request
+from pomeloshift.attempts._opened import Opened, OpenedKind
+from pomeloshift.attempts._record import AttemptRecord
+from pomeloshift.attempts._strikes import Standing
+from pomeloshift.attempts._verdict import Verdict
+from pomeloshift.batch import PartitionState
+from pomeloshift.bench.faults import Cell, Fault, Step, run_cell
+from pomeloshift.config import ConfigHolder, ConfigState
+from pomeloshift.entry.batch import _job_store as job_store
+from pomeloshift.entry.batch import _service as job_service
+from pomeloshift.entry.calls import _claimer as claimer
+from pomeloshift.membership import Drain, EngineOrders, LeaseKeeper
+
+SEEDS = (1, 2)
+
+
+@pytest.fixture(autouse=True)
+def quiet():
+    from loguru import logger
+
+    logger.remove()
+
+
+def skip_the_read_back(patch):
+    patch.setattr(claimer, "_check", lambda state, key: None)
+
+
+def drop_the_fencing_check(patch):
+    held = LeaseKeeper.held
+
+    def ever_held(self, name, now):
+        lease = held(self, name, now)
+        self._kept = lease or getattr(self, "_kept", None)
+        if self._kept is None:
+            return None
+        return attrs.evolve(self._kept, expires_at=now + 100.0)
+
+    patch.setattr(LeaseKeeper, "held", ever_held)
+    read = EngineOrders.read
+
+    def blind_read(self, reading, now):
+        if reading is not None:
+            reading = attrs.evolve(reading, fencing_number=0)
+        return read(self, reading, now)
+
+    patch.setattr(EngineOrders, "read", blind_read)
+
+
+def accept_any_base_version(patch):
+    decide = ConfigState._decide_publication
+
+    def accept(self, offset, record):
+        body = attrs.evolve(record.body, base_version=self.version)
+        decide(self, offset, attrs.evolve(record, body=body))
+
+    patch.setattr(ConfigState, "_decide_publication", accept)
+
+
+def accept_a_lower_version(patch):
+    offer = ConfigHolder.offer
+
+    def accept(self, version, document):
+        if document and version != self.version:
+            self.version = -1
+        return offer(self, version, document)
+
+    patch.setattr(ConfigHolder, "offer", accept)
+
+
+def answer_before_the_append(patch):
+    async def post(self, call):
+        commit = self._runner.commit
+
+        async def at_once(records, timeout_s=None):
+            self._runner.post(records)
+            for record in records:
+                offset = self._runner.state.next_offset
+                self._runner.state.apply(offset, record)
+                self._runner.state.next_offset = offset
+
+        self._runner.commit = at_once
+        try:
+            await append(self, call)
+        finally:
+            self._runner.commit = commit
+
+    append = job_store.JobStore._append_job
+    patch.setattr(job_store.JobStore, "_append_job", post)
+
+
+def ignore_the_idempotency_key(patch):
+    count = iter(range(1000))
+    make = job_service.job_id_for
+
+    def fresh(workspace, key, request, partitions):
+        return make(workspace, f"{key}-{next(count)}", request, partitions)
+
+    patch.setattr(job_service, "job_id_for", fresh)
+
+
+def run_a_known_attempt_again(patch):
+    def start(self, req, now):
+        if req.join_only:
+            return Opened(OpenedKind.STARTED)
+        self._records[req.attempt_id] = AttemptRecord(req.attempt_id, req.alone)
+        return Opened(OpenedKind.STARTED)
+
+    patch.setattr(AttemptRegistry, "open", start)
+
+
+def take_any_frame(patch):
+    take = OnlineRequest._take_frame
+
+    def trusting(self, frame, now):
+        frame = (
+            attrs.evolve(
+                frame, attempt_id=self.attempt_id, sequence=self._sequence, total=None
+            )
+            if frame.total is None
+            else frame
+        )
+        take(self, frame, now)
+
+    patch.setattr(OnlineRequest, "_take_frame", trusting)
+
+
+def retry_whatever_ran(patch):
+    def judge(error, *, idempotent):
+        return Verdict.ELSEWHERE
+
+    patch.setattr(online_request, "judge", judge)
+
+
+def never_quarantine(patch):
+    patch.setattr(SuspectTracker, "standing", lambda *args: Standing.CLEAR)
+    patch.setattr(online_request, "MAX_CRASHES", 100)
+
+
+def take_work_while_draining(patch):
+    patch.setattr(Drain, "accepts_work", True)
+
+
+def forget_cancels(patch):
+    patch.setattr(PartitionState, "_cancel_job", lambda *args: False)
+    from pomeloshift.batch import _state
+
+    patch.setitem(_state._handlers, _state.JobCancelled, lambda *args: False)
+
+
+MUTANTS = [
+    (skip_the_read_back, Step.CALL_CLAIM, (Fault.DUPLICATE_SUBMIT,)),
+    (drop_the_fencing_check, Step.ENGINE_ORDER, (Fault.IGNORES_FENCING,)),
+    (accept_any_base_version, Step.CONFIG_APPEND, (Fault.CONFLICTING_OPERATORS,)),
+    (accept_a_lower_version, Step.APPLY, (Fault.LATE_ANSWER,)),
+    (answer_before_the_append, Step.SUBMIT_APPEND, (Fault.PROCESS_DEATH,)),
+    (ignore_the_idempotency_key, Step.ACKNOWLEDGE, (Fault.DUPLICATE_SUBMIT,)),
+    (run_a_known_attempt_again, Step.CALL_RUN, (Fault.SILENT_CONNECTION,)),
+    (take_any_frame, Step.MID_STREAM, (Fault.CROSSED_ANSWERS,)),
+    (retry_whatever_ran, Step.CALL_RUN, (Fault.PROCESS_DEATH,)),
+    (never_quarantine, Step.MID_STREAM, (Fault.POISON_REQUEST,)),
+    (take_work_while_draining, Step.DRAIN, (Fault.STALE_LIST,)),
+    (forget_cancels, Step.CANCEL, ()),
+]
+
+
+@pytest.mark.parametrize(("mutate", "step", "faults"), MUTANTS)
+def test_weakened_guard_turns_a_cell_red(mutate, step, faults, monkeypatch):
+    cell = Cell(step, faults)
+    sound = [run_cell(cell, seed).counts.total for seed in SEEDS]
+    with monkeypatch.context() as patch:
+        mutate(patch)
+        weakened = [run_cell(cell, seed).counts.total for seed in SEEDS]
+    assert sum(weakened) > sum(sound)
