--- a/src/pomeloshift/bench/faults/_checker.py
+++ b/src/pomeloshift/bench/faults/_checker.py
@@ -111,9 +111,10 @@
 
 
 def _publications_lost(history: History) -> int:
-    """Counts accepted versions that are not in force, and processes left behind."""
+    """Counts accepted changes overwritten unseen, and processes left behind."""
     accepted = [p.version for p in history.publications if p.version is not None]
-    duplicates = len(accepted) - len(set(accepted))
+    bases = {p.base for p in history.publications if p.version is not None}
+    duplicates = len(accepted) - len(bases)
     if not accepted:
         return duplicates
     newest = max(accepted)
--- a/src/pomeloshift/bench/faults/_history.py
+++ b/src/pomeloshift/bench/faults/_history.py
@@ -92,6 +92,7 @@
     """One publication of an operator and its outcome."""
 
     note: str
+    base: int = 0
     version: int | None = None
     conflict: bool = False
     is_settled: bool = False
--- a/src/pomeloshift/bench/faults/_scenario.py
+++ b/src/pomeloshift/bench/faults/_scenario.py
@@ -24,7 +24,6 @@
 WARM_UP_S = 1.0
 LIMIT_S = 180.0
 SETTLE_S = 4.0
-SAMPLE_S = 0.25
 AFTER_FIRST_TOKEN_S = 0.5
 ITEMS = 6
 
@@ -84,7 +83,7 @@
         world.run(WARM_UP_S)
         self.publish("one", "e1", 0)
         world.run_until(self._is_configured, 10.0)
-        self._sample_versions()
+        world.after_event.append(self._sample_versions)
         self._watch()
         self._begin()
 
@@ -97,13 +96,12 @@
 
     def publish(self, note: str, entry: str, base: int) -> Publication:
         """Publishes a configuration at an entry."""
-        publication = Publication(note)
+        publication = Publication(note, base)
         self.world.history.publications.append(publication)
         service = self.world.entries[entry].entry.config
-        running = self.world.go(
+        self.world.go(
             self._publish(publication, service.publish(configuration(note), base, "op"))
         )
-        del running
         return publication
 
     async def _publish(self, publication: Publication, publishing: Any) -> None:
@@ -214,10 +212,10 @@
 
     def _drain(self, name: str) -> None:
         node = self.world.sidecars[name]
+        self.reach(node.process)
         self.world.history.planned_stops[name] = self.world.clock.seconds()
-        self.world.go(node.sidecar.drain())
+        node.process.run(lambda: self.world.go(node.sidecar.drain()))
         self.world.mark_leaving(node.sidecar.instance)
-        self.reach(node.process)
 
     # When the step is reached.
 
@@ -316,16 +314,16 @@
         return self.world.clock.seconds() > 25.0
 
     def _sample_versions(self) -> None:
-        versions = self.world.history.versions
         for node in self.world.entries.values():
-            if node.process.alive:
-                key = f"{node.process.name}@{node.process.host}"
-                versions.setdefault(key, []).append(node.entry.config.version)
+            self._note_version(node.process, node.entry.config.version)
         for side in self.world.sidecars.values():
-            if side.process.alive:
-                key = f"{side.process.name}@{side.process.host}"
-                versions.setdefault(key, []).append(side.sidecar.config_version)
-        self.world.clock.callLater(SAMPLE_S, self._sample_versions)
+            self._note_version(side.process, side.sidecar.config_version)
+
+    def _note_version(self, process: SimProcess, version: int) -> None:
+        versions = self.world.history.versions
+        seen = versions.setdefault(f"{process.name}@{process.host}", [])
+        if process.alive and (not seen or seen[-1] != version):
+            seen.append(version)
 
     def _write_down_end(self) -> None:
         history = self.world.history
--- a/src/pomeloshift/bench/faults/_world.py
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -100,6 +100,7 @@
         self.log = LogModel(LogSettings(), self._fork())
         self.watch = LogWatch()
         self.live_list = ListModel(LIST_LAG_S)
+        self.after_event: list[Callable[[], None]] = []
         self.on_call: list[Callable[[SimProcess], None]] = []
         self.entries: dict[str, EntryNode] = {}
         self.sidecars: dict[str, SidecarNode] = {}
@@ -119,6 +120,8 @@
         while clock.calls and clock.calls[0].getTime() <= until:
             clock.rightNow = max(clock.rightNow, clock.calls[0].getTime())
             clock.advance(0)
+            for hook in self.after_event:
+                hook()
         clock.rightNow = until
 
     def run_until(self, is_done: Callable[[], bool], limit_s: float) -> bool:
--- a/tests/test_faults_checker.py
+++ b/tests/test_faults_checker.py
@@ -41,7 +41,7 @@
     job(),
     History(calls_run=[CallRan(0.0, "k")]),
     History(
-        publications=[Publication("a", version=1)],
+        publications=[Publication("a", 0, 1)],
         versions={"e1": [0, 0, 1, 1]},
         configs_at_end={"e1": (1, "a")},
     ),
@@ -68,10 +68,15 @@
             orders=[OrderTookEffect(0, "s", "b", 9), OrderTookEffect(1, "s", "a", 5)]
         ),
     ),
+    (
+        "lost",
+        History(publications=[Publication("a", 0, 2)], configs_at_end={"e": (1, "x")}),
+    ),
     (
         "lost",
         History(
-            publications=[Publication("a", version=2)], configs_at_end={"e": (1, "x")}
+            publications=[Publication("a", 1, 2), Publication("b", 1, 3)],
+            configs_at_end={"e": (3, "b")},
         ),
     ),
     ("orphaned", History(running_at_end=["req0"])),
