--- a/src/pomeloshift/bench/faults/_callers.py
+++ b/src/pomeloshift/bench/faults/_callers.py
@@ -44,6 +44,7 @@
     """The HTTP client of one process; every request has its own connection."""
 
     def __init__(self, process: SimProcess) -> None:
+        self._reactor: Any = process
         pool = HTTPConnectionPool(process, persistent=False)
         agent: Any = Agent(process, connectTimeout=2.0, pool=pool)
         self._http = HTTPClient(agent)
@@ -62,7 +63,7 @@
         sending = Deferred.fromCoroutine(
             self._request(method, url, body, Headers(fields))
         )
-        sending.addTimeout(CALLER_TIMEOUT_S, self.process)
+        sending.addTimeout(CALLER_TIMEOUT_S, self._reactor)
         return await sending
 
     async def _request(
@@ -73,7 +74,7 @@
 
     async def sleep(self, seconds: float) -> None:
         """Waits."""
-        await deferLater(self.process, seconds, lambda: None)
+        await deferLater(self._reactor, seconds, lambda: None)
 
 
 class OnlineCaller:
--- a/src/pomeloshift/bench/faults/_world.py
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -100,6 +100,8 @@
         self.log = LogModel(LogSettings(), self._fork())
         self.watch = LogWatch()
         self.live_list = ListModel(LIST_LAG_S)
+        self.after_event: list[Callable[[], None]] = []
+        self.on_call: list[Callable[[SimProcess], None]] = []
         self.entries: dict[str, EntryNode] = {}
         self.sidecars: dict[str, SidecarNode] = {}
         self._hosts = 0
@@ -118,6 +120,8 @@
         while clock.calls and clock.calls[0].getTime() <= until:
             clock.rightNow = max(clock.rightNow, clock.calls[0].getTime())
             clock.advance(0)
+            for hook in self.after_event:
+                hook()
         clock.rightNow = until
 
     def run_until(self, is_done: Callable[[], bool], limit_s: float) -> bool:
@@ -178,7 +182,7 @@
         """Starts a backend server with a plain service."""
         process = self.new_process(name, place)
         service = PlainServiceServer(ServiceSettings(delay_s=0.2), process, process)
-        self._record_calls(service)
+        self._record_calls(service, process)
         listener = serve(process, service.resource, process.host)
         node = self._start_sidecar(
             process, name, place, PLAIN, ServiceKind.PLAIN, listener.address
@@ -195,6 +199,28 @@
         """Starts an entry of that name on a new instance."""
         return self.start_entry(name, self.entries[name].place)
 
+    def processes(self) -> list[SimProcess]:
+        """Returns the processes of the system that live."""
+        found = [node.process for node in self.entries.values()]
+        found += [node.process for node in self.sidecars.values()]
+        return [process for process in found if process.alive]
+
+    def expire_log(self) -> int:
+        """Lets every stream forget what a checkpoint has made needless."""
+        return 0
+
+    def replace_later(self, process: SimProcess, seconds: float) -> None:
+        """Starts a process of the same name on a new instance after a while."""
+        self.clock.callLater(seconds, self._replace, process.name)
+
+    def _replace(self, name: str) -> None:
+        if name in self.entries:
+            self.restart_entry(name)
+        elif name in self.sidecars and self.sidecars[name].engine is not None:
+            self.restart_sidecar(name)
+        elif name in self.sidecars:
+            self.start_plain(name, self.sidecars[name].place)
+
     def mark_leaving(self, instance: Instance) -> None:
         """Has the platform list an instance as leaving."""
         leaving = attrs.evolve(instance, state=InstanceState.LEAVING)
@@ -235,13 +261,15 @@
         self.live_list.put(sidecar.instance, self.clock.seconds())
         return node
 
-    def _record_calls(self, service: PlainServiceServer) -> None:
+    def _record_calls(self, service: PlainServiceServer, process: SimProcess) -> None:
         ledger = service.ledger
         record = ledger.record
 
         def recorded(call_id: str, method: str, path: str) -> int:
             now = self.clock.seconds()
             self.history.calls_run.append(CallRan(now, path.rsplit("/", 1)[-1]))
+            for hook in list(self.on_call):
+                self.clock.callLater(0, hook, process)
             return record(call_id, method, path)
 
         ledger.record = recorded  # type: ignore[method-assign]
@@ -290,9 +318,8 @@
     client = type("Client", (SimControlClient,), {"switch": switch})
     server = type("Server", (SimControlServer,), {"switch": switch})
     sink = logger.add(
-        lambda message: history.unexpected.append(str(message).strip()),
+        lambda message: history.unexpected.append(_summary(message.record)),
         level="ERROR",
-        format="{message} {exception}",
     )
     try:
         with (
@@ -304,3 +331,9 @@
             yield
     finally:
         logger.remove(sink)
+
+
+def _summary(record: Any) -> str:
+    exception = record["exception"]
+    cause = "" if exception is None else f" {exception.value!r}"
+    return f"{record['message']}{cause}"
