Keep one batch stream as a probe on an engine without online work

Cause: the job of the slow demo never ended: the step model had learnt from slow steps that no batch stream fits, no stream ran any more, and nothing could teach it better. Ruled out: leases and grants (no sidecar held any), the log, the partition's owner. Change: without online streams the limit never falls below one stream. Before: 0 of 400 items ended under a profiler, an idle sidecar asked for no work for 70 s. Conclusion: a limit that is learnt from measurements needs a floor that measures.

--- a/src/pomeloshift/admission/_batch_limit.py
+++ b/src/pomeloshift/admission/_batch_limit.py
@@ -9,6 +9,7 @@
 from ._step_model import StepModel
 
 FIRST_BATCH_LIMIT = 8.0
+PROBE_STREAMS = 1.0
 SLOW_START_GROWTH = 1.0
 GROWTH_SHARE = 0.1
 HARD_LIMIT_SHARE = 1.25
@@ -43,7 +44,12 @@
     def bound(self) -> float:
         """The number of batch streams beyond which some are taken back."""
         places = self._places.batch_bound(self._roster.online_running)
-        return min(HARD_LIMIT_SHARE * self.streams, places)
+        return max(self._lowest, min(HARD_LIMIT_SHARE * self.streams, places))
+
+    @property
+    def _lowest(self) -> float:
+        """Without a stream to measure, the image of a slow engine would last."""
+        return 0.0 if self._roster.has_online else PROBE_STREAMS
 
     def adjust(self, now: float) -> None:
         """Moves the limit to what the engine's steps show."""
@@ -52,7 +58,8 @@
         roster = self._roster
         limit = self._fitted_limit() if self._steps.is_fitted else self._grown_limit()
         room = self._places.batch_room(roster.online_running)
-        self.streams = max(0.0, min(limit, room, self.cfg.max_batch_streams))
+        limit = min(limit, room, self.cfg.max_batch_streams)
+        self.streams = max(self._lowest, limit)
 
     def _fitted_limit(self) -> float:
         step_s = self._pace.goal_s - self._steps.read_extra_s
--- a/src/pomeloshift/admission/_roster.py
+++ b/src/pomeloshift/admission/_roster.py
@@ -43,6 +43,11 @@
         del self._group(stream)[stream.stream_id]
         del self._streams[stream.stream_id]
 
+    @property
+    def has_online(self) -> bool:
+        """Whether any online stream is known."""
+        return bool(self.online_waiting or self.online_running)
+
     @property
     def online_running(self) -> int:
         """The online streams that the engine holds."""
