Extend leases after a pause of their owner in place of striking them

Change: a tick that comes later than half a lease after the one before extends all leases. The tests of leases that run out now tick every second, as the shell does; a single late tick was such a pause. Conclusion: only time in which holders could renew counts against them.

--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -66,6 +66,7 @@
         self._id = f"{name}-{rng.getrandbits(OWNER_ID_BITS):012x}"
         self._granted = 0
         self._now = 0.0
+        self._ticked_at = float("-inf")
         self._queues = ItemQueues(state)
         self._order = DispatchOrder()
         self._leases = LeaseTable()
@@ -96,6 +97,7 @@
                     self._adopt(job, index, attempt.attempt_id, attempt.instance, 0)
         for lease in self._leases:
             lease.expires_at = now + self.settings.lease_s
+        self._ticked_at = now
 
     def pull(
         self, pull: ItemPull, now: float, wall: float, rules: ChoiceRules | None = None
@@ -257,8 +259,17 @@
         return records
 
     def tick(self, now: float, wall: float) -> list[Record]:
-        """Ends the leases that ran out; returns records to append."""
+        """Ends the leases that ran out; returns records to append.
+
+        To be called several times in the length of a lease. After a pause of this
+        process, in which nobody could renew a lease, all of them are extended.
+        """
         self._now = now
+        paused_s = now - self._ticked_at
+        self._ticked_at = now
+        if paused_s > self.settings.lease_s / 2:
+            for lease in self._leases:
+                lease.expires_at = max(lease.expires_at, now + self.settings.lease_s)
         records, self._withdrawals = self._withdrawals, []
         late = self._leases.late(now)
         for lease in late:
--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -97,6 +97,11 @@
         self.append(decision.records)
         return decision
 
+    def tick(self, owner, start, end):
+        """Ticks every second, as the shell does more often still."""
+        for now in range(start, end + 1):
+            self.append(owner.tick(now, now))
+
     def finish(self, owner, lease, now=0.0, status=200, error=None, body=b"{}"):
         outcome = ItemOutcome(
             0, lease.job_id, lease.index, lease.lease_id, status, body, 5, error
