Lease an item that is larger than the room of any pull

Cause: an item with more tokens than a sidecar ever offers would have waited for ever. Change: the first item of a pull may be larger than its room. Conclusion: every accepted item is run or fails.

--- a/src/pomeloshift/batch/_chooser.py
+++ b/src/pomeloshift/batch/_chooser.py
@@ -80,6 +80,7 @@
 ) -> Iterator[ChosenItem]:
     """Takes out items for a pull, within its tokens and number of items.
 
+    The first item may be larger than the room, so that a large one is run at all.
     Each sequence entry holds a partition's queues and the jobs being cancelled.
     """
     ready: dict[JobState, ChosenItem] = {}
@@ -88,8 +89,10 @@
         for found_job, index in found.items():
             ready[found_job] = ChosenItem(position, found_job, index)
     room = pull.tokens
-    for _ in range(pull.max_items):
+    for taken in range(pull.max_items):
         fitting = [j for j, it in ready.items() if j.tokens[it.index] <= room]
+        if not fitting and taken == 0:
+            fitting = list(ready)
         job = order.choose(fitting)
         if job is None:
             return
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -57,6 +57,12 @@
     assert indexes(partition.pull(owner, tokens=250)) == [0, 1]
 
 
+def test_item_larger_than_any_room_is_run_alone_all_the_same(partition, owner):
+    partition.add_job("k", items=2)
+    assert indexes(partition.pull(owner, tokens=1)) == [0]
+    assert indexes(partition.pull(owner, tokens=150, nonce=2)) == [1]
+
+
 def test_leases_whose_grant_was_lost_are_given_out_again(partition, owner):
     partition.add_job("k", items=2)
     first = partition.pull(owner, nonce=1)
