Read a stream anew that expired behind its owner; pace file answers

Cause: an owner paused for longer than the log's retention would have shown its old state for ever; a slow caller of a large result file would have filled the entry's memory. Change: an expired read makes the runner replay the stream, and whoever waits is told that the outcome is unknown; content is written as fast as it is read.

--- a/src/pomeloshift/entry/batch/_http.py
+++ b/src/pomeloshift/entry/batch/_http.py
@@ -13,6 +13,7 @@
 )
 from .._auth import Authenticator
 from ._form import read_upload
+from ._response_writer import ResponseWriter
 from ._service import JobService
 
 MAX_PAGE = 100
@@ -75,15 +76,10 @@
     async def file_content(self, req: Request, file_id: str) -> Any:
         """Returns a file's content in parts, as they are read."""
         workspace = self._workspace(req)
+        writer = ResponseWriter(req)
         async for part in self._service.file_content(workspace, file_id):
-            if not req.startedWriting:
-                req.setHeader(b"content-type", b"application/octet-stream")
-            if part:
-                req.write(part)
-        if not req.startedWriting:
-            req.setHeader(b"content-type", b"application/octet-stream")
-            return b""
-        req.finish()
+            await writer.write(part)
+        writer.finish()
         return NOT_DONE_YET
 
     @app.route("/v1/batches", methods=["POST"])
--- a/src/pomeloshift/entry/batch/_partition_runner.py
+++ b/src/pomeloshift/entry/batch/_partition_runner.py
@@ -192,11 +192,9 @@
         self._stopped = True
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        error = NotAcceptedError("the entry is stopping")
-        for waiters in list(self._waiters.values()):
-            for waiter in waiters:
-                waiter.errback(AcceptanceUnknownError(error.message))
-        self._waiters.clear()
+        error = AcceptanceUnknownError("the entry is stopping")
+        for record_id in list(self._waiters):
+            self._release(record_id, error)
 
     async def commit(
         self, records: Sequence[Record], timeout_s: float | None = None
@@ -308,6 +306,8 @@
         try:
             await self._read_to_end()
             self._note_read(None)
+        except LogExpiredError:
+            self._reopen()
         except PomeloshiftError as exc:
             self._note_read(exc)
         finally:
@@ -320,6 +320,15 @@
         now, wall = self._clock.monotonic(), self._clock.wall()
         self.post(self._owner.tick(now, wall))
 
+    def _reopen(self) -> None:
+        """Reads the stream anew after it expired behind the part already read."""
+        logger.warning("event=stream_reopened stream={}", self.stream)
+        self._owner = None
+        error = AcceptanceUnknownError("the partition is being read again")
+        for record_id in list(self._waiters):
+            self._release(record_id, error)
+        spawn(self.open())
+
     def _begin(self, replay: PartitionReplay) -> None:
         if replay.has_lost_state or replay.unreadable:
             logger.error(
@@ -328,11 +337,12 @@
                 replay.unreadable,
                 replay.has_lost_state,
             )
-        self._follower.next_offset = replay.state.next_offset
+        self._follower = StreamFollower(self.stream, replay.state.next_offset)
         self._owner = PartitionOwner(
             self.partition, replay.state, self._settings.owner, self._name, self._rng
         )
         self._owner.adopt_attempts(self._clock.monotonic())
+        self._schedule()
         openers, self._openers = self._openers, []
         for opener in openers:
             if not opener.called:
@@ -353,6 +363,8 @@
             page = await self._log.read(
                 self.stream, self._follower.next_offset, READ_RECORDS
             )
+            if not self.is_open:
+                return
             self._apply_all(self._follower.take_page(page))
             if not page.records or not self._follower.is_behind:
                 return
@@ -456,10 +468,11 @@
         self._schedule()
 
     async def _appended(self, order: StartAppend, first: int) -> None:
-        own = self._follower.take_own(first, order.payloads)
         now = self._clock.monotonic()
         self._committer.appended(order.append_id, first, now)
-        self._apply_all(own)
+        if not self.is_open:
+            return
+        self._apply_all(self._follower.take_own(first, order.payloads))
         if self._follower.is_behind:
             await self.sync()
 
--- a/tests/test_batch_http.py
+++ b/tests/test_batch_http.py
@@ -3,6 +3,7 @@
 
 import openai
 import pytest
+from twisted.internet.defer import Deferred
 
 from _jobs import ENDPOINT, PlayedSidecar, entry, job_service, jsonl
 from pomeloshift.config import ApiKeyConfig, Configuration, ServiceConfig
@@ -162,3 +163,37 @@
                 other.batches.list()
 
     run_blocking(calls)
+
+
+def test_slow_caller_holds_the_answer_back_and_a_lost_one_ends_it(service, run_async):
+    from pomeloshift.entry.batch._response_writer import (
+        CallerGoneError,
+        ResponseWriter,
+    )
+
+    class Caller:
+        def __init__(self):
+            self.written = []
+
+        def setHeader(self, name, value):
+            pass
+
+        def registerProducer(self, producer, streaming):
+            producer.pauseProducing()
+
+        def write(self, data):
+            self.written.append(data)
+
+    caller = Caller()
+    writer = ResponseWriter(caller)
+    first = Deferred.fromCoroutine(writer.write(b"one"))
+    assert caller.written == [b"one"]
+    assert not first.called
+    writer.resumeProducing()
+    assert first.called
+    writer.pauseProducing()
+    second = Deferred.fromCoroutine(writer.write(b"two"))
+    failed = []
+    second.addErrback(lambda failure: failed.append(failure.type))
+    writer.stopProducing()
+    assert failed == [CallerGoneError]
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -327,3 +327,41 @@
     partitions = services[0].partitions
     assert spent_s > 5
     assert appends <= spent_s * 10.0 + partitions
+
+
+def test_entries_that_cannot_reach_each_other_agree_in_the_end(deploy):
+    deployment = deploy()
+    entries = [entry(f"e{number}", f"e{number}") for number in range(3)]
+    services = [deployment.start(each.name, entries) for each in entries]
+    deployment.peers.unreachable.update(each.name for each in services)
+    jobs = [deployment.submit(service, 12, "same") for service in services]
+    assert len({job.job_id for job in jobs}) == 1
+    sidecars = [PlayedSidecar(f"s{number}") for number in range(3)]
+    for _ in range(20):
+        for service, sidecar in zip(services, sidecars, strict=True):
+            deployment.run(sidecar.run(service, items=3))
+        deployment.advance(0.2)
+    views = [deployment.run(each.get_job("w", jobs[0].job_id)) for each in services]
+    assert views[0] == views[1] == views[2]
+    assert (views[0].status, views[0].completed) == ("completed", 12)
+
+
+def test_owner_that_fell_behind_the_retention_reads_its_stream_anew(deploy):
+    kept = with_settings(log_retention_s=240.0, upkeep_s=10.0, cache_bytes=0)
+    deployment = deploy(LogSettings(retention_s=240.0), kept)
+    paused = deployment.start("e1")
+    job = deployment.submit(paused, 6)
+    assert deployment.run(PlayedSidecar().run(paused, items=2)) == 2
+    paused._loops.stop()
+    active = deployment.start("e2")
+    view = finish(deployment, active, job.job_id, PlayedSidecar("s2"))
+    deployment.advance(900.0, 1.0)
+    partition = int(job.job_id.split("_")[1])
+    runner = paused.runners[partition]
+    kept_from = deployment.run(deployment.log.read(runner.stream, 10**9)).first_offset
+    assert runner.state.next_offset < kept_from
+    deployment.run(runner.sync())
+    deployment.advance(1.0)
+    assert deployment.run(paused.get_job("w", job.job_id)) == view
+    output = view.as_json()["output_file_id"]
+    assert len(read_lines(deployment, paused, output)) == 6
