--- a/src/pomeloshift/bench/control/_capacity.py
+++ b/src/pomeloshift/bench/control/_capacity.py
@@ -10,6 +10,8 @@
 from ._target import Target
 
 MICROSECONDS_PER_S = 1e6
+# The number of entries among which the workload chooses an owner.
+MEASURED_ENTRIES = 4
 REQUEST_WORK = (
     ("objectives", "request"),
     ("metrics", "request"),
@@ -121,6 +123,7 @@
     run = found.get("entry", "item run", "item")
     items = target.items_per_s / entries
     owner = found.get("entry", "ownership", "partition")
+    owners_weighed = target.partitions * entries / MEASURED_ENTRIES
     cells = found.get("entry", "objectives", "workspace and minute")
     cell_count = target.workspaces * target.services
     kept_items = target.items_per_day / entries
@@ -139,7 +142,7 @@
             _demand("entry", "item runs", items, run, carrier.cpu_us / 2),
             kept_bytes=fold.kept_bytes * kept_items,
         ),
-        _demand("entry", "ownership", target.partitions / target.list_s, owner, 0.0),
+        _demand("entry", "ownership", owners_weighed / target.list_s, owner, 0.0),
         attrs.evolve(
             _demand("entry", "objectives", cell_count / 60, cells, 0.0),
             kept_bytes=cells.kept_bytes * cell_count * 60,
