--- a/src/pomeloshift/admission/_config.py
+++ b/src/pomeloshift/admission/_config.py
@@ -34,6 +34,21 @@
         """The quantile of first-token times that the allowed time stands for."""
         return 0.95 + 0.03 * self.batch_weight
 
+    @property
+    def queue_streams(self) -> int:
+        """The prompts being read beyond which arrivals count as queued."""
+        return 2
+
+    @property
+    def queue_quantile(self) -> float:
+        """The quantile of first-token times that is allowed to queued arrivals."""
+        return 0.9
+
+    @property
+    def burst_streams(self) -> int:
+        """The prompts being read from which no batch stream runs beside them."""
+        return 4
+
     @property
     def highest_pace_scale(self) -> float:
         """The share of the between-tokens target that steps may take at most."""
--- a/src/pomeloshift/batch/_state.py
+++ b/src/pomeloshift/batch/_state.py
@@ -22,6 +22,7 @@
     JobCreated,
     JobExpired,
 )
+from ._time_index import TimeIndex
 
 MAX_CERTAIN_STRIKES = 2
 MAX_STRIKES = 4
@@ -43,6 +44,7 @@
         self.jobs: dict[str, JobState] = {}
         self.pending: dict[str, PendingChunks] = {}
         self.deleted_ids: dict[str, None] = {}
+        self.times = TimeIndex()
 
     def apply(self, offset: int, record: Record) -> bool:
         """Applies the record at ``offset``; returns whether it took effect.
@@ -52,6 +54,11 @@
         """
         if not self.advance(offset):
             return False
+        at = getattr(record.body, "at", None) or getattr(
+            record.body, "created_at", None
+        )
+        if at is not None:
+            self.times.note(offset, at)
         handler = _handlers.get(type(record.body))
         if handler is None:
             return False
@@ -161,11 +168,12 @@
         job.cancelled_at = record.body.at
         job.strikes.clear()
         job.attempts.clear()
+        job.withdrawn.clear()
         return True
 
     def _expire_job(self, offset: int, record: Record) -> bool:
         job = self.jobs.get(record.body.job_id)
-        if job is None or not job.is_over:
+        if job is None or job.ended_at is None or record.body.at < job.ended_at:
             return False
         del self.jobs[job.job_id]
         return True
@@ -175,6 +183,8 @@
         job = self._job_with_waiting_item(body.job_id, body.index)
         if job is None or body.index in job.attempts:
             return False
+        if body.attempt_id in job.withdrawn.get(body.index, ()):
+            return False
         job.attempts[body.index] = Attempt(body.attempt_id, body.instance)
         return True
 
@@ -185,6 +195,8 @@
         if job is None or attempt is None or attempt.attempt_id != body.attempt_id:
             return False
         del job.attempts[body.index]
+        earlier = job.withdrawn.get(body.index, ())
+        job.withdrawn[body.index] = (*earlier, body.attempt_id)
         return True
 
     def _strike_item(self, offset: int, record: Record) -> bool:
