Keep entries that missed records from hiding the version in force

Cause: three faults found by going over the keeper and the publisher. An entry that missed records and applied an older version could append a checkpoint of it; nobody appended checkpoints while the chosen entry could not; a read refused after a lost append answer was passed on as not run. A test of the restoration showed a fourth: with a replaced log, whose offsets begin anew, an accepted publication got a version that was not higher and was never applied. Conclusion: publications are decided alike also after restorations.

--- a/src/pomeloshift/config/_published.py
+++ b/src/pomeloshift/config/_published.py
@@ -9,9 +9,9 @@
 class ConfigPublished:
     """An operator's publication of a whole configuration.
 
-    It takes effect if ``base_version`` is the version in force at its offset, and
-    then its version is its offset plus one. ``published_at`` is in seconds since the
-    epoch and is shown to operators only.
+    It takes effect if ``base_version`` is the version in force at its offset. Its
+    version is then one more than its offset, or than the version in force if that is
+    higher. ``published_at`` is in seconds since the epoch and shown to operators only.
     """
 
     base_version: int
--- a/src/pomeloshift/config/_state.py
+++ b/src/pomeloshift/config/_state.py
@@ -113,12 +113,14 @@
             return
         body = record.body
         accepted = body.base_version == self.version
-        self.outcomes[record.record_id] = offset + 1 if accepted else REFUSED
+        # Offsets begin anew if the log service was replaced; versions do not.
+        number = max(offset, self.version) + 1
+        self.outcomes[record.record_id] = number if accepted else REFUSED
         while len(self.outcomes) > REMEMBERED_OUTCOMES:
             del self.outcomes[next(iter(self.outcomes))]
         if accepted:
             version = ConfigVersion(
-                offset + 1, body.document, body.author, body.note, body.published_at
+                number, body.document, body.author, body.note, body.published_at
             )
             self._enter(offset, version)
 
--- a/src/pomeloshift/entry/config/_publisher.py
+++ b/src/pomeloshift/entry/config/_publisher.py
@@ -7,6 +7,7 @@
     ConfigConflictError,
     ConfigPublished,
 )
+from ...errors import PomeloshiftError
 from ...log import (
     AppendOutcomeUnknownError,
     LogRateLimitedError,
@@ -86,7 +87,8 @@
     async def _find(self, record_id: str) -> int | None:
         try:
             await self._stream.catch_up()
-        except LogUnavailableError:
+        except PomeloshiftError:
+            # The append may have taken effect, whatever this read says.
             return None
         return self._stream.state.outcome_of(record_id)
 
--- a/src/pomeloshift/entry/config/_service.py
+++ b/src/pomeloshift/entry/config/_service.py
@@ -182,8 +182,7 @@
         try:
             await self.refresh()
             self._backoff_s = 0.0
-            if self._is_keeper():
-                await self._keeper.keep(self._clock.monotonic())
+            await self._keeper.keep(self._clock.monotonic(), self._is_keeper())
         except PomeloshiftError as exc:
             logger.warning("event=config_poll_failed code={}", exc.code.value)
             self._backoff_s = min(
--- a/tests/test_config_service.py
+++ b/tests/test_config_service.py
@@ -17,7 +17,11 @@
     ConfigService,
     ConfigTiming,
 )
-from pomeloshift.log import LogUnavailableError
+from pomeloshift.log import (
+    AppendOutcomeUnknownError,
+    LogRateLimitedError,
+    LogUnavailableError,
+)
 from pomeloshift.model import Instance, InstanceRole, Place
 from pomeloshift.standins.log import LogFaults, LogModel, LogSettings, MemoryLog
 
@@ -223,6 +227,21 @@
     assert fleet.model.appends - appended == 3
 
 
+def test_other_entries_stand_in_for_a_keeper_that_cannot(fleet):
+    services = [fleet.add(f"e{n}") for n in range(3)]
+    fleet.result(services[0].publish(FIRST, 0, "ana"))
+    (keeper,) = (s for s in services if s._is_keeper())
+    keeper.stop()
+    appended = fleet.model.appends
+    fleet.advance(450.0)
+    assert fleet.model.appends > appended
+    late = fleet.add("e9", pull=False)
+    fleet.model.expire_before(CONFIG_STREAM, 1)
+    fleet.advance(5.0)
+    assert late.state.complete
+    assert late.version == 1
+
+
 def test_version_that_the_log_lost_is_restored_from_an_instance(fleet):
     service = fleet.add("e1")
     fleet.result(service.publish(FIRST, 0, "ana"))
@@ -233,12 +252,68 @@
         fleet.result(survivor.publish(SECOND, 1, "bor"), 5.0)
     survivor.offer(service.document())
     fleet.entries.pop(0)
-    fleet.advance(40.0)
+    fleet.advance(9 * TIMING.checkpoint_s)
     assert survivor.state.complete
     assert survivor.state.version == 1
     assert fleet.result(survivor.publish(SECOND, 1, "bor")) > 1
 
 
+def test_entry_that_is_behind_does_not_hide_the_version_in_force(fleet):
+    """A new entry that missed records must not restore what others replaced."""
+    first = fleet.add("e1")
+    fleet.result(first.publish(FIRST, 0, "ana"))
+    stale = first.document()
+    fleet.result(first.publish(SECOND, 1, "ana"))
+    fleet.model.expire_before(CONFIG_STREAM, 2)
+    behind = fleet.add("e2", pull=False)
+    behind.offer(stale)
+    fleet.advance(6 * TIMING.checkpoint_s)
+    assert behind.version == first.version == 2
+    newest = fleet.add("e3", pull=False)
+    fleet.advance(5.0)
+    assert newest.version == 2
+    assert newest.state.complete
+
+
+def test_log_that_lost_everything_gets_the_version_back(fleet):
+    service = fleet.add("e1")
+    fleet.result(service.publish(FIRST, 0, "ana"))
+    version_two = fleet.result(service.publish(SECOND, 1, "ana"))
+    ahead = service.document()
+    service.stop()
+    other = LogModel(LogSettings(), Random(3))
+    fleet.log.model = fleet.model = other
+    fleet.entries.clear()
+    fresh = fleet.add("e5")
+    fresh.offer(ahead)
+    fleet.advance(2 * TIMING.restore_s)
+    assert fresh.state.version == version_two
+    assert fleet.result(fresh.publish(FIRST, version_two, "bor")) != version_two
+
+
+def test_refusal_after_a_lost_answer_is_not_called_not_run(fleet):
+    service = fleet.add("e1")
+    log = fleet.log
+    appended = []
+
+    class LimitedLog:
+        async def read(self, stream, offset, limit):
+            if appended:
+                raise LogRateLimitedError("too many reads")
+            return await log.read(stream, offset, limit)
+
+        async def append(self, stream, payloads):
+            if not appended:
+                appended.append(await log.append(stream, payloads))
+                raise AppendOutcomeUnknownError("lost")
+            raise LogUnavailableError("down")
+
+    service._stream._log = LimitedLog()
+    with pytest.raises(ConfigOutcomeUnknownError):
+        fleet.result(service.publish(FIRST, 0, "ana"))
+    assert len(appended) == 1
+
+
 def test_older_offer_never_reverts(fleet):
     service = fleet.add("e1")
     fleet.result(service.publish(FIRST, 0, "ana"))
