Wire the account of objectives into the entry

Cause: requests that ended were not counted anywhere yet. Change: in entry/_entry.py, the lead's file: BurnService and RequestAccount are built, started and stopped, fed by the online service and given to the administration API. Conclusion: report burn has figures to report.

--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -30,9 +30,10 @@
 from ._peer_exchange import PeerExchange
 from ._root import PrefixRoot
 from .batch import FilesAndBatches, JobService
+from .burn import BurnPeers, BurnService, RequestAccount
 from .calls import CallClaimer
 from .config import ConfigService
-from .online import FinishedRequest, OnlineApi, OnlineService
+from .online import OnlineApi, OnlineService
 
 LOG_TIMEOUT_S = 5.0
 LIST_INTERVAL_S = 1.0
@@ -95,6 +96,25 @@
             pull=self._pull_config,
         )
         self.auth = Authenticator(lambda: self.config.current)
+        self.burn = BurnService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            self.fleet.entries,
+            lambda: self.config.current,
+            BurnPeers(
+                settings.name, self.fleet.entries, settings.internal_key, reactor
+            ),
+        )
+        self._account = RequestAccount(
+            settings.place.region,
+            self.metrics,
+            self.burn.record,
+            self.fleet.reports,
+            lambda: self.config.current,
+        )
         self.online = OnlineService(
             settings.name,
             settings.place,
@@ -105,7 +125,7 @@
             lambda: self.config.current,
             settings.internal_key,
             config_version=lambda: self.config.version,
-            on_finished=self._count_finished,
+            on_finished=self._account.finished,
         )
         self._peers = PeerExchange(
             settings.name,
@@ -151,6 +171,7 @@
         self._loops.repeat(self.fleet.tick, FLEET_TICK_S)
         self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
         self.jobs.start()
+        self.burn.start()
         logger.info(
             "event=entry_started instance={} address={} control={}",
             self.instance.name,
@@ -174,6 +195,7 @@
         self._loops.stop()
         self.config.stop()
         await self.jobs.stop()
+        await self.burn.stop()
         await self.listener.stop()
         await self._control_server.stop()
         await self._control.close()
@@ -216,6 +238,7 @@
             QuarantineAdmin(self.online.suspects, self._clock),
             audit,
             lambda: self._new_secret(SECRET_BITS),
+            self.burn,
         )
 
     def _new_secret(self, bits: int) -> str:
@@ -245,9 +268,6 @@
     def _apply_config(self, cfg: Configuration, version: int) -> None:
         self.metrics.set("config_version", version)
 
-    def _count_finished(self, finished: FinishedRequest) -> None:
-        pass
-
     async def _pull_config(self, peer: str) -> ConfigDocument:
         address = next(
             entry.control_address
