--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from ..admin import AdminApi, AuditLog, OperatorGate
+from ..batch import JobState
 from ..config import Configuration
 from ..log import LogStore
 from ..metrics import Metrics
@@ -24,9 +25,11 @@
 from ..wire import ConfigDocument, ConfigPull
 from ._admin_views import FleetAdmin, JobsAdmin, QuarantineAdmin
 from ._auth import Authenticator
+from ._collector import EntryCollector
 from ._control_handler import ControlHandler
 from ._fleet_observer import FleetObserver
 from ._health import HealthApi
+from ._metered_log import MeteredLog
 from ._peer_exchange import PeerExchange
 from ._root import PrefixRoot
 from .batch import FilesAndBatches, JobService
@@ -64,11 +67,12 @@
         self._reactor = reactor
         self._clock = clock
         self._loops = Loops(reactor)
-        self._log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self.metrics = Metrics("entry", settings.name)
+        log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self._log = MeteredLog(log, self.metrics, clock)
         self.instance = Instance(
             settings.name, InstanceRole.ENTRY, settings.place, "", ""
         )
-        self.metrics = Metrics("entry", settings.name)
         self._control = ControlClient(settings.internal_key.encode(), reactor)
         self._router = Router(RouterConfig(name=settings.name), settings.place, rng)
         self.jobs = JobService(
@@ -230,17 +234,29 @@
             self._drain_entry,
             self._clock,
         )
+        quarantine = QuarantineAdmin(self.online.suspects, self._clock)
+        self._collector = EntryCollector(
+            self.metrics,
+            fleet.instances,
+            quarantine.quarantined,
+            lambda: self.online.open_requests,
+            self._owned_jobs,
+        )
         return AdminApi(
             OperatorGate(self.auth, self._settings.internal_key),
             self.config,
             fleet,
             JobsAdmin(self.jobs),
-            QuarantineAdmin(self.online.suspects, self._clock),
+            quarantine,
             audit,
             lambda: self._new_secret(SECRET_BITS),
             self.burn,
         )
 
+    def _owned_jobs(self) -> list[JobState]:
+        runners = [r for r in self.jobs.runners.values() if r.is_open]
+        return [job for runner in runners for job in runner.state.jobs.values()]
+
     def _new_secret(self, bits: int) -> str:
         return f"{self._rng.getrandbits(bits):0{bits // 4}x}"
 
@@ -262,11 +278,13 @@
         return ""
 
     def _render_metrics(self) -> bytes:
+        self._collector.collect()
         body, _ = self.metrics.render()
         return body
 
     def _apply_config(self, cfg: Configuration, version: int) -> None:
         self.metrics.set("config_version", version)
+        self.metrics.inc("config_changes_total")
 
     async def _pull_config(self, peer: str) -> ConfigDocument:
         address = next(
--- a/src/pomeloshift/metrics/__init__.py
+++ b/src/pomeloshift/metrics/__init__.py
@@ -3,6 +3,7 @@
 from ._catalogue import CATALOGUE
 from ._errors import MetricError
 from ._metrics import Metrics
+from ._process import collect_process
 from ._spec import NAME_PREFIX, MetricKind, MetricSpec
 
 __all__ = [
@@ -12,4 +13,5 @@
     "MetricKind",
     "MetricSpec",
     "Metrics",
+    "collect_process",
 ]
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -11,7 +11,6 @@
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 1.5, 2.5, 5.0, 10.0)
 BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0)
 LOG_BUCKETS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0)
-PAUSE_BUCKETS_S = (0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0)
 
 CATALOGUE = (
     MetricSpec(
@@ -19,18 +18,21 @@
         COUNTER,
         "Requests that ended; the outcome is ok, caller_gone or an error's code.",
         ("service", "class", "outcome"),
+        ENTRY,
     ),
     MetricSpec(
         "open_requests",
         GAUGE,
-        "Requests that have not ended.",
-        ("service", "class"),
+        "Online requests that have not ended.",
+        (),
+        ENTRY,
     ),
     MetricSpec(
         "first_token_seconds",
         HISTOGRAM,
         "Time from the arrival of a request to the first token of its answer.",
         ("service", "class"),
+        ENTRY,
         buckets=FIRST_TOKEN_BUCKETS_S,
     ),
     MetricSpec(
@@ -38,6 +40,7 @@
         HISTOGRAM,
         "Mean time between tokens of an answer.",
         ("service", "class"),
+        ENTRY,
         buckets=BETWEEN_TOKENS_BUCKETS_S,
     ),
     MetricSpec(
@@ -45,6 +48,7 @@
         COUNTER,
         "Tokens of answers that were passed on.",
         ("service", "class"),
+        ENTRY,
     ),
     MetricSpec(
         "retries_total",
@@ -53,19 +57,6 @@
         ("service",),
         ENTRY,
     ),
-    MetricSpec(
-        "joins_total",
-        COUNTER,
-        "Attempts that were taken up again over a new connection.",
-        ("service",),
-    ),
-    MetricSpec(
-        "cross_region_bytes_total",
-        COUNTER,
-        "Bytes sent and received over the paid link.",
-        ("class",),
-        ENTRY,
-    ),
     MetricSpec(
         "instances",
         GAUGE,
@@ -78,6 +69,7 @@
         GAUGE,
         "Fingerprints of requests that crashed backend servers and are refused.",
         (),
+        ENTRY,
     ),
     MetricSpec(
         "config_version",
@@ -88,6 +80,8 @@
         "config_changes_total",
         COUNTER,
         "Configurations that were applied.",
+        (),
+        ENTRY,
     ),
     MetricSpec(
         "log_operations_total",
@@ -114,22 +108,15 @@
     MetricSpec(
         "jobs",
         GAUGE,
-        "Batch jobs of the owned partitions by state.",
+        "Batch jobs of the owned partitions: open, cancelled or finished.",
         ("state",),
         ENTRY,
     ),
     MetricSpec(
-        "batch_items_total",
-        COUNTER,
-        "Batch items that ended; the outcome is ok or the code of the error.",
-        ("service", "outcome"),
-        ENTRY,
-    ),
-    MetricSpec(
-        "batch_items_waiting",
+        "batch_items",
         GAUGE,
-        "Batch items of the owned partitions that wait to be run.",
-        ("service",),
+        "Items of these jobs: waiting, completed or failed.",
+        ("state",),
         ENTRY,
     ),
     MetricSpec(
@@ -147,52 +134,19 @@
         SIDECAR,
     ),
     MetricSpec(
-        "taken_back_total",
-        COUNTER,
-        "Batch streams that were cancelled at the engine to make room.",
+        "engines_answer",
+        GAUGE,
+        "1 while the engines of this backend server answer, 0 otherwise.",
         (),
         SIDECAR,
     ),
     MetricSpec(
-        "shed_total",
-        COUNTER,
-        "Streams that were refused before any of them ran.",
-        ("class",),
-        SIDECAR,
-    ),
-    MetricSpec(
-        "engine_orders_total",
-        COUNTER,
-        "Orders to engines; the outcome is ok or the code of the error.",
-        ("order", "outcome"),
-        SIDECAR,
-    ),
-    MetricSpec(
-        "engines_alive",
+        "draining",
         GAUGE,
-        "Engines of this backend server that answer.",
+        "1 while this backend server takes no new work, 0 otherwise.",
         (),
         SIDECAR,
     ),
-    MetricSpec(
-        "leases_dropped_total",
-        COUNTER,
-        "Leases dropped because the process was paused longer than they last.",
-        (),
-    ),
-    MetricSpec(
-        "control_messages_total",
-        COUNTER,
-        "Control messages between processes, by type and direction.",
-        ("type", "direction"),
-    ),
-    MetricSpec(
-        "loop_pause_seconds",
-        HISTOGRAM,
-        "Time by which the event loop was late.",
-        (),
-        buckets=PAUSE_BUCKETS_S,
-    ),
     MetricSpec(
         "resident_bytes",
         GAUGE,
--- a/src/pomeloshift/metrics/_metrics.py
+++ b/src/pomeloshift/metrics/_metrics.py
@@ -34,6 +34,11 @@
         collector, given = self._find(metric, MetricKind.COUNTER, labels)
         collector.add(given, value)
 
+    def advance(self, metric: str, total: float, **labels: str) -> None:
+        """Sets a counter that something else counts."""
+        collector, given = self._find(metric, MetricKind.COUNTER, labels)
+        collector.set(given, total)
+
     def set(self, metric: str, value: float, **labels: str) -> None:
         """Sets a gauge."""
         collector, given = self._find(metric, MetricKind.GAUGE, labels)
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -10,6 +10,8 @@
 from ..admission import Admission, AdmissionConfig
 from ..attempts import AttemptRegistry
 from ..config import ConfigHolder, ServiceConfig, ServiceKind
+from ..entry._health import HealthApi
+from ..entry._root import PrefixRoot
 from ..errors import ErrorCode, ErrorReport, Ran
 from ..membership import (
     Drain,
@@ -32,6 +34,7 @@
 from ._engine_client import EngineClient
 from ._engine_lane import EngineLane
 from ._frame_sink import FrameSink
+from ._metrics import SidecarMetrics
 from ._online_work import OnlineWork
 from ._plain_lane import PlainLane
 from ._reporter import Reporter
@@ -108,8 +111,11 @@
             self._stop_attempt,
             self._refusal,
         ).resource
+        metrics = SidecarMetrics(self._settings.name, self._report)
+        health = HealthApi(self._unready_reason, metrics.render).resource
+        root: Any = PrefixRoot({"/attempts": resource}, health)
         self.listener: Listener = serve(
-            self._reactor, resource, self._settings.host, self._settings.port
+            self._reactor, root, self._settings.host, self._settings.port
         )
         host = self._settings.reachable_host
         self.instance = Instance(
@@ -162,6 +168,9 @@
         for lane in self._lanes:
             await lane.close()
 
+    def _unready_reason(self) -> str:
+        return "the backend server is leaving" if self.is_draining else ""
+
     def _make_lanes(self) -> Sequence[EngineLane | PlainLane]:
         engines = self._settings.engines
         if self._settings.kind is ServiceKind.PLAIN:
