List the routes of the administration API in a page

Cause: operators who do not use the commands need the routes at a glance. Change: docs/operations/administration.md, compared with the routes by a test. Figures: one more test. Conclusion: the page cannot drift.

--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -1,4 +1,5 @@
 import json
+import pathlib
 import re
 
 import attrs
@@ -231,3 +232,14 @@
         for operation in operations.values()
     }
     assert summary == snapshot
+
+
+def test_page_lists_every_route():
+    page = pathlib.Path(__file__).parent.parent / "docs/operations/administration.md"
+    listed = re.findall(
+        r"^\| `(\w+) (\S+)` \| (\w+) \| (.*) \|$", page.read_text(), re.M
+    )
+    assert listed == [
+        (r.method, r.full_path, r.role.value if r.role else "none", r.summary)
+        for r in ROUTES
+    ]
