--- a/src/pomeloshift/report/_compute.py
+++ b/src/pomeloshift/report/_compute.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable, Sequence
 
-from ..config import Configuration, ServiceConfig
+from ..config import Configuration, ServiceConfig, ServiceKind
 from ..model import Priority
 from ._counts import BurnCounts, BurnKey
 from ._histograms import Histograms
@@ -56,7 +56,7 @@
     series: list[BurnSeries] = []
     for service in cfg.services:
         for priority in Priority:
-            for indicator in _indicators(priority):
+            for indicator in _indicators(service, priority):
                 objectives += _objectives(
                     service, priority.value, indicator, sums, histograms
                 )
@@ -81,10 +81,12 @@
     return round(bad / total / (1 - objective), 4)
 
 
-def _indicators(priority: Priority) -> tuple[Indicator, ...]:
-    if priority is Priority.ONLINE:
-        return tuple(Indicator)
-    return (Indicator.ANSWERED,)
+def _indicators(service: ServiceConfig, priority: Priority) -> tuple[Indicator, ...]:
+    if priority is Priority.BATCH:
+        return (Indicator.ANSWERED,)
+    if service.kind is ServiceKind.PLAIN:
+        return (Indicator.ANSWERED, Indicator.FIRST_TOKEN)
+    return tuple(Indicator)
 
 
 def _make_timeline(history: BurnHistory, pending: Sequence[BurnSummary]) -> Timeline:
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pomeloshift.config import Configuration, ServiceConfig
+from pomeloshift.config import Configuration, ServiceConfig, ServiceKind
 from pomeloshift.errors import ErrorCode
 from pomeloshift.log import Record, RecordCodec
 from pomeloshift.model import Priority
@@ -137,6 +137,16 @@
     assert {item.indicator for item in report.objectives} == {Indicator.ANSWERED}
 
 
+def test_plain_services_have_no_tokens_to_time():
+    cfg = Configuration("vezi", services=(ServiceConfig("desk", ServiceKind.PLAIN),))
+    sample = RequestSample("desk", "team", first_token_s=0.2)
+    report = report_of([(60, sample)], cfg=cfg)
+    assert {item.indicator for item in report.objectives} == {
+        Indicator.ANSWERED,
+        Indicator.FIRST_TOKEN,
+    }
+
+
 def test_percentiles_are_exact_to_two_digits():
     histograms = Histograms()
     for position in range(1, 1001):
