Name the target of each audited change and store entries at a stop

Cause: publications and issued keys were audited without saying what they were about, and entries of the last second were lost when an entry stopped. Conclusion: the stream says who did what to which.

--- a/src/pomeloshift/admin/_api.py
+++ b/src/pomeloshift/admin/_api.py
@@ -217,7 +217,7 @@
         call: AdminCall,
         handler: Callable[[AdminCall], Awaitable[Any]],
     ) -> Any:
-        target = " ".join(call.arguments.values()) or "-"
+        target = _target(call)
         outcome = "internal"
         try:
             answer = await handler(call)
@@ -230,6 +230,17 @@
             self._audit.write(call.operator.name, route.audit, target, outcome)
 
 
+def _target(call: AdminCall) -> str:
+    """Returns what a change is about, without anything secret."""
+    if isinstance(call.body, m.PublishRequest):
+        return f"base:{call.body.base_version}"
+    if isinstance(call.body, m.IssueRequest):
+        if call.body.workspace:
+            return f"workspace:{call.body.workspace}"
+        return f"operator:{call.body.operator}:{call.body.role}"
+    return " ".join(call.arguments.values())
+
+
 def _query(req: Request) -> dict[str, str]:
     arguments: dict[bytes, list[bytes]] = req.args or {}
     return {name.decode(): values[-1].decode() for name, values in arguments.items()}
--- a/src/pomeloshift/admin/_audit.py
+++ b/src/pomeloshift/admin/_audit.py
@@ -53,6 +53,7 @@
         self._codec = RecordCodec([AuditEntry])
         self._waiting: deque[Record] = deque(maxlen=MAX_WAITING)
         self._is_scheduled = False
+        self._is_closed = False
 
     def write(self, operator: str, action: str, target: str, outcome: str) -> None:
         """Records one change and its outcome, ``ok`` or the code of the error."""
@@ -79,8 +80,20 @@
             if self._waiting and self._waiting[0] is record:
                 self._waiting.popleft()
 
+    async def close(self) -> None:
+        """Appends what waits, if the log service takes it, and ends."""
+        self._is_closed = True
+        try:
+            await self.flush()
+        except PomeloshiftError as exc:
+            logger.warning(
+                "event=audit_lost entries={} code={}",
+                len(self._waiting),
+                exc.code.value,
+            )
+
     def _schedule(self, delay_s: float) -> None:
-        if not self._is_scheduled:
+        if not self._is_scheduled and not self._is_closed:
             self._is_scheduled = True
             self._reactor.callLater(delay_s, self._start_flush)
 
@@ -92,6 +105,7 @@
             await self.flush()
         except PomeloshiftError as exc:
             logger.warning("event=audit_waits code={}", exc.code.value)
-        self._is_scheduled = False
+        finally:
+            self._is_scheduled = False
         if self._waiting:
             self._schedule(RETRY_DELAY_S)
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -200,6 +200,7 @@
         self.config.stop()
         await self.jobs.stop()
         await self.burn.stop()
+        await self._audit.close()
         await self.listener.stop()
         await self._control_server.stop()
         await self._control.close()
@@ -220,7 +221,7 @@
         )
 
     def _admin(self) -> AdminApi:
-        audit = AuditLog(
+        self._audit = AuditLog(
             self.instance.name,
             self._log,
             self._clock,
@@ -248,7 +249,7 @@
             fleet,
             JobsAdmin(self.jobs),
             quarantine,
-            audit,
+            self._audit,
             lambda: self._new_secret(SECRET_BITS),
             self.burn,
         )
