Split the configuration service and the administration API

Change: Puller and AdminCall have files of their own; no behaviour changes. Conclusion: one job a file.

--- a/src/pomeloshift/admin/_api.py
+++ b/src/pomeloshift/admin/_api.py
@@ -17,6 +17,7 @@
 from ._answers import answers_failures, read_message, respond_failure
 from ._audit import AuditLog
 from ._authenticate import OperatorGate
+from ._call import AdminCall, query_of, target_of, whole_number
 from ._config_admin import ConfigAdmin
 from ._config_service import ConfigPublisher
 from ._key_admin import KeyAdmin
@@ -30,16 +31,6 @@
 MAX_JOBS = 1000
 
 
-@attrs.frozen
-class AdminCall:
-    """One request with its operator, its body and its path arguments."""
-
-    operator: Operator
-    body: Any
-    arguments: dict[str, str]
-    query: dict[str, str]
-
-
 class AdminApi:
     """Serves all routes under ``/admin/v1`` as ``resource``.
 
@@ -115,7 +106,7 @@
 
     async def get_version(self, call: AdminCall) -> Any:
         """Returns the configuration of a recent version."""
-        version = _whole_number("version", call.arguments["version"])
+        version = whole_number("version", call.arguments["version"])
         return _without_digests(decode_configuration(self._config.document(version)))
 
     async def list_workspaces(self, call: AdminCall) -> Any:
@@ -150,7 +141,7 @@
 
     async def list_jobs(self, call: AdminCall) -> Any:
         """Returns the newest batch jobs."""
-        limit = _whole_number("limit", call.query.get("limit", str(DEFAULT_JOBS)))
+        limit = whole_number("limit", call.query.get("limit", str(DEFAULT_JOBS)))
         if not 1 <= limit <= MAX_JOBS:
             raise InvalidRequestError(f"limit must be from 1 to {MAX_JOBS}")
         workspace = call.query.get("workspace", "")
@@ -193,7 +184,7 @@
         async def handle(req: Request, **arguments: str) -> bytes:
             operator = self._identify(req, route)
             body = read_message(req, route.request) if route.request else None
-            call = AdminCall(operator, body, arguments, _query(req))
+            call = AdminCall(operator, body, arguments, query_of(req))
             if not route.audit:
                 answer = await handler(call)
             else:
@@ -217,7 +208,7 @@
         call: AdminCall,
         handler: Callable[[AdminCall], Awaitable[Any]],
     ) -> Any:
-        target = _target(call)
+        target = target_of(call)
         outcome = "internal"
         try:
             answer = await handler(call)
@@ -230,28 +221,6 @@
             self._audit.write(call.operator.name, route.audit, target, outcome)
 
 
-def _target(call: AdminCall) -> str:
-    """Returns what a change is about, without anything secret."""
-    if isinstance(call.body, m.PublishRequest):
-        return f"base:{call.body.base_version}"
-    if isinstance(call.body, m.IssueRequest):
-        if call.body.workspace:
-            return f"workspace:{call.body.workspace}"
-        return f"operator:{call.body.operator}:{call.body.role}"
-    return " ".join(call.arguments.values())
-
-
-def _query(req: Request) -> dict[str, str]:
-    arguments: dict[bytes, list[bytes]] = req.args or {}
-    return {name.decode(): values[-1].decode() for name, values in arguments.items()}
-
-
-def _whole_number(name: str, text: str) -> int:
-    if not text.isascii() or not text.isdigit():
-        raise InvalidRequestError(f"{name} must be a whole number")
-    return int(text)
-
-
 def _without_digests(cfg: Configuration) -> Configuration:
     return attrs.evolve(
         cfg,
--- a/src/pomeloshift/entry/config/_service.py
+++ b/src/pomeloshift/entry/config/_service.py
@@ -1,6 +1,6 @@
 """The configuration service of an entry."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
 from typing import Any
 
@@ -22,12 +22,11 @@
 from ...wire import ConfigDocument
 from ._keeper import Keeper
 from ._publisher import Publisher
+from ._puller import Pull, Puller
 from ._reader import choose_reader
 from ._stream import ConfigStream
 from ._timing import ConfigTiming
 
-Pull = Callable[[str], Awaitable[ConfigDocument]]
-
 
 class ConfigService:
     """Follows the configuration stream, applies what is newer and publishes.
@@ -63,10 +62,10 @@
         self._rng = rng
         self._region = region
         self._entries = entries
-        self._pull = pull
         self._timing = timing
         self._holder = ConfigHolder()
         self._stream = ConfigStream(log)
+        self._puller = Puller(name, self._holder, pull, self.offer, self.refresh, rng)
         self._keeper = Keeper(name, self._stream, self._holder, rng, timing)
         self._publisher = Publisher(
             self._stream, clock, self._sleep, timing.publish_limit_s
@@ -74,7 +73,6 @@
         self._callbacks: list[Callable[[Configuration, int], None]] = []
         self._poll_call: Any = None
         self._running = False
-        self._pulling = False
         self._backoff_s = 0.0
 
     @property
@@ -115,7 +113,7 @@
     def observe_version(self, peer: str, version: int) -> None:
         """Notes the version that a peer named and fetches it if it is newer."""
         if self._holder.observe(peer, version):
-            self._fetch_newer()
+            self._puller.fetch()
 
     def start(self) -> None:
         """Begins to follow the stream."""
@@ -189,7 +187,8 @@
                 max(2 * self._backoff_s, self._timing.poll_s),
                 self._timing.max_backoff_s,
             )
-            await self._ask_any_peer()
+            if self.version == 0:
+                await self._puller.ask_any(self._live_names(None))
         except Exception:
             logger.exception("event=config_poll_failed")
         finally:
@@ -219,39 +218,6 @@
             and region in (None, entry.place.region)
         ]
 
-    def _fetch_newer(self) -> None:
-        if not self._pulling:
-            self._pulling = True
-            ensureDeferred(self._pull_newer())
-
-    async def _pull_newer(self) -> None:
-        try:
-            while (peer := self._holder.next_pull()) is not None:
-                await self._pull_from(peer)
-        finally:
-            self._pulling = False
-
-    async def _ask_any_peer(self) -> None:
-        """Takes the configuration from a peer if this process has none yet."""
-        peers = [name for name in self._live_names(None) if name != self._name]
-        if self.version == 0 and self._pull is not None and peers:
-            await self._pull_from(self._rng.choice(peers))
-
-    async def _pull_from(self, peer: str) -> None:
-        try:
-            if self._pull is None:
-                await self.refresh()
-            else:
-                self.offer(await self._pull(peer))
-        except PomeloshiftError as exc:
-            logger.info(
-                "event=config_pull_failed peer={} code={}", peer, exc.code.value
-            )
-        except Exception:
-            logger.exception("event=config_pull_failed peer={}", peer)
-        finally:
-            self._holder.forget(peer)
-
     async def _sleep(self, seconds: float) -> None:
         fired: Deferred[None] = Deferred()
         self._reactor.callLater(seconds, fired.callback, None)
