--- a/src/pomeloshift/entry/online/_run.py
+++ b/src/pomeloshift/entry/online/_run.py
@@ -44,6 +44,7 @@
         suspects: SuspectTracker,
         started_at: float,
     ) -> None:
+        self._admitted_at = clock.monotonic()
         self._order = order
         self._clock = clock
         self._router = router
@@ -77,13 +78,18 @@
         )
 
     def outcome(self, first_token_target_s: float) -> Outcome:
-        """Tells what the end says about the service's load."""
+        """Tells what the end says about the service's load.
+
+        The time in this entry's own queue does not count.
+        """
         if self._error is not None:
             overloaded = self._error.code is ErrorCode.OVERLOADED
             return Outcome.REFUSED if overloaded else Outcome.OTHER
         if not self._complete or self._first_token_s is None:
             return Outcome.OTHER
-        in_time = self._first_token_s <= first_token_target_s or not self._order.stream
+        queued_s = self._admitted_at - self._started_at
+        waited_s = self._first_token_s - queued_s
+        in_time = waited_s <= first_token_target_s or not self._order.stream
         return Outcome.IN_TIME if in_time else Outcome.TOO_LATE
 
     def _observe(self, effect: OnlineEffect) -> None:
--- a/src/pomeloshift/limits/_limiter.py
+++ b/src/pomeloshift/limits/_limiter.py
@@ -63,7 +63,7 @@
         self,
         workspace: Callable[[str], WorkspaceConfig],
         limit: AdaptiveLimit | None = None,
-        max_wait_s: float = 0.5,
+        max_wait_s: float = 0.25,
     ) -> None:
         self._workspace = workspace
         self._limit = limit or AdaptiveLimit()
@@ -115,7 +115,7 @@
         if outcome in (Outcome.IN_TIME, Outcome.TOO_LATE):
             self._drain.finished(ended.cost, now)
         if outcome is Outcome.IN_TIME:
-            self._limit.succeeded(len(self._running) + 1)
+            self._limit.succeeded(len(self._running) + 1, now)
         elif outcome in (Outcome.TOO_LATE, Outcome.REFUSED):
             self._limit.overloaded(now)
         return self.poll(now)
