--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -23,6 +23,7 @@
     ) -> None:
         self.gap_s = 0.0
         self.step_count = 0
+        self.read_step = 0
         self._roster = roster
         self._steps = steps
         self._first_tokens = first_tokens
@@ -32,6 +33,16 @@
         self._is_new_step = False
         self._was_reading = True
 
+    def adds_only(self, stream: Stream, tokens: int, now: float) -> bool:
+        """Counts tokens of a step that was observed already; `False` for others."""
+        if self._is_new_step or stream.phase is not Phase.DECODING:
+            return False
+        if now - self._step_at > SAME_STEP_S:
+            return False
+        stream.tokens += tokens
+        stream.last_token_at = now
+        return True
+
     def on_tokens(self, stream: Stream, tokens: int, now: float) -> None:
         """Takes the arrival of ``tokens`` tokens of a running stream."""
         if now - self._step_at > SAME_STEP_S:
@@ -60,6 +71,7 @@
             self._pace.observe(gap_s, online)
 
     def _on_first_token(self, stream: Stream) -> None:
+        self.read_step = self.step_count
         if stream.read_alone and stream.is_online:
             steps = self.step_count - stream.steps_at_start
             self._first_tokens.observe_read(stream.offer.prompt_tokens, steps)
--- a/src/pomeloshift/bench/policy/_server.py
+++ b/src/pomeloshift/bench/policy/_server.py
@@ -92,6 +92,7 @@
         self._read_before = 0
         self._bursts: dict[int, float] = {}
         self._pulls: deque[int] = deque()
+        self._finished: frozenset[str] = frozenset()
 
     def offer_online(self, arrival: Arrival, extra_s: float, now: float) -> None:
         """Takes an arrival; ``extra_s`` is the time its answer takes to travel."""
@@ -125,6 +126,7 @@
         outputs = self.model.advance(now)
         seen_at = now + self._rng.random() * CLOCK_NOISE_S
         finished = [o.stream_id for o in outputs if isinstance(o, WorkFinished)]
+        self._finished = frozenset(finished)
         started = [o.stream_id for o in outputs if isinstance(o, FirstToken)]
         for stream_id in started:
             self._on_first_token(stream_id, now)
@@ -134,9 +136,9 @@
         if self._needs_tokens:
             self._send_tokens((*decoded, *started), seen_at)
         for stream_id in finished:
-            job = self._jobs.pop(stream_id)
-            self._measures.online_finished += job.arrival is not None
+            del self._jobs[stream_id]
             self.send(StreamEnded(stream_id), seen_at)
+        self._finished = frozenset()
 
     def deliver_batch(self, items: int, now: float) -> None:
         """Hands items of the backlog to the policy."""
@@ -157,6 +159,12 @@
             )
             self.send(offer, now)
 
+    def finish(self, now: float) -> None:
+        """Ends the run: bursts that were never given room count until now."""
+        for at in self._bursts.values():
+            if at >= 0:
+                self._measures.give_back_s.append(now - at)
+
     def take_pulls(self) -> list[int]:
         """Returns the numbers of items that were asked for since the last call."""
         pulls = list(self._pulls)
@@ -171,6 +179,10 @@
                 self._apply(effect, now)
 
     def _apply(self, effect: AdmissionEffect, now: float) -> None:
+        if isinstance(effect, TakeBackStream | ResumeStream):
+            # The end of these streams is on its way to the policy.
+            if effect.stream_id in self._finished:
+                return
         if isinstance(effect, StartStream | ResumeStream):
             self._start(self._jobs[effect.stream_id], now)
         elif isinstance(effect, TakeBackStream):
