Tell a replaced backend server from the one that was stopped

Cause: a replacement of a drained server took work under the same name, as it may. Change: engines are named with their host in histories. Conclusion: a fault of the harness.

--- a/src/pomeloshift/bench/faults/_engine.py
+++ b/src/pomeloshift/bench/faults/_engine.py
@@ -42,7 +42,8 @@
         history: History,
     ) -> None:
         super().__init__(settings, process, process, rng)
-        self.name = settings.name
+        # A replacement has the same name, but is another backend server.
+        self.name = f"{settings.name}@{process.host}"
         self.process = process
         self._history = history
         self._marker_of: dict[str, str] = {}
--- a/src/pomeloshift/bench/faults/_scenario.py
+++ b/src/pomeloshift/bench/faults/_scenario.py
@@ -213,7 +213,9 @@
     def _drain(self, name: str) -> None:
         node = self.world.sidecars[name]
         self.reach(node.process)
-        self.world.history.planned_stops[name] = self.world.clock.seconds()
+        assert node.engine is not None
+        stops = self.world.history.planned_stops
+        stops[node.engine.name] = self.world.clock.seconds()
         node.process.run(lambda: self.world.go(node.sidecar.drain()))
         self.world.mark_leaving(node.sidecar.instance)
 
