--- a/src/pomeloshift/bench/policy/_bench.py
+++ b/src/pomeloshift/bench/policy/_bench.py
@@ -33,12 +33,14 @@
     speeds: tuple[float, ...] = (1.0,),
     report_lag_s: float = 0.5,
     batch_weight: float | None = None,
+    with_baselines: bool = True,
 ) -> PolicyBenchResult:
     """Runs all policies and returns their results.
 
     ``load_fraction`` is the online load as a share of what the fleet carries within
     its targets. Engines get ``speeds`` in turn. Reports reach the routers after
-    ``report_lag_s``. ``batch_weight`` replaces the deployment's own.
+    ``report_lag_s``. ``batch_weight`` replaces the deployment's own. Without
+    baselines only the run without batch work and admission's own are made.
 
     >>> result = run_policy_bench("vezi", duration_s=60.0)
     >>> result.policies["ours"].itl_p95_s <= 0.04
@@ -53,15 +55,16 @@
         batch_weight=weight,
     )
     trace = bench.draw(load_fraction, duration_s)
-    limit = best_fixed_limit(bench, load_fraction, min(duration_s, SWEEP_S))
     no_batch = bench.run(trace, lambda: FixedLimit(0))
     bound = bench.bound(no_batch, duration_s) / duration_s
-    measures = {
-        NO_BATCH: no_batch.measures,
-        NO_CONTROL: bench.measure(trace, lambda: FixedLimit(UNBOUNDED_BATCH_STREAMS)),
-        BEST_FIXED_LIMIT: bench.measure(trace, lambda: FixedLimit(limit)),
-        OURS: bench.measure(trace, lambda: Admission(admission)),
-    }
+    measures = {NO_BATCH: no_batch.measures}
+    limit = 0
+    if with_baselines:
+        limit = best_fixed_limit(bench, load_fraction, min(duration_s, SWEEP_S))
+        unbounded = UNBOUNDED_BATCH_STREAMS
+        measures[NO_CONTROL] = bench.measure(trace, lambda: FixedLimit(unbounded))
+        measures[BEST_FIXED_LIMIT] = bench.measure(trace, lambda: FixedLimit(limit))
+    measures[OURS] = bench.measure(trace, lambda: Admission(admission))
     policies = {
         name: summarise(measured, duration_s, bound)
         for name, measured in measures.items()
