Leave the TLS library out of processes that reach nothing over TLS

Change: the reactor is installed without TLS where no setting is an https URL; an idle sidecar ticks four times a second.

--- a/src/pomeloshift/cli/_roles.py
+++ b/src/pomeloshift/cli/_roles.py
@@ -21,7 +21,8 @@
         live_list = LiveListClient(settings.list_url, reactor)
         return Entry(settings, live_list, reactor, SystemClock(), SystemRandom())
 
-    return run_process(make, settings.log_level.value)
+    with_tls = _uses_tls(settings.log_url, settings.list_url)
+    return run_process(make, settings.log_level.value, with_tls)
 
 
 def run_sidecar(path: str) -> int:
@@ -35,7 +36,13 @@
         live_list = LiveListClient(settings.list_url, reactor)
         return Sidecar(settings, live_list, reactor, SystemClock(), SystemRandom())
 
-    return run_process(make, settings.log_level.value)
+    engine_urls = (engine.url for engine in settings.engines)
+    with_tls = _uses_tls(settings.list_url, settings.weights_url, *engine_urls)
+    return run_process(make, settings.log_level.value, with_tls)
+
+
+def _uses_tls(*urls: str) -> bool:
+    return any(url.startswith("https:") for url in urls)
 
 
 @attrs.define
--- a/src/pomeloshift/net/_process.py
+++ b/src/pomeloshift/net/_process.py
@@ -24,14 +24,16 @@
         """Closes everything."""
 
 
-def run_process(make_role: Callable[[Any], Role], log_level: str) -> int:
+def run_process(
+    make_role: Callable[[Any], Role], log_level: str, with_tls: bool = True
+) -> int:
     """Runs the role that ``make_role`` builds and returns the exit code.
 
     ``make_role`` takes the reactor. SIGTERM and SIGINT drain the role and end the
     process; a second signal ends it without waiting.
     """
     configure_logging(log_level)
-    reactor = install_reactor()
+    reactor = install_reactor(with_tls)
     runner = _Runner(reactor, make_role)
     reactor.callWhenRunning(runner.start)
     reactor.run()
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -40,7 +40,7 @@
 from ._reporter import Reporter
 
 TICK_S = 0.02
-IDLE_TICK_S = 0.1
+IDLE_TICK_S = 0.25
 LIST_INTERVAL_S = 2.0
 REGISTRY_EXPIRY_S = 1.0
 ENGINE_CHECK_S = 1.0
