Refuse every text and number that gives no configuration

Cause: a property test over any text and any changed answer found documents nested too deeply (RecursionError), numbers with thousands of digits (ValueError), numbers beyond range that became infinite, and answers that passed but for which generate failed, such as a million words a second. Conclusion: parse_answers either raises AnswersError or yields answers that generate accepts.

--- a/src/pomeloshift/questionnaire/_answers.py
+++ b/src/pomeloshift/questionnaire/_answers.py
@@ -34,7 +34,8 @@
     link: LinkAnswers = setting("What joins the regions?", default=LinkAnswers())
     operators: tuple[OperatorAnswers, ...] = setting("Who operates it?", default=())
     results_kept_days: float = setting(
-        "For how many days must results of batch jobs stay readable? Above 0.",
+        "For how many days must results of batch jobs stay readable? From 0.01 to "
+        "3650.",
         default=7.0,
-        validator=v.gt(0),
+        validator=[v.ge(0.01), v.le(3650)],
     )
--- a/src/pomeloshift/questionnaire/_people.py
+++ b/src/pomeloshift/questionnaire/_people.py
@@ -32,9 +32,9 @@
     )
     callers: str = setting("Who calls from it?", default="")
     busiest_minute_requests: float = setting(
-        "How many requests does it send in its busiest minute? Above 0.",
+        "How many requests does it send in its busiest minute? From 1 to 100000000.",
         default=600.0,
-        validator=v.gt(0),
+        validator=[v.ge(1), v.le(100_000_000)],
     )
     importance: Importance = setting(
         "How important is it when there is not room for all: low, normal or high?",
--- a/src/pomeloshift/questionnaire/_places.py
+++ b/src/pomeloshift/questionnaire/_places.py
@@ -22,9 +22,10 @@
     """The link that joins the regions."""
 
     megabits_per_s: float = setting(
-        "How many megabits a second can cross between regions, each way? Above 0.",
+        "How many megabits a second can cross between regions, each way? From 0.001 "
+        "to 1000000.",
         default=15.0,
-        validator=v.gt(0),
+        validator=[v.ge(0.001), v.le(1_000_000)],
     )
     online_percent: float = setting(
         "How much of it may serve callers while their own region is full? "
--- a/src/pomeloshift/settings/_load.py
+++ b/src/pomeloshift/settings/_load.py
@@ -54,6 +54,10 @@
         fault = Fault("", FaultCode.NOT_JSON, message, line=line)
     except _ConstantError as exc:
         fault = Fault("", FaultCode.NOT_JSON, f"{exc} is not a JSON number")
+    except RecursionError:
+        fault = Fault("", FaultCode.NOT_JSON, "is nested too deeply")
+    except ValueError:
+        fault = Fault("", FaultCode.NOT_JSON, "has a number with too many digits")
     raise SettingsError([fault], file)
 
 
--- a/src/pomeloshift/settings/_structure.py
+++ b/src/pomeloshift/settings/_structure.py
@@ -1,6 +1,7 @@
 """Structures plain data into attrs classes and collects every fault on the way."""
 
 import difflib
+import math
 import types
 import typing
 from collections.abc import Callable
@@ -85,7 +86,15 @@
 def _structure_float(value: Any, _: type) -> float:
     if type(value) not in (int, float):
         raise _wrong_type(value, "a number")
-    return float(value)
+    try:
+        number = float(value)
+    except OverflowError:
+        number = math.inf
+    if not math.isfinite(number):
+        message = "is a number beyond what can be represented"
+        fault = Fault("", FaultCode.OUT_OF_RANGE, message, "give a smaller number")
+        raise FaultsFound([fault])
+    return number
 
 
 def _structure_enum(value: Any, cls: type[Enum]) -> Enum:
