--- /dev/null
+++ b/src/pomeloshift/bench/fairness/_job_orders.py
@@ -0,0 +1,23 @@
+"""The orders of dispatch that are compared."""
+
+from collections.abc import Mapping, Sequence
+
+from ...batch import DispatchOrder
+from ...batch._job_state import JobState
+
+
+class ArrivalOrder(DispatchOrder):
+    """Serves jobs in the order in which they were submitted."""
+
+    def choose(self, jobs: Sequence[JobState]) -> JobState | None:
+        """Returns the oldest job."""
+        return min(jobs, key=lambda job: job.created_at, default=None)
+
+    def served(self, job: JobState, tokens: int, shares: Mapping[str, float]) -> None:
+        """Counts nothing."""
+
+
+JOB_ORDERS: dict[str, type[DispatchOrder]] = {
+    "order of arrival": ArrivalOrder,
+    "ours": DispatchOrder,
+}
--- a/src/pomeloshift/bench/overload/_variant.py
+++ b/src/pomeloshift/bench/overload/_variant.py
@@ -17,8 +17,10 @@
     fair: bool = True
 
 
+SERVER_QUEUE = 4
+
 NO_LIMITS = Variant("no limits", False, None)
-REFUSALS = Variant("refusals and retries", False, 8)
-ONE_QUEUE = Variant("limits, one queue", True, 8, fair=False)
-OURS = Variant("ours", True, 8)
+REFUSALS = Variant("refusals and retries", False, SERVER_QUEUE)
+ONE_QUEUE = Variant("limits, one queue", True, SERVER_QUEUE, fair=False)
+OURS = Variant("ours", True, SERVER_QUEUE)
 VARIANTS = (NO_LIMITS, REFUSALS, OURS)
