--- a/src/pomeloshift/bench/faults/_callers.py
+++ b/src/pomeloshift/bench/faults/_callers.py
@@ -120,12 +120,17 @@
     async def _run(
         self, call: OnlineCall, path: str, entries: list[str], headers: dict[str, str]
     ) -> None:
+        maybe_ran = False
         for number in range(MAX_SENDS):
             entry = entries[number % len(entries)]
             await self._send(call, path, entry, headers)
+            # What an earlier send may have run is not settled by a later refusal.
+            maybe_ran = maybe_ran or bool(call.error_code) and call.ran is not Ran.NO
             if not self._is_worth_another_try(call):
                 break
             await self._http.sleep(RESEND_PAUSE_S)
+        if maybe_ran and call.ran is Ran.NO:
+            call.ran = Ran.UNKNOWN
         call.ended_at = self._world.clock.seconds()
 
     def _is_worth_another_try(self, call: OnlineCall) -> bool:
--- a/src/pomeloshift/bench/faults/_checker.py
+++ b/src/pomeloshift/bench/faults/_checker.py
@@ -43,9 +43,20 @@
 
 def _check_unrepeatable(call: OnlineCall, history: History) -> Counts:
     ran = any(run.key == call.unrepeatable_key for run in history.calls_run)
-    if call.error_code:
-        return Counts(ran_after_refused=int(ran and call.ran is Ran.NO))
-    return Counts(lost=int(not ran))
+    if not call.error_code:
+        return Counts(lost=int(not ran))
+    refused = call.ran is Ran.NO and not _may_have_run_for_another(call, history)
+    return Counts(ran_after_refused=int(ran and refused))
+
+
+def _may_have_run_for_another(call: OnlineCall, history: History) -> bool:
+    """Tells whether the same key was sent again, and that copy was not refused."""
+    return any(
+        other is not call
+        and other.unrepeatable_key == call.unrepeatable_key
+        and other.ran is not Ran.NO
+        for other in history.online
+    )
 
 
 def _check_text(call: OnlineCall) -> Counts:
--- a/src/pomeloshift/bench/faults/_job_caller.py
+++ b/src/pomeloshift/bench/faults/_job_caller.py
@@ -55,6 +55,17 @@
         lines = _lines(bodies, endpoint)
         self._world.go(self._accept(job, lines, endpoint))
 
+    def read_again(self, job: JobRecord) -> None:
+        """Reads the results of a job anew; those read before are forgotten."""
+        if job.job_ids:
+            job.is_ended = False
+            job.results, job.failures = {}, {}
+            self._world.go(self._read_to_end(job))
+
+    async def _read_to_end(self, job: JobRecord) -> None:
+        await self._read_all(job, job.job_ids[0])
+        job.is_ended = True
+
     def cancel(self, job: JobRecord) -> None:
         """Cancels an accepted job."""
         self._world.go(self._cancel(job))
