Tell engine steps apart when their tokens arrive spread out

Cause: over HTTP the tokens of one step reach the sidecar one after the other, and a fixed window of 2 ms counted such a step several times. Change: a second token of a stream begins a new step; the window grows with the time between tokens; an event without tokens no longer divides by zero.

--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -7,6 +7,7 @@
 from ._stream import Phase, Stream
 
 SAME_STEP_S = 0.002
+SAME_STEP_SHARE = 0.75
 GAP_SHARE = 0.1
 LONGEST_GAP_S = 2.0
 
@@ -37,7 +38,7 @@
         """Counts tokens of a step that was observed already; `False` for others."""
         if self._is_new_step or stream.phase is not Phase.DECODING:
             return False
-        if now - self._step_at > SAME_STEP_S:
+        if self._begins_step(stream, now):
             return False
         stream.tokens += tokens
         stream.last_token_at = now
@@ -45,7 +46,7 @@
 
     def on_tokens(self, stream: Stream, tokens: int, now: float) -> None:
         """Takes the arrival of ``tokens`` tokens of a running stream."""
-        if now - self._step_at > SAME_STEP_S:
+        if self._begins_step(stream, now):
             self._step_at = now
             self.step_count += 1
             self._sequences = self._roster.decoding
@@ -54,11 +55,17 @@
             self._on_first_token(stream)
         elif self._is_new_step:
             self._is_new_step = False
-            gap_s = (now - stream.last_token_at) / tokens
+            gap_s = (now - stream.last_token_at) / max(1, tokens)
             self._on_step(gap_s)
         stream.tokens += tokens
         stream.last_token_at = now
 
+    def _begins_step(self, stream: Stream, now: float) -> bool:
+        """Tells steps apart: a stream gets tokens once a step, all at about a time."""
+        if stream.phase is Phase.DECODING and stream.last_token_at >= self._step_at:
+            return True
+        return now - self._step_at > max(SAME_STEP_S, SAME_STEP_SHARE * self.gap_s)
+
     def _on_step(self, gap_s: float) -> None:
         if gap_s > LONGEST_GAP_S:
             return
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -290,3 +290,21 @@
         assert state.pop(name) in ("waiting", "taken back")
     else:
         assert state.pop(name) == "waiting"
+
+
+def test_tokens_of_one_step_may_come_one_after_the_other():
+    admission, names, now = with_running_batch()
+    steps = admission._observer.step_count
+    for _ in range(10):
+        now += STEP_S
+        for number, name in enumerate(names):
+            admission.handle(TokensArrived(name, 1), now + 0.0025 * number)
+    assert admission._observer.step_count == steps + 10
+    assert admission.load(now).itl_s == pytest.approx(STEP_S, rel=0.1)
+
+
+def test_no_tokens_at_all_change_nothing():
+    admission, names, now = with_running_batch()
+    before = admission.load(now)
+    admission.handle(TokensArrived(names[0], 0), now + STEP_S)
+    assert admission.load(now).batch_tokens == before.batch_tokens
