Give a sidecar at most one suspect item at a time

Change: suspects have a queue of their own; a pull gets at most one, and none while the sidecar holds one.

--- a/src/pomeloshift/batch/_chooser.py
+++ b/src/pomeloshift/batch/_chooser.py
@@ -25,12 +25,14 @@
     """What limits a choice.
 
     ``shares`` holds the workspaces' shares. Without ``may_claim`` no item is chosen
-    that may not be repeated, and without ``may_grant`` none at all.
+    that may not be repeated, without ``may_be_suspect`` none that ran when a backend
+    server was lost, and without ``may_grant`` none at all.
     """
 
     shares: Mapping[str, float] = attrs.field(factory=dict)
     may_claim: bool = True
     may_grant: bool = True
+    may_be_suspect: bool = True
 
 
 class ItemQueues:
@@ -55,7 +57,12 @@
         return self._queues.get(job_id)
 
     def ready(
-        self, service: str, now: float, excluded: set[str], may_claim: bool
+        self,
+        service: str,
+        now: float,
+        excluded: set[str],
+        may_claim: bool,
+        may_be_suspect: bool,
     ) -> dict[JobState, int]:
         """Returns the jobs that have an item to run, with the item's index."""
         ready = {}
@@ -65,7 +72,7 @@
                 continue
             if not (may_claim or job.is_repeatable):
                 continue
-            index = queue.next_index(now)
+            index = queue.next_index(now, may_be_suspect)
             if index is not None:
                 ready[job] = index
         return ready
@@ -81,13 +88,12 @@
     """Takes out items for a pull, within its tokens and number of items.
 
     The first item may be larger than the room, so that a large one is run at all.
-    Each sequence entry holds a partition's queues and the jobs being cancelled.
+    At most one of them is a suspect, because all that a lost backend server held
+    is struck. Each sequence entry holds a partition's queues and the jobs being
+    cancelled.
     """
-    ready: dict[JobState, ChosenItem] = {}
-    for position, (queues, excluded) in enumerate(all_queues):
-        found = queues.ready(pull.service, now, excluded, rules.may_claim)
-        for found_job, index in found.items():
-            ready[found_job] = ChosenItem(position, found_job, index)
+    may_be_suspect = rules.may_be_suspect
+    ready = _all_ready(all_queues, pull, now, rules, may_be_suspect)
     room = pull.tokens
     for taken in range(pull.max_items):
         fitting = [j for j, it in ready.items() if j.tokens[it.index] <= room]
@@ -102,7 +108,28 @@
         queue.take(item.index)
         room -= job.tokens[item.index]
         order.served(job, job.tokens[item.index], rules.shares)
-        following = queue.next_index(now)
+        yield item
+        if item.index in job.strikes:
+            may_be_suspect = False
+            ready = _all_ready(all_queues, pull, now, rules, may_be_suspect)
+            continue
+        following = queue.next_index(now, may_be_suspect)
         if following is not None:
             ready[job] = attrs.evolve(item, index=following)
-        yield item
+
+
+def _all_ready(
+    all_queues: Sequence[tuple[ItemQueues, set[str]]],
+    pull: ItemPull,
+    now: float,
+    rules: ChoiceRules,
+    may_be_suspect: bool,
+) -> dict[JobState, ChosenItem]:
+    ready: dict[JobState, ChosenItem] = {}
+    for position, (queues, excluded) in enumerate(all_queues):
+        found = queues.ready(
+            pull.service, now, excluded, rules.may_claim, may_be_suspect
+        )
+        for job, index in found.items():
+            ready[job] = ChosenItem(position, job, index)
+    return ready
--- a/src/pomeloshift/batch/_job_queue.py
+++ b/src/pomeloshift/batch/_job_queue.py
@@ -17,16 +17,24 @@
         self._out: set[int] = set()
         self._cursor = 0
         self._returned: list[int] = []
+        self._suspects: list[int] = sorted(job.strikes)
         self._delayed: list[tuple[float, int]] = []
 
-    def next_index(self, now: float) -> int | None:
-        """Returns the next item without taking it."""
+    def next_index(self, now: float, may_be_suspect: bool = True) -> int | None:
+        """Returns the next item without taking it.
+
+        Items that ran when a backend server was lost come first, or not at all
+        without ``may_be_suspect``.
+        """
         self._wake(now)
-        while self._returned and not self._is_free(self._returned[0]):
-            heapq.heappop(self._returned)
+        for waiting in (self._suspects, self._returned):
+            while waiting and not self._is_free(waiting[0]):
+                heapq.heappop(waiting)
+        if may_be_suspect and self._suspects:
+            return self._suspects[0]
         if self._returned:
             return self._returned[0]
-        while self._cursor < self.job.items and not self._is_free(self._cursor):
+        while self._cursor < self.job.items and not self._is_fresh(self._cursor):
             self._cursor += 1
         return self._cursor if self._cursor < self.job.items else None
 
@@ -50,7 +58,11 @@
         while self._delayed and self._delayed[0][0] <= now:
             _, index = heapq.heappop(self._delayed)
             self._out.discard(index)
-            heapq.heappush(self._returned, index)
+            is_suspect = index in self.job.strikes
+            heapq.heappush(self._suspects if is_suspect else self._returned, index)
+
+    def _is_fresh(self, index: int) -> bool:
+        return index not in self.job.strikes and self._is_free(index)
 
     def _is_free(self, index: int) -> bool:
         if index in self._out or index in self.job.attempts:
--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+import attrs
+
 from ..log import Record
 from ..wire import ItemOutcome, ItemPull, LeaseRelease
 from ._chooser import ChoiceRules, ChosenItem, ItemQueues, choose_items
@@ -134,6 +136,10 @@
             tuple(leases), start.records + claims, self._cancelled_leases(pull)
         )
 
+    def holds_suspect(self, instance: str) -> bool:
+        """Tells whether a sidecar holds an item that has to run alone."""
+        return any(lease.is_alone for lease in self._leases.of_instance(instance))
+
     @property
     def choices(self) -> tuple[ItemQueues, set[str]]:
         """The queues to choose from and the jobs that are being cancelled."""
@@ -398,7 +404,10 @@
         self, job: JobState, index: int, lease_id: str, instance: str, incarnation: int
     ) -> None:
         expires_at = self._now + self.settings.lease_s
-        lease = Lease(lease_id, job.job_id, index, instance, incarnation, expires_at)
+        is_alone = index in job.strikes
+        lease = Lease(
+            lease_id, job.job_id, index, instance, incarnation, expires_at, is_alone
+        )
         self._leases.add(lease)
         queue = self._queues.get(job.job_id)
         if queue is not None:
@@ -544,6 +553,8 @@
     chosen: list[list[ChosenItem]] = [[] for _ in owners]
     may_choose = rules.may_grant and all(start.answer is None for start in starts)
     if may_choose:
+        if any(owner.holds_suspect(pull.instance) for owner in owners):
+            rules = attrs.evolve(rules, may_be_suspect=False)
         choices = [owner.choices for owner in owners]
         for item in choose_items(choices, order, pull, now, rules):
             chosen[item.position].append(item)
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -357,3 +357,36 @@
     assert owner.tick(504, 504) == []
     assert owner.tick(508, 508) == []
     assert len(owner.tick(512, 512)) == 1
+
+
+def test_innocents_beside_a_poison_item_finish(partition, owner):
+    job_id = partition.add_job("k", items=6)
+    lost = 0
+    for number in range(30):
+        leases = partition.pull(owner, now=number, instance=f"s{number}").leases
+        assert sum(lease.is_alone for lease in leases) <= 1
+        if any(lease.index == 3 for lease in leases):
+            lost += 1
+            partition.append(owner.instance_lost(f"s{number}", 1, number, number))
+        else:
+            for lease in leases:
+                partition.finish(owner, lease, now=number)
+    assert lost == 2
+    names = ["COMPLETED"] * 6
+    names[3] = "FAILED"
+    assert statuses(owner, job_id) == names
+
+
+def test_sidecar_gets_no_second_suspect_while_it_holds_one(partition, owner):
+    partition.add_job("k", items=4)
+    partition.pull(owner, instance="s1", items=2)
+    partition.append(owner.instance_lost("s1", 1, 0, 0))
+    first = partition.pull(owner, instance="s2", items=2)
+    assert [(le.index, le.is_alone) for le in first.leases] == [(0, True), (2, False)]
+    held = tuple(lease.lease_id for lease in first.leases)
+    second = partition.pull(owner, instance="s2", nonce=2, held=held)
+    assert indexes(second) == [3]
+    assert indexes(partition.pull(owner, instance="s3")) == [1]
+    successor = partition.own("entry-2")
+    partition.pull(successor, instance="s2", nonce=3, items=0, held=held)
+    assert indexes(partition.pull(successor, instance="s2", nonce=4, held=held)) == [3]
