Strike nothing that was leased after a crash was told

Cause: a sidecar whose engine crashed and came back got new items before other entries' word of the loss arrived, which struck those as well. Change: an owner that heard of the crash from the sidecar itself exempts leases that it granted later from the next word of that loss.

--- a/src/pomeloshift/batch/_lease.py
+++ b/src/pomeloshift/batch/_lease.py
@@ -39,6 +39,7 @@
     is_alone: bool = False
     phase: LeasePhase = LeasePhase.RUNNING
     nonce: int = 0
+    granted_at: float = 0.0
 
 
 @attrs.frozen
--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -77,6 +77,7 @@
         self._tries: dict[tuple[str, int], int] = {}
         self._resumes = ResumeStore(settings.resume_bytes)
         self._withdrawals: list[Record] = []
+        self._crash_told_at: dict[str, float] = {}
         self._silent: dict[tuple[str, int], list[Lease]] = {}
 
     @property
@@ -185,6 +186,12 @@
         lease.phase = LeasePhase.SETTLING
         return [withdrawal_record(lease.job_id, lease.index, lease_id)]
 
+    def crash_told(self, instance: str, now: float) -> None:
+        """Notes that a sidecar told of its engine's crash."""
+        self._crash_told_at[instance] = now
+        while len(self._crash_told_at) > self.settings.remembered_pulls:
+            del self._crash_told_at[next(iter(self._crash_told_at))]
+
     def heard(self, instance: str, incarnation: int, now: float) -> None:
         """Notes that a sidecar is alive.
 
@@ -250,13 +257,17 @@
     ) -> list[Record]:
         """Strikes the items that ran on a backend server that was lost.
 
-        Leases of an incarnation later than the one given stay.
+        Leases of an incarnation later than the one given stay, and so do those that
+        a living sidecar got after it had told of its engine's crash itself.
         """
         self._now = now
+        told_at = self._crash_told_at.pop(instance, None)
         lost = [
             lease
             for lease in self._leases.of_instance(instance)
-            if lease.incarnation <= incarnation and lease.phase is LeasePhase.RUNNING
+            if lease.incarnation <= incarnation
+            and lease.phase is LeasePhase.RUNNING
+            and (told_at is None or lease.granted_at < told_at)
         ]
         records = self._strike_all(lost, True, now, wall)
         for key in [key for key in self._silent if key[0] == instance]:
@@ -443,6 +454,7 @@
             index in job.strikes,
             LeasePhase.RUNNING if job.is_repeatable else LeasePhase.CLAIMING,
             pull.nonce,
+            now,
         )
         self._leases.add(lease)
         return lease
--- a/src/pomeloshift/entry/batch/_service.py
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -20,7 +20,7 @@
     window_seconds,
 )
 from ...config import Configuration
-from ...errors import ErrorReport, PomeloshiftError
+from ...errors import ErrorCode, ErrorReport, PomeloshiftError
 from ...log import LogStore
 from ...model import Instance, InstanceState
 from ...net import Clock
@@ -28,6 +28,7 @@
 from ...wire import (
     Acknowledgement,
     ItemGrants,
+    ItemOutcome,
     ItemPull,
     ItemResults,
     LeaseRelease,
@@ -241,6 +242,7 @@
     async def results(self, results: ItemResults) -> Acknowledgement:
         """Makes outcomes durable, here or at the owners of their partitions."""
         self.heard(results.instance, results.incarnation)
+        self._note_crash(results)
         by_partition: dict[int, list] = {}
         for outcome in results.outcomes:
             by_partition.setdefault(outcome.partition, []).append(outcome)
@@ -319,8 +321,16 @@
     async def _serve_here(self, call: Any) -> Any:
         service = self._open(call.partition)
         await service.runner.wait_open()
+        if isinstance(call, calls.TakeResults):
+            self._note_crash(call.results)
         return await service.serve(call)
 
+    def _note_crash(self, results: ItemResults) -> None:
+        if any(_is_crash(outcome) for outcome in results.outcomes):
+            now = self._clock.monotonic()
+            for runner in self._open_runners():
+                runner.owner.crash_told(results.instance, now)
+
     def _owner(self, partition: int) -> Instance | None:
         entries = {
             entry.name: entry
@@ -390,6 +400,11 @@
         return [runner for runner in runners if runner.is_open]
 
 
+def _is_crash(outcome: ItemOutcome) -> bool:
+    error = outcome.error
+    return error is not None and error.code is ErrorCode.BACKEND_SERVER_LOST
+
+
 def _part_of_release(release: LeaseRelease, positions: list[int]) -> LeaseRelease:
     resumes = release.resumes
     return LeaseRelease(
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -390,3 +390,17 @@
     successor = partition.own("entry-2")
     partition.pull(successor, instance="s2", nonce=3, items=0, held=held)
     assert indexes(partition.pull(successor, instance="s2", nonce=4, held=held)) == [3]
+
+
+def test_item_leased_after_a_crash_was_told_is_not_struck_for_it(partition, owner):
+    job_id = partition.add_job("k", items=2)
+    (first,) = partition.pull(owner, now=1, items=1).leases
+    owner.crash_told("s1", 2)
+    partition.finish(owner, first, now=2, error=LOST)
+    (second,) = partition.pull(owner, now=3, nonce=2, items=1).leases
+    partition.append(owner.instance_lost("s1", 1, 4, 4))
+    job = owner.state.jobs[job_id]
+    assert (second.index, list(job.strikes)) == (0, [0])
+    assert len(job.strikes[0]) == 1
+    partition.append(owner.instance_lost("s1", 1, 5, 5))
+    assert statuses(owner, job_id) == ["FAILED", "WAITING"]
