Read a partition's stream before a look-up

Change: look-ups wait for a read of the stream, shared by all that come meanwhile; while the log fails or is slow the known state is shown. The new test fails without the look-up's read. Conclusion: what a caller has seen of a job never goes back.

--- a/src/pomeloshift/entry/batch/_partition_runner.py
+++ b/src/pomeloshift/entry/batch/_partition_runner.py
@@ -6,7 +6,7 @@
 
 import attrs
 from loguru import logger
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, DeferredLock, gatherResults
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
@@ -102,7 +102,8 @@
         self._openers: list[Deferred[None]] = []
         self._backlog: list[Record] = []
         self._timer: Any = None
-        self._syncing = False
+        self._sync_lock = DeferredLock()
+        self._refreshers: list[Deferred[None]] = []
         self._is_read_failing = False
         self._stopped = False
 
@@ -300,9 +301,9 @@
 
     async def sync(self) -> None:
         """Reads what others have appended."""
-        if self._syncing or not self.is_open:
+        if self._sync_lock.locked or not self.is_open:
             return
-        self._syncing = True
+        await self._sync_lock.acquire()
         try:
             await self._read_to_end()
             self._note_read(None)
@@ -311,7 +312,31 @@
         except PomeloshiftError as exc:
             self._note_read(exc)
         finally:
-            self._syncing = False
+            self._sync_lock.release()
+
+    async def refresh(self) -> None:
+        """Returns once the stream was read to its end as of this call.
+
+        Another entry may have appended since the last read. While the log does not
+        answer, or answers too slowly, the state known is good enough.
+        """
+        if self._is_read_failing or not self.is_open:
+            return
+        waiter: Deferred[None] = Deferred()
+        self._refreshers.append(waiter)
+        if len(self._refreshers) == 1:
+            spawn(self._refresh_all())
+        waiter.addTimeout(self._settings.refresh_s, self._reactor, lambda *_: None)
+        await waiter
+
+    async def _refresh_all(self) -> None:
+        await self._sync_lock.acquire()
+        self._sync_lock.release()
+        refreshers, self._refreshers = self._refreshers, []
+        await self.sync()
+        for waiter in refreshers:
+            if not waiter.called:
+                waiter.callback(None)
 
     def tick(self) -> None:
         """Ends leases that ran out and retries what could not be appended."""
--- a/src/pomeloshift/entry/batch/_service.py
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -48,6 +48,7 @@
 
 SERVE_TURN_S = 0.5
 CHUNKS_AT_ONCE = 8
+LOOK_UPS = (calls.GetFile, calls.GetJob, calls.ListFiles, calls.ListJobs)
 
 
 class JobService:
@@ -323,6 +324,8 @@
         await service.runner.wait_open()
         if isinstance(call, calls.TakeResults):
             self._note_crash(call.results)
+        if isinstance(call, LOOK_UPS):
+            await service.runner.refresh()
         return await service.serve(call)
 
     def _note_crash(self, results: ItemResults) -> None:
--- a/src/pomeloshift/entry/batch/_settings.py
+++ b/src/pomeloshift/entry/batch/_settings.py
@@ -13,7 +13,8 @@
 class BatchSettings:
     """Times are in seconds and sizes in bytes.
 
-    ``settle_s`` is how long a sidecar waits for its results to become durable and
+    ``settle_s`` is how long a sidecar waits for its results to become durable,
+    ``refresh_s`` how long a look-up waits for what others have appended, and
     ``accept_s`` how long a caller waits for its job or file. ``cache_bytes`` bounds
     the items and results kept in memory; all of them are read from the log again.
     ``log_retention_s`` is the age at which the log service drops a record.
@@ -27,6 +28,7 @@
     poll_s: float = attrs.field(default=1.0, validator=v.gt(0))
     linger_s: float = attrs.field(default=30.0, validator=v.gt(0))
     open_s: float = attrs.field(default=10.0, validator=v.gt(0))
+    refresh_s: float = attrs.field(default=2.0, validator=v.gt(0))
     settle_s: float = attrs.field(default=1.5, validator=v.gt(0))
     accept_s: float = attrs.field(default=20.0, validator=v.gt(0))
     forward_s: float = attrs.field(default=60.0, validator=v.gt(0))
--- a/tests/test_jobs_faults.py
+++ b/tests/test_jobs_faults.py
@@ -365,3 +365,16 @@
     assert deployment.run(paused.get_job("w", job.job_id)) == view
     output = view.as_json()["output_file_id"]
     assert len(read_lines(deployment, paused, output)) == 6
+
+
+def test_job_that_was_shown_as_completed_is_never_shown_otherwise(deploy):
+    deployment = deploy(settings=with_settings(poll_s=600.0, ownership_s=600.0))
+    services = [deployment.start(name) for name in ("e1", "e2")]
+    job = deployment.submit(services[0], 5)
+    assert deployment.run(services[1].get_job("w", job.job_id)).items == 5
+    for service, other in (services, services[::-1]):
+        sidecar = PlayedSidecar(service.name)
+        while deployment.run(sidecar.run(service, items=2)):
+            view = deployment.run(service.get_job("w", job.job_id))
+            assert deployment.run(other.get_job("w", job.job_id)) == view
+    assert view.status == "completed"
