Bring settings and the capacity page up to the present heartbeats

Change: suspect_after_s is removed from both roles' settings; the entry passes config_poll_s (one line in entry/_entry.py); the page takes the fan-out from the code and is worked out again.

--- a/src/pomeloshift/bench/control/_target.py
+++ b/src/pomeloshift/bench/control/_target.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ...membership import HeartbeatTiming
+
 SECONDS_PER_DAY = 86_400
 
 
@@ -31,7 +33,8 @@
     node_bytes_per_s: float = 23e3
     log_appends_per_s: float = 300.0
     peak_factor: float = 3.0
-    heartbeat_s: float = 0.5
+    heartbeat_s: float = HeartbeatTiming().idle_interval_s
+    heartbeat_fan_out: int = HeartbeatTiming().fan_out
     list_s: float = 0.5
     partitions: int = 64
     entry_core_share: float = 0.6
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -35,7 +35,7 @@
 from .batch import FilesAndBatches, JobService
 from .burn import BurnPeers, BurnService, RequestAccount
 from .calls import CallClaimer
-from .config import ConfigService
+from .config import ConfigService, ConfigTiming
 from .online import OnlineApi, OnlineService
 
 LOG_TIMEOUT_S = 5.0
@@ -98,6 +98,7 @@
             settings.place.region,
             self.fleet.entries,
             pull=self._pull_config,
+            timing=ConfigTiming(poll_s=settings.config_poll_s),
         )
         self.auth = Authenticator(lambda: self.config.current)
         self.burn = BurnService(
--- a/src/pomeloshift/settings/_entry.py
+++ b/src/pomeloshift/settings/_entry.py
@@ -44,11 +44,6 @@
         default=0.5,
         validator=v.gt(0),
     )
-    suspect_after_s: float = setting(
-        "silence after which a connection is replaced, above 0",
-        default=2.0,
-        validator=v.gt(0),
-    )
     config_poll_s: float = setting(
         "time between reads of the configuration stream, above 0",
         default=0.5,
--- a/src/pomeloshift/settings/_sidecar.py
+++ b/src/pomeloshift/settings/_sidecar.py
@@ -47,11 +47,6 @@
     heartbeat_interval_s: float = setting(
         "time between heartbeats to entries, above 0", default=0.5, validator=v.gt(0)
     )
-    suspect_after_s: float = setting(
-        "silence after which a connection is replaced, above 0",
-        default=2.0,
-        validator=v.gt(0),
-    )
     lease_s: float = setting(
         "length of the lease under which engines are given orders, above 0",
         default=10.0,
