Send sidecars only the part of the configuration that concerns them

Change: ConfigPull has two additive fields with which a sidecar names its service and itself; entries answer with that service and that backend server only, under the same version. Small changes in wire, the control handler and the reporter.

--- a/src/pomeloshift/config/__init__.py
+++ b/src/pomeloshift/config/__init__.py
@@ -22,6 +22,7 @@
 from ._keys import digest_key, format_token, make_api_key, make_operator_key
 from ._merge import merge_keys
 from ._published import CONFIG_STREAM, ConfigCheckpoint, ConfigPublished
+from ._reduce import reduce_for
 from ._state import REFUSED, ConfigState
 from ._version import ConfigVersion
 
@@ -52,4 +53,5 @@
     "make_api_key",
     "make_operator_key",
     "merge_keys",
+    "reduce_for",
 ]
--- a/src/pomeloshift/entry/_control_handler.py
+++ b/src/pomeloshift/entry/_control_handler.py
@@ -73,4 +73,6 @@
         return Acknowledgement(self._config.version, self._name)
 
     async def _give_config(self, pull: ConfigPull) -> Any:
+        if pull.service:
+            return self._config.document_for(pull.service, pull.instance)
         return self._config.document()
--- a/src/pomeloshift/entry/config/_service.py
+++ b/src/pomeloshift/entry/config/_service.py
@@ -14,6 +14,7 @@
     Configuration,
     decode_configuration,
     encode_configuration,
+    reduce_for,
 )
 from ...errors import PomeloshiftError
 from ...log import LogStore
@@ -94,6 +95,14 @@
         """Returns the configuration in force in the form sent to peers."""
         return ConfigDocument(self._holder.version, self._holder.document)
 
+    def document_for(self, service: str, instance: str) -> ConfigDocument:
+        """Returns the part of the configuration that one backend server needs."""
+        cfg = self._holder.current
+        if cfg is None:
+            return self.document()
+        reduced = encode_configuration(reduce_for(cfg, service, instance))
+        return ConfigDocument(self._holder.version, reduced)
+
     def on_change(self, callback: Callable[[Configuration, int], None]) -> None:
         """Calls ``callback`` with each configuration applied from now on."""
         self._callbacks.append(callback)
--- a/src/pomeloshift/sidecar/_reporter.py
+++ b/src/pomeloshift/sidecar/_reporter.py
@@ -90,7 +90,9 @@
         self._carry_out(effects)
 
     async def _pull(self, entry: Instance, have_version: int) -> None:
-        document = await self._ask(entry, ConfigPull(have_version))
+        own = self._make_report().instance
+        pull = ConfigPull(have_version, own.service, own.name)
+        document = await self._ask(entry, pull)
         if isinstance(document, ConfigDocument) and document.document:
             self._offer_config(document)
 
--- a/src/pomeloshift/wire/_messages.py
+++ b/src/pomeloshift/wire/_messages.py
@@ -65,9 +65,14 @@
 
 @attrs.frozen
 class ConfigPull:
-    """Asks for a configuration newer than ``have_version``."""
+    """Asks for a configuration newer than ``have_version``.
+
+    A sidecar names its service and its instance and gets only what concerns them.
+    """
 
     have_version: int
+    service: str = ""
+    instance: str = ""
 
 
 @attrs.frozen
--- a/tests/test_config_service.py
+++ b/tests/test_config_service.py
@@ -10,6 +10,7 @@
     ConfigConflictError,
     ConfigDocumentError,
     Configuration,
+    decode_configuration,
 )
 from pomeloshift.entry.config import (
     ConfigNotReadyError,
@@ -23,6 +24,7 @@
     LogUnavailableError,
 )
 from pomeloshift.model import Instance, InstanceRole, Place
+from pomeloshift.questionnaire import generate, load_example
 from pomeloshift.standins.log import LogFaults, LogModel, LogSettings, MemoryLog
 
 FIRST = Configuration("vezi")
@@ -321,3 +323,20 @@
     fleet.result(service.publish(SECOND, 1, "ana"))
     assert not service.offer(old)
     assert service.current == SECOND
+
+
+def test_backend_server_gets_only_what_concerns_it(fleet):
+    service = fleet.add("e1")
+    assert service.document_for("vezi-lm", "vezi-lm-2").version == 0
+    whole = generate(load_example("vezi"))
+    fleet.result(service.publish(whole, 0, "ana"))
+    answer = service.document_for("vezi-lm", "vezi-lm-2")
+    part = decode_configuration(answer.document)
+    assert answer.version == service.version == 1
+    assert [s.name for s in part.services] == ["vezi-lm"]
+    assert part.service("vezi-lm") == whole.service("vezi-lm")
+    assert [s.name for s in part.backend_servers] == ["vezi-lm-2"]
+    assert not part.api_keys + part.operator_keys + part.workspaces
+    assert len(answer.document) < len(service.document().document) / 3
+    for key in whole.api_keys + whole.operator_keys:
+        assert key.digest.encode() not in answer.document
