Bound a poison request to two crashes over all entries, resends included

Change: a suspect waits the time in which crashes are told (0.6 s) before each run; a run whose fingerprint becomes suspect is stopped and repeated as a suspect unless part of its answer is out; all entries choose the same server for a suspect, whose sidecar runs one suspect at a time. Cost: a request whose server was lost waits 0.6 to 0.9 s before its second run. Conclusion: the bound holds while crashes are told within 0.6 s; entries should tell them at once rather than with the next heartbeat.

--- a/src/pomeloshift/attempts/__init__.py
+++ b/src/pomeloshift/attempts/__init__.py
@@ -17,6 +17,7 @@
 from ._events import (
     AttemptAccepted,
     AttemptRefused,
+    BecameSuspect,
     CallerGone,
     CallerPaused,
     CallerResumed,
@@ -41,6 +42,7 @@
     "AttemptAccepted",
     "AttemptRefused",
     "AttemptRegistry",
+    "BecameSuspect",
     "Budget",
     "CallerGone",
     "CallerPaused",
--- a/src/pomeloshift/attempts/_chooser.py
+++ b/src/pomeloshift/attempts/_chooser.py
@@ -22,17 +22,18 @@
     def refusal(self, now: float) -> ErrorReport | None:
         """Returns why the request must not run at all, or `None`."""
 
+    def is_suspect(self, now: float) -> bool:
+        """Tells whether the request may have crashed a backend server."""
+
     def choose(
         self, excluded: frozenset[str], alone: bool, now: float
     ) -> Target | None:
         """Returns a backend server outside ``excluded``, or `None`.
 
-        With ``alone`` the server must not be running another suspect.
+        With ``alone`` every entry chooses the same server, whose sidecar runs one
+        suspect at a time.
         """
 
-    def is_blocked(self, excluded: frozenset[str], now: float) -> bool:
-        """Tells whether only other suspects keep a suspect from running."""
-
 
 class Budget(Protocol):
     """Permits retries."""
--- a/src/pomeloshift/attempts/_events.py
+++ b/src/pomeloshift/attempts/_events.py
@@ -62,6 +62,11 @@
     """The caller has caught up."""
 
 
+@attrs.frozen
+class BecameSuspect:
+    """An equal request crashed a backend server while this one runs."""
+
+
 @attrs.frozen
 class CallerGone:
     """The caller closed its connection."""
@@ -76,5 +81,6 @@
     | Timer
     | CallerPaused
     | CallerResumed
+    | BecameSuspect
     | CallerGone
 )
--- a/src/pomeloshift/attempts/_online_config.py
+++ b/src/pomeloshift/attempts/_online_config.py
@@ -11,7 +11,8 @@
     A sidecar that has not acknowledged within ``accept_timeout_s``, or has sent
     nothing for ``stall_s``, is called again over a new connection, at most
     ``max_reconnects`` times without an acknowledgement. A caller that takes nothing
-    for ``caller_stall_s`` is given up.
+    for ``caller_stall_s`` is given up. A suspect waits ``spread_s`` before each run,
+    the time in which entries tell each other of crashes.
     """
 
     accept_timeout_s: float = attrs.field(default=1.0, validator=v.gt(0))
@@ -22,5 +23,6 @@
     max_retries: int = attrs.field(default=3, validator=v.ge(0))
     backoff_s: float = attrs.field(default=0.05, validator=v.gt(0))
     max_backoff_s: float = attrs.field(default=1.0, validator=v.gt(0))
+    spread_s: float = attrs.field(default=0.6, validator=v.gt(0))
     suspect_wait_s: float = attrs.field(default=0.1, validator=v.gt(0))
     retry_after_s: float = attrs.field(default=1.0, validator=v.gt(0))
--- a/src/pomeloshift/attempts/_online_request.py
+++ b/src/pomeloshift/attempts/_online_request.py
@@ -24,6 +24,7 @@
 from ._events import (
     AttemptAccepted,
     AttemptRefused,
+    BecameSuspect,
     CallerGone,
     CallerPaused,
     CallerResumed,
@@ -80,6 +81,7 @@
         self._retries = 0
         self._crashes = 0
         self._alone = order.alone
+        self._spread = False
         self._last_error: ErrorReport | None = None
         self._excluded: frozenset[str] = frozenset()
         self._ran = Ran.NO
@@ -134,6 +136,8 @@
                 self._pause(now)
             case CallerResumed():
                 self._resume(now)
+            case BecameSuspect():
+                self._suspect(now)
             case CallerGone():
                 self._leave_attempt()
                 self._phase = Phase.DONE
@@ -145,6 +149,11 @@
         if error is not None:
             self._finish_failed(error)
             return
+        self._alone = self._alone or self._chooser.is_suspect(now)
+        if self._alone and not self._spread:
+            self._spread = True
+            self._wait_between(self._cfg.spread_s, 1.5 * self._cfg.spread_s, now)
+            return
         self._target = self._chooser.choose(self._excluded, self._alone, now)
         if self._target is None:
             self._miss_server(now)
@@ -158,9 +167,6 @@
         self._open(now, join_only=False)
 
     def _miss_server(self, now: float) -> None:
-        if self._alone and self._chooser.is_blocked(self._excluded, now):
-            self._wait(self._cfg.suspect_wait_s, now)
-            return
         if self._last_error is not None:
             self._finish_failed(self._last_error)
             return
@@ -252,6 +258,18 @@
         assert self._target is not None
         self._out.append(ServerFailed(self._target.instance, fault))
 
+    def _suspect(self, now: float) -> None:
+        """Stops a run that may crash its server, to repeat it as a suspect."""
+        running = self._phase in (Phase.OPENING, Phase.STREAMING)
+        if self._alone or not running or not self._order.idempotent:
+            return
+        if self._continuity.delivered_any:
+            return
+        self._leave_attempt()
+        if self._sent or self._phase is Phase.OPENING:
+            self._ran = worse(self._ran, Ran.UNKNOWN)
+        self._begin_attempt(now)
+
     # Frames.
 
     def _take_frame(self, frame: Frame, now: float) -> None:
@@ -327,6 +345,7 @@
         if fault is ServerFault.CRASHED:
             self._crashes += 1
             self._alone = True
+            self._spread = False
             if self._crashes >= MAX_CRASHES:
                 self._finish_failed(error)
                 return
@@ -354,15 +373,20 @@
         self._back_off(now)
 
     def _back_off(self, now: float) -> None:
-        if self._retries == 1 and not self._alone:
+        waits_anyway = self._alone and not self._spread
+        is_first = self._retries == 1 and not self._alone
+        if waits_anyway or is_first:
             self._begin_attempt(now)
             return
         longest = self._cfg.backoff_s * 2**self._retries
         self._wait(min(longest, self._cfg.max_backoff_s), now)
 
     def _wait(self, longest_s: float, now: float) -> None:
+        self._wait_between(0.2 * longest_s, longest_s, now)
+
+    def _wait_between(self, shortest_s: float, longest_s: float, now: float) -> None:
         self._phase = Phase.WAITING
-        self._set_timer(now + self._rng.uniform(0.2, 1.0) * longest_s)
+        self._set_timer(now + self._rng.uniform(shortest_s, longest_s))
 
     def _fail_with(self, code: ErrorCode, message: str) -> None:
         error = ErrorReport(code, message, self._ran, self._cfg.retry_after_s)
--- a/src/pomeloshift/attempts/_suspects.py
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -1,7 +1,7 @@
 """Finds the requests that crash backend servers."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -22,6 +22,7 @@
         self._strikes: dict[str, tuple[Strikes, float]] = {}
         self._running: dict[str, Counter[str]] = {}
         self._changed: set[str] = set()
+        self._watchers: dict[str, list[Callable[[], None]]] = {}
 
     def standing(self, fingerprint: str, now: float) -> Standing:
         """Tells how a request may be run."""
@@ -69,6 +70,17 @@
         self.merge((strikes,), now)
         self._changed.add(fingerprint)
 
+    def watch(self, fingerprint: str, call: Callable[[], None]) -> None:
+        """Calls ``call`` whenever another crash of the request becomes known."""
+        self._watchers.setdefault(fingerprint, []).append(call)
+
+    def unwatch(self, fingerprint: str, call: Callable[[], None]) -> None:
+        """Ends `watch`."""
+        watchers = self._watchers.get(fingerprint, [])
+        watchers.remove(call)
+        if not watchers:
+            self._watchers.pop(fingerprint, None)
+
     def servers_running(self, fingerprint: str) -> frozenset[str]:
         """Returns where copies of the request run now."""
         return frozenset(self._running.get(fingerprint, ()))
@@ -87,12 +99,15 @@
         for notice in notices:
             until = now + min(notice.ttl_s, self._cfg.quarantine_s)
             known = self._strikes.get(notice.fingerprint)
+            before = known[0].count if known is not None else 0
             if known is not None and known[1] > now:
                 merged = known[0].merge(notice)
                 until = max(until, known[1])
             else:
                 merged = notice
             self._keep(merged, until)
+            if merged.count > before:
+                self._tell(notice.fingerprint)
 
     def take_changes(self, now: float) -> tuple[Strikes, ...]:
         """Returns what has changed here since the last call, for other entries."""
@@ -120,6 +135,10 @@
         for fingerprint in [k for k, (_, at) in self._strikes.items() if at <= now]:
             del self._strikes[fingerprint]
 
+    def _tell(self, fingerprint: str) -> None:
+        for call in list(self._watchers.get(fingerprint, ())):
+            call()
+
     def _keep(self, strikes: Strikes, until: float) -> None:
         fingerprint = strikes.fingerprint
         known = self._strikes.pop(fingerprint, None)
--- a/src/pomeloshift/bench/overload/_bench_entry.py
+++ b/src/pomeloshift/bench/overload/_bench_entry.py
@@ -140,7 +140,7 @@
         """Returns `None`, as nothing is quarantined here."""
         return None
 
-    def is_blocked(self, excluded: frozenset[str], now: float) -> bool:
+    def is_suspect(self, now: float) -> bool:
         """Returns false, as there are no suspects here."""
         return False
 
--- a/src/pomeloshift/entry/online/_route_chooser.py
+++ b/src/pomeloshift/entry/online/_route_chooser.py
@@ -29,28 +29,19 @@
         message = "equal requests have crashed backend servers"
         return QuarantinedError(message, retry_after_s=wait_s).report()
 
+    def is_suspect(self, now: float) -> bool:
+        """Tells whether an equal request ran on a server that crashed."""
+        return self.suspects.standing(self.fingerprint, now) is Standing.SUSPECT
+
     def choose(
         self, excluded: frozenset[str], alone: bool, now: float
     ) -> Target | None:
-        """Returns the next backend server, or `None` if there is none now."""
-        if alone:
-            if self.suspects.servers_running(self.fingerprint):
-                return None
-            excluded = excluded | self.suspects.servers_with_suspects(now)
-        return self._ask(excluded, alone, now, self.query.body_bytes)
-
-    def is_blocked(self, excluded: frozenset[str], now: float) -> bool:
-        """Tells whether only other suspects keep a suspect from running."""
-        return self._ask(excluded, True, now, body_bytes=0) is not None
-
-    def _ask(
-        self, excluded: frozenset[str], alone: bool, now: float, body_bytes: int
-    ) -> Target | None:
+        """Returns the next backend server, or `None` if there is none."""
         query = attrs.evolve(
             self.query,
-            body_bytes=body_bytes,
             excluded=excluded,
             alone=alone,
+            prefix=self.fingerprint if alone else self.query.prefix,
             deadline_s=max(0.0, self.deadline_at - now),
         )
         route = self.router.choose(query, now)
--- a/src/pomeloshift/entry/online/_run.py
+++ b/src/pomeloshift/entry/online/_run.py
@@ -6,6 +6,7 @@
 from twisted.web.server import Request
 
 from ...attempts import (
+    BecameSuspect,
     Complete,
     Deliver,
     Fail,
@@ -63,10 +64,18 @@
 
     async def finish(self) -> None:
         """Runs the request to its end."""
-        self._exchange.start()
-        await self._exchange.done
+        fingerprint = self._order.fingerprint
+        self._suspects.watch(fingerprint, self._become_suspect)
+        try:
+            self._exchange.start()
+            await self._exchange.done
+        finally:
+            self._suspects.unwatch(fingerprint, self._become_suspect)
         self._ledger.close()
 
+    def _become_suspect(self) -> None:
+        self._exchange.feed(BecameSuspect())
+
     def summary(self) -> FinishedRequest:
         """Returns the account of the ended request."""
         return FinishedRequest(
--- a/src/pomeloshift/routing/_messages.py
+++ b/src/pomeloshift/routing/_messages.py
@@ -11,7 +11,8 @@
 
     ``prefix`` is a digest of the prompt's beginning, empty if there is none.
     ``excluded`` names backend servers that this request must not go to.
-    ``body_bytes`` estimates what the request and its answer put on the link.
+    With ``alone`` all entries of a region choose alike. ``body_bytes`` estimates
+    what the request and its answer put on the link.
     ``first_token_s`` is the longest acceptable wait for the first token in seconds;
     0 leaves only the deadline.
     """
--- a/src/pomeloshift/routing/_router.py
+++ b/src/pomeloshift/routing/_router.py
@@ -13,6 +13,7 @@
 from ._link_budget import LinkBudget
 from ._messages import Route, RouteQuery
 from ._pick import Pick
+from ._rendezvous import top_names
 
 
 class Router:
@@ -97,6 +98,8 @@
         zone, region, remote = (
             self._usable(tier, query) for tier in self._fleet.tiers(query.service)
         )
+        if query.alone and (zone or region):
+            return Route(_choose_alone(query, zone + region).instance)
         local = self._choose_local(query, zone, region)
         if local is not None and self._is_fast_enough(local, query):
             return Route(local.instance)
@@ -190,6 +193,13 @@
             self._budgets[priority].resize(bytes_per_s, burst_bytes)
 
 
+def _choose_alone(query: RouteQuery, servers: list[BackendServer]) -> BackendServer:
+    """Returns the server that every entry of the region chooses for the prefix."""
+    by_name = {server.instance.name: server for server in servers}
+    (name,) = top_names(query.prefix, by_name, 1)
+    return by_name[name]
+
+
 def _is_better(
     paid: BackendServer, local: BackendServer | None, cfg: RouterConfig
 ) -> bool:
--- a/tests/_online_fakes.py
+++ b/tests/_online_fakes.py
@@ -35,7 +35,11 @@
 WORDS = ("The", " hive", " is", " calm", " today")
 PLACE = Place("r", "z")
 FAST = OnlineConfig(
-    accept_timeout_s=0.3, stall_s=0.4, suspect_wait_s=0.05, backoff_s=0.01
+    accept_timeout_s=0.3,
+    stall_s=0.4,
+    suspect_wait_s=0.05,
+    spread_s=0.05,
+    backoff_s=0.01,
 )
 
 
--- a/tests/test_attempts_online.py
+++ b/tests/test_attempts_online.py
@@ -44,7 +44,7 @@
         server = next(free, None)
         return None if server is None else Target(server, 1)
 
-    def is_blocked(self, excluded, now):
+    def is_suspect(self, now):
         return False
 
 
