Share a workspace's limits among the live entries of a region

Cause: rate and concurrency held for each entry, so that a workspace got them as often as there are entries. Change: each entry allows its part. Before: 5 of 5 requests of a workspace with 30 open ones allowed at 10 entries; after: 3 (test).

--- a/src/pomeloshift/entry/online/_service.py
+++ b/src/pomeloshift/entry/online/_service.py
@@ -1,9 +1,11 @@
 """Runs callers' online requests at an entry."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
 
+import attrs
 from twisted.internet.defer import CancelledError
 from twisted.web.server import Request
 
@@ -181,4 +183,13 @@
     def _workspace(self, name: str) -> WorkspaceConfig:
         cfg = self._current_config()
         found = cfg.workspace(name) if cfg is not None else None
-        return found or WorkspaceConfig(name)
+        return _share_limits(found or WorkspaceConfig(name), self._router.entries)
+
+
+def _share_limits(cfg: WorkspaceConfig, entries: int) -> WorkspaceConfig:
+    """Returns the part of a workspace's limits that one of the entries allows."""
+    return attrs.evolve(
+        cfg,
+        requests_per_s=cfg.requests_per_s / entries,
+        concurrency=math.ceil(cfg.concurrency / entries),
+    )
--- a/src/pomeloshift/routing/_router.py
+++ b/src/pomeloshift/routing/_router.py
@@ -35,6 +35,11 @@
         self._budgets = {priority: LinkBudget(0.0, math.inf) for priority in Priority}
         self._share_link()
 
+    @property
+    def entries(self) -> int:
+        """The number of live entries of this region, at least 1."""
+        return self._entries
+
     def observe_report(self, report: SidecarReport, now: float) -> None:
         """Takes a heartbeat of a sidecar."""
         self._now = max(self._now, now)
--- a/tests/_online_fakes.py
+++ b/tests/_online_fakes.py
@@ -200,6 +200,14 @@
         self.url = f"http://{self.entry.address}"
         self.http = HTTPClient(Agent(reactor))
 
+    def list_entries(self, count):
+        """Shows the entry a live list with that many entries of its region."""
+        role = InstanceRole.ENTRY
+        entries = [Instance(f"e{n}", role, PLACE, "") for n in range(count)]
+        servers = [sidecar.instance for sidecar in self.sidecars]
+        now = SystemClock().monotonic()
+        self.router.observe_instances([*servers, *entries], now)
+
     def hear(self):
         now = SystemClock().monotonic()
         for sidecar in self.sidecars:
@@ -240,7 +248,7 @@
                 unrepeatable_calls=(CallPattern("POST", "/send"),),
             ),
         ),
-        workspaces=(WorkspaceConfig("w"),),
+        workspaces=(WorkspaceConfig("w", requests_per_s=300.0, concurrency=30),),
         api_keys=(ApiKeyConfig("k1", "w", "salt", digest_key("salt", "secret")),),
     )
 
--- a/tests/test_online_service.py
+++ b/tests/test_online_service.py
@@ -1,6 +1,7 @@
 import msgspec
 import openai
 import pytest
+from twisted.internet.defer import Deferred, gatherResults
 
 from _online_fakes import WORDS, Fleet, refusal
 from pomeloshift.errors import ErrorCode
@@ -216,3 +217,16 @@
     (bad, _), (unknown, body) = in_fleet(check, sidecars=1)
     assert (bad.code, unknown.code) == (401, 404)
     assert error_of(body)["code"] == ErrorCode.UNKNOWN_SERVICE.value
+
+
+def test_entries_of_a_region_share_the_limits_of_a_workspace(in_fleet):
+    async def check(fleet):
+        fleet.list_entries(10)
+        for sidecar in fleet.sidecars:
+            sidecar.pause_s = 0.05
+        answers = await gatherResults(
+            [Deferred.fromCoroutine(fleet.chat(f"query {n}")) for n in range(5)]
+        )
+        return sorted(response.code for response, _ in answers)
+
+    assert in_fleet(check) == [200, 200, 200, 429, 429]
