Let the mutant of frame checks also take the last frame

Cause: the mutant's answers ended in an error that the caller's resend hid. Change: the total is taken as well.

--- a/tests/test_faults_mutants.py
+++ b/tests/test_faults_mutants.py
@@ -116,14 +116,10 @@
     take = OnlineRequest._take_frame
 
     def trusting(self, frame, now):
-        frame = (
-            attrs.evolve(
-                frame, attempt_id=self.attempt_id, sequence=self._sequence, total=None
-            )
-            if frame.total is None
-            else frame
-        )
-        take(self, frame, now)
+        sequence = self._sequence
+        total = None if frame.total is None else sequence + 1
+        fields = {"attempt_id": self.attempt_id, "sequence": sequence, "total": total}
+        take(self, attrs.evolve(frame, **fields), now)
 
     patch.setattr(OnlineRequest, "_take_frame", trusting)
 
