Measure give-back after the first tokens of a step, not before

Cause: a burst counted as waiting at the end of the very step that produced its first tokens, so that one arrival after the other looked like one long wait. Change: the condition is read after the step's first tokens.

--- a/src/pomeloshift/bench/policy/_server.py
+++ b/src/pomeloshift/bench/policy/_server.py
@@ -130,6 +130,8 @@
         started = [o.stream_id for o in outputs if isinstance(o, FirstToken)]
         for stream_id in started:
             self._on_first_token(stream_id, now)
+        if self._bursts:
+            self._measure_bursts(now)
         for stream_id in finished:
             self._forget(stream_id)
         self._note_step(now)
@@ -253,10 +255,17 @@
         read = self.model.prefill_tokens - self._read_before
         self._read_before = self.model.prefill_tokens
         self.use.add(now, online, read, online + len(self._online_reading))
-        if self._bursts:
-            self._measure_bursts(step, step_s, now)
 
-    def _measure_bursts(self, step: _Step, step_s: float, now: float) -> None:
+    def _measure_bursts(self, now: float) -> None:
+        """Ends the give-back of bursts that the step which ended now served well.
+
+        That is a step in which batch work took no more than a tenth, or one within
+        the target after which no online stream waits for its first token.
+        """
+        step = self._step
+        if step is None:
+            return
+        step_s = now - step.begins_at
         settings = self.model.settings
         batch_s = settings.step_per_sequence_s * step.batch / settings.speed
         is_alone = not step.reads_batch and batch_s <= PACE_TOLERANCE * step_s
