--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import deferLater
 
 from ..admin import AdminApi, AuditLog, OperatorGate
+from ..batch import JobState
 from ..config import Configuration
 from ..log import LogStore
 from ..metrics import Metrics
@@ -24,15 +25,18 @@
 from ..wire import ConfigDocument, ConfigPull
 from ._admin_views import FleetAdmin, JobsAdmin, QuarantineAdmin
 from ._auth import Authenticator
+from ._collector import EntryCollector
 from ._control_handler import ControlHandler
 from ._fleet_observer import FleetObserver
 from ._health import HealthApi
+from ._metered_log import MeteredLog
 from ._peer_exchange import PeerExchange
 from ._root import PrefixRoot
 from .batch import FilesAndBatches, JobService
+from .burn import BurnPeers, BurnService, RequestAccount
 from .calls import CallClaimer
 from .config import ConfigService
-from .online import FinishedRequest, OnlineApi, OnlineService
+from .online import OnlineApi, OnlineService
 
 LOG_TIMEOUT_S = 5.0
 LIST_INTERVAL_S = 1.0
@@ -63,11 +67,12 @@
         self._reactor = reactor
         self._clock = clock
         self._loops = Loops(reactor)
-        self._log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self.metrics = Metrics("entry", settings.name)
+        log = log or LogClient(settings.log_url, reactor, LOG_TIMEOUT_S)
+        self._log = MeteredLog(log, self.metrics, clock)
         self.instance = Instance(
             settings.name, InstanceRole.ENTRY, settings.place, "", ""
         )
-        self.metrics = Metrics("entry", settings.name)
         self._control = ControlClient(settings.internal_key.encode(), reactor)
         self._router = Router(RouterConfig(name=settings.name), settings.place, rng)
         self.jobs = JobService(
@@ -95,6 +100,25 @@
             pull=self._pull_config,
         )
         self.auth = Authenticator(lambda: self.config.current)
+        self.burn = BurnService(
+            settings.name,
+            self._log,
+            clock,
+            reactor,
+            rng,
+            self.fleet.entries,
+            lambda: self.config.current,
+            BurnPeers(
+                settings.name, self.fleet.entries, settings.internal_key, reactor
+            ),
+        )
+        self._account = RequestAccount(
+            settings.place.region,
+            self.metrics,
+            self.burn.record,
+            self.fleet.reports,
+            lambda: self.config.current,
+        )
         self.online = OnlineService(
             settings.name,
             settings.place,
@@ -105,7 +129,7 @@
             lambda: self.config.current,
             settings.internal_key,
             config_version=lambda: self.config.version,
-            on_finished=self._count_finished,
+            on_finished=self._account.finished,
         )
         self._peers = PeerExchange(
             settings.name,
@@ -151,6 +175,7 @@
         self._loops.repeat(self.fleet.tick, FLEET_TICK_S)
         self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
         self.jobs.start()
+        self.burn.start()
         logger.info(
             "event=entry_started instance={} address={} control={}",
             self.instance.name,
@@ -174,6 +199,8 @@
         self._loops.stop()
         self.config.stop()
         await self.jobs.stop()
+        await self.burn.stop()
+        await self._audit.close()
         await self.listener.stop()
         await self._control_server.stop()
         await self._control.close()
@@ -194,7 +221,7 @@
         )
 
     def _admin(self) -> AdminApi:
-        audit = AuditLog(
+        self._audit = AuditLog(
             self.instance.name,
             self._log,
             self._clock,
@@ -208,16 +235,29 @@
             self._drain_entry,
             self._clock,
         )
+        quarantine = QuarantineAdmin(self.online.suspects, self._clock)
+        self._collector = EntryCollector(
+            self.metrics,
+            fleet.instances,
+            quarantine.quarantined,
+            lambda: self.online.open_requests,
+            self._owned_jobs,
+        )
         return AdminApi(
             OperatorGate(self.auth, self._settings.internal_key),
             self.config,
             fleet,
             JobsAdmin(self.jobs),
-            QuarantineAdmin(self.online.suspects, self._clock),
-            audit,
+            quarantine,
+            self._audit,
             lambda: self._new_secret(SECRET_BITS),
+            self.burn,
         )
 
+    def _owned_jobs(self) -> list[JobState]:
+        runners = [r for r in self.jobs.runners.values() if r.is_open]
+        return [job for runner in runners for job in runner.state.jobs.values()]
+
     def _new_secret(self, bits: int) -> str:
         return f"{self._rng.getrandbits(bits):0{bits // 4}x}"
 
@@ -239,14 +279,13 @@
         return ""
 
     def _render_metrics(self) -> bytes:
+        self._collector.collect()
         body, _ = self.metrics.render()
         return body
 
     def _apply_config(self, cfg: Configuration, version: int) -> None:
         self.metrics.set("config_version", version)
-
-    def _count_finished(self, finished: FinishedRequest) -> None:
-        pass
+        self.metrics.inc("config_changes_total")
 
     async def _pull_config(self, peer: str) -> ConfigDocument:
         address = next(
