Let a configured maximum of no batch streams mean none

Cause: the probe stream that finds out whether a slow engine has recovered ran even where the configuration allows no batch stream at all; found by the test that applies such a configuration. Change: the probe keeps to the configured maximum.

--- a/src/pomeloshift/admission/_batch_limit.py
+++ b/src/pomeloshift/admission/_batch_limit.py
@@ -49,7 +49,9 @@
     @property
     def _lowest(self) -> float:
         """Without a stream to measure, the image of a slow engine would last."""
-        return 0.0 if self._roster.has_online else PROBE_STREAMS
+        if self._roster.has_online:
+            return 0.0
+        return min(PROBE_STREAMS, self.cfg.max_batch_streams)
 
     def adjust(self, now: float) -> None:
         """Moves the limit to what the engine's steps show."""
