--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -5,6 +5,7 @@
 
 import attrs
 from loguru import logger
+from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from ..admin import AdminApi, AuditLog, OperatorGate
@@ -141,7 +142,14 @@
             clock,
             lambda: self._begin_drain(),
         )
-        self._claimer = CallClaimer(settings.name, self._log, settings.partitions, rng)
+        self._claimer = CallClaimer(
+            settings.name,
+            self._log,
+            settings.partitions,
+            rng,
+            clock,
+            self.jobs.settings.log_retention_s,
+        )
         self._rng = rng
 
     @property
@@ -172,6 +180,10 @@
         )
         self.config.on_change(self._apply_config)
         self.config.start()
+        self._loops.repeat(
+            lambda: Deferred.fromCoroutine(self._claimer.keep(self.jobs.owns)),
+            self.jobs.settings.upkeep_s,
+        )
         self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
         self._loops.repeat(self.fleet.tick, FLEET_TICK_S)
         self._loops.repeat(self._peers.beat, settings.heartbeat_interval_s)
--- a/src/pomeloshift/entry/_fleet_observer.py
+++ b/src/pomeloshift/entry/_fleet_observer.py
@@ -67,14 +67,18 @@
 
     def observe(self, report: SidecarReport) -> None:
         """Takes a heartbeat of a sidecar."""
-        known = self._reports.get(report.instance.name)
-        if known is not None and known.incarnation > report.incarnation:
-            return
-        self._reports[report.instance.name] = report
+        name = report.instance.name
         now = self._clock.monotonic()
-        self._heard_at[report.instance.name] = now
-        self._router.observe_report(report, now)
         self._take(self._view.observe_report(report, now))
+        member = self._view.get(name)
+        if member is None or member.incarnation != report.incarnation:
+            return
+        if self._router.incarnation(name) > report.incarnation:
+            # The instance restarted after its wall clock had been set back.
+            self._router.forget(name)
+        self._reports[name] = report
+        self._heard_at[name] = now
+        self._router.observe_report(report, now)
         self._listener.heard(report.instance.name, report.incarnation)
 
     def tick(self) -> None:
--- a/src/pomeloshift/entry/batch/_service.py
+++ b/src/pomeloshift/entry/batch/_service.py
@@ -98,6 +98,15 @@
         """The resource to be mounted at ``/internal``, with whole paths."""
         return self._api.app.resource()
 
+    @property
+    def settings(self) -> BatchSettings:
+        """What this service was set up with."""
+        return self._settings
+
+    def owns(self, partition: int) -> bool:
+        """Tells whether this entry looks after a partition."""
+        return self._is_owner(partition)
+
     @property
     def runners(self) -> Mapping[int, PartitionRunner]:
         """The partitions that are open here."""
--- a/src/pomeloshift/entry/calls/_claimer.py
+++ b/src/pomeloshift/entry/calls/_claimer.py
@@ -1,7 +1,9 @@
 """Claims calls by an append that is read back before the call runs."""
 
+from collections.abc import Callable
 from random import Random
 
+import attrs
 from twisted.internet.defer import DeferredLock
 
 from ...log import (
@@ -13,9 +15,12 @@
     RecordCodec,
     StreamFollower,
 )
+from ...net import Clock
 from ._claims import CallClaimed, CallClaims, ClaimState, claim_key
 from ._errors import CallConflictError, CallOutcomeUnknownError, ClaimUnsettledError
 
+KEY_LIFETIME_S = 86400.0
+KEEP_SHARE = 0.25
 PAGE_RECORDS = 1000
 RETRY_AFTER_S = 2.0
 
@@ -33,14 +38,25 @@
     """Claims unrepeatable calls across all entries and resends.
 
     Of all claims of a key the first in the log wins. The entry whose claim won runs
-    the call; every other one answers that the outcome is unknown. Claims are kept as
-    long as the log keeps their records.
+    the call; every other one answers that the outcome is unknown. A key is kept for
+    ``KEY_LIFETIME_S``: `keep` stores claims again before the log, which keeps records
+    for ``log_retention_s``, forgets them.
     """
 
-    def __init__(self, name: str, log: LogStore, partitions: int, rng: Random) -> None:
+    def __init__(
+        self,
+        name: str,
+        log: LogStore,
+        partitions: int,
+        rng: Random,
+        clock: Clock,
+        log_retention_s: float,
+    ) -> None:
         self._name = name
         self._log = log
         self._rng = rng
+        self._clock = clock
+        self._log_retention_s = log_retention_s
         self._codec = RecordCodec([CallClaimed])
         self._partitions = [_Partition(f"calls-{n:03d}") for n in range(partitions)]
 
@@ -53,7 +69,9 @@
         `CallOutcomeUnknownError` for a call that was claimed before, and a log error
         or `ClaimUnsettledError` with ``ran: no`` if the log does not confirm.
         """
-        body = CallClaimed(claim_key(workspace, service, key), fingerprint)
+        now = self._clock.wall()
+        digest = claim_key(workspace, service, key)
+        body = CallClaimed(digest, fingerprint, now, now)
         number = int.from_bytes(body.key[:4], "big") % len(self._partitions)
         partition = self._partitions[number]
         await self._catch_up(partition)
@@ -63,6 +81,30 @@
             state = await self._append(partition, record_id, body)
         _check(state, key)
 
+    async def keep(self, is_owner: Callable[[int], bool]) -> None:
+        """Stores claims again whose records are about to expire.
+
+        ``is_owner`` tells for the number of a partition whether this entry looks
+        after it. Raises a log error; the next call makes up for it.
+        """
+        now = self._clock.wall()
+        for number, partition in enumerate(self._partitions):
+            if is_owner(number):
+                await self._keep_partition(partition, now)
+
+    async def _keep_partition(self, partition: _Partition, now: float) -> None:
+        await self._catch_up(partition)
+        partition.claims.forget(now - KEY_LIFETIME_S)
+        due = partition.claims.due(now - KEEP_SHARE * self._log_retention_s)
+        if not due:
+            return
+        payloads = [
+            self._codec.encode(Record(record_id, attrs.evolve(body, stored_at=now)))
+            for record_id, body in due
+        ]
+        await self._log.append(partition.follower.stream, payloads)
+        await self._catch_up(partition)
+
     async def _append(
         self, partition: _Partition, record_id: str, body: CallClaimed
     ) -> ClaimState | None:
--- a/src/pomeloshift/entry/calls/_claims.py
+++ b/src/pomeloshift/entry/calls/_claims.py
@@ -11,11 +11,15 @@
     """An entry claims the right to run a call.
 
     ``key`` is the digest of workspace, service and idempotency key, and
-    ``fingerprint`` identifies the call that is sent under it.
+    ``fingerprint`` identifies the call that is sent under it. ``claimed_at`` and
+    ``stored_at`` are in seconds since the epoch; a claim that is stored again before
+    its record expires keeps its record id and ``claimed_at``.
     """
 
     key: bytes
     fingerprint: str
+    claimed_at: float = 0.0
+    stored_at: float = 0.0
 
 
 class ClaimState(Enum):
@@ -28,8 +32,10 @@
 
 @attrs.frozen
 class _First:
+    """The first claim of a key, as its latest record holds it."""
+
     record_id: str
-    fingerprint: str
+    body: CallClaimed
 
 
 class CallClaims:
@@ -44,7 +50,9 @@
 
     def apply(self, record_id: str, body: CallClaimed) -> None:
         """Takes the next claim of the stream."""
-        self._first_by_key.setdefault(body.key, _First(record_id, body.fingerprint))
+        first = self._first_by_key.get(body.key)
+        if first is None or first.record_id == record_id:
+            self._first_by_key[body.key] = _First(record_id, body)
 
     def state_of(self, record_id: str, body: CallClaimed) -> ClaimState | None:
         """Tells whether a claim was the first, or `None` if the key has none."""
@@ -53,10 +61,26 @@
             return None
         if first.record_id == record_id:
             return ClaimState.WON
-        if first.fingerprint != body.fingerprint:
+        if first.body.fingerprint != body.fingerprint:
             return ClaimState.CONFLICT
         return ClaimState.TAKEN
 
+    def due(self, stored_before: float) -> list[tuple[str, CallClaimed]]:
+        """Returns the claims whose latest record was stored before that time."""
+        return [
+            (first.record_id, first.body)
+            for first in self._first_by_key.values()
+            if first.body.stored_at < stored_before
+        ]
+
+    def forget(self, claimed_before: float) -> None:
+        """Drops the claims of calls that were claimed before that time."""
+        self._first_by_key = {
+            key: first
+            for key, first in self._first_by_key.items()
+            if first.body.claimed_at >= claimed_before
+        }
+
 
 def claim_key(workspace: str, service: str, key: str) -> bytes:
     """Returns the digest under which a caller's key is claimed."""
--- a/src/pomeloshift/net/_http.py
+++ b/src/pomeloshift/net/_http.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from loguru import logger
+from twisted.internet.defer import CancelledError
 from twisted.web.server import Request
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
@@ -75,6 +76,9 @@
             return await handler(*args, **kwargs)
         except PomeloshiftError as exc:
             return _answer(req, exc)
+        except CancelledError:
+            # Klein cancels a handler whose client has closed the connection.
+            return b""
         except Exception as exc:
             logger.exception("event=unexpected_error path={}", req.path)
             return _answer(req, InternalError(f"unexpected {type(exc).__name__}"))
--- a/src/pomeloshift/net/_logging.py
+++ b/src/pomeloshift/net/_logging.py
@@ -10,4 +10,6 @@
 def configure_logging(level: str) -> None:
     """Sends log lines of ``level`` and above to standard error."""
     logger.remove()
-    logger.add(sys.stderr, level=level, format=LINE_FORMAT, backtrace=False)
+    logger.add(
+        sys.stderr, level=level, format=LINE_FORMAT, backtrace=False, diagnose=False
+    )
--- a/src/pomeloshift/routing/_fleet.py
+++ b/src/pomeloshift/routing/_fleet.py
@@ -23,6 +23,11 @@
         """Returns a backend server by its name."""
         return self._servers.get(name)
 
+    def forget(self, name: str) -> None:
+        """Forgets a backend server."""
+        if self._servers.pop(name, None) is not None:
+            self._tiers.clear()
+
     def take_report(self, report: SidecarReport, now: float) -> None:
         """Takes a sidecar's report."""
         server = self._known(report.instance)
--- a/src/pomeloshift/routing/_router.py
+++ b/src/pomeloshift/routing/_router.py
@@ -80,6 +80,10 @@
             server.clear()
             server.heard_at = self._now
 
+    def forget(self, name: str) -> None:
+        """Forgets a backend server; its next report makes it known again."""
+        self._fleet.forget(name)
+
     def started(self, name: str, tokens: int) -> None:
         """Counts work that this entry sent to a backend server."""
         self._count(name, tokens)
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -1,5 +1,6 @@
 """Carries admission's effects to one engine and the engine's tokens back."""
 
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import attrs
@@ -27,9 +28,12 @@
 from ..net import Clock
 from ..net._loops import spawn
 from ._engine_client import EngineClient
+from ._engine_errors import EngineLostError, EngineRefusedError
 from ._engine_types import EngineEnd
 from ._work import Work
 
+ENGINE_POLL_S = 0.25
+
 
 class BatchSource(Protocol):
     """Where a lane asks for batch work."""
@@ -71,13 +75,24 @@
         admission: Admission,
         batch: BatchSource,
         clock: Clock,
+        sleep: Callable[[float], Awaitable[None]],
+        on_state: Callable[[], None] = lambda: None,
     ) -> None:
         self.name = name
         self._engine = engine
         self._admission = admission
         self._batch = batch
         self._clock = clock
+        self._sleep = sleep
+        self._on_state = on_state
         self._runs: dict[str, _Run] = {}
+        self._is_down = False
+        self._closed = False
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the engine was lost and has not answered since."""
+        return self._is_down
 
     @property
     def is_idle(self) -> bool:
@@ -88,12 +103,14 @@
         """Returns the lane's load."""
         return self._admission.load(self._clock.monotonic())
 
-    async def is_alive(self) -> bool:
-        """Tells whether the engine answers."""
-        return await self._engine.alive()
+    async def check(self) -> None:
+        """Asks whether the engine answers, and waits until it does."""
+        if not self._is_down and not await self._engine.alive():
+            self._mark_down()
 
     async def close(self) -> None:
         """Closes the connections to the engine."""
+        self._closed = True
         await self._engine.close()
 
     def configure(self, service: ServiceConfig) -> None:
@@ -121,9 +138,7 @@
 
     def release_batch(self) -> list[str]:
         """Gives all batch work back and returns the stream ids."""
-        batch = [
-            run for run in self._runs.values() if run.work.stream_id.startswith("item-")
-        ]
+        batch = [run for run in self._runs.values() if run.work.is_batch]
         for run in batch:
             spawn(self._release(run))
         return [run.work.stream_id for run in batch]
@@ -134,6 +149,8 @@
 
     def _carry_out(self, effect: AdmissionEffect) -> None:
         if isinstance(effect, BatchWanted):
+            if self._is_down:
+                return
             self._batch.want(self, effect.tokens, effect.items)
             return
         run = self._runs.get(effect.stream_id)
@@ -156,6 +173,9 @@
 
     async def _run(self, run: _Run) -> None:
         """Runs a stream to its end, with every taking back and resuming between."""
+        if self._is_down:
+            self._turn_away(run)
+            return
         run.at_engine = True
         while run.at_engine:
             end = await self._run_once(run)
@@ -166,13 +186,52 @@
                 run.work.finish(end.status, end.content_type)
             elif run.taken_back:
                 await self._park(run, isinstance(end, EngineEnd))
-            else:
+            elif isinstance(end, EngineEnd):
                 self._end(run)
-                run.work.fail(_cut_error() if isinstance(end, EngineEnd) else end)
+                run.work.fail(_cut_error())
+            else:
+                self._take_failure(run, end)
         if run.stopped is not None:
             run.stopped.callback(None)
 
-    async def _run_once(self, run: _Run) -> EngineEnd | ErrorReport:
+    def _take_failure(self, run: _Run, error: PomeloshiftError) -> None:
+        run.at_engine = False
+        if isinstance(error, EngineRefusedError) and error.status == 0:
+            self._mark_down()
+            self._turn_away(run)
+            return
+        if isinstance(error, EngineLostError):
+            self._mark_down()
+        self._end(run)
+        run.work.fail(error.report())
+
+    def _turn_away(self, run: _Run) -> None:
+        """Ends a stream that an engine which is down has not seen."""
+        if self._runs.pop(run.work.stream_id, None) is None:
+            return
+        self._tell(StreamEnded(run.work.stream_id))
+        if run.work.is_batch:
+            run.work.release(run.resume)
+        else:
+            run.work.fail(_down_error())
+
+    def _mark_down(self) -> None:
+        if self._is_down or self._closed:
+            return
+        self._is_down = True
+        logger.warning("event=engine_down engine={}", self.name)
+        self._on_state()
+        spawn(self._wait_until_up())
+
+    async def _wait_until_up(self) -> None:
+        while not self._closed and not await self._engine.alive():
+            await self._sleep(ENGINE_POLL_S)
+        self._is_down = False
+        if not self._closed:
+            logger.info("event=engine_up engine={}", self.name)
+            self._on_state()
+
+    async def _run_once(self, run: _Run) -> EngineEnd | PomeloshiftError:
         stream_id = run.work.stream_id
         run.taken_back = False
         run.cancelled = None
@@ -189,7 +248,7 @@
                 stream_id, run.work.path, run.work.body, on_chunk, run.resume
             )
         except PomeloshiftError as exc:
-            return exc.report()
+            return exc
 
     async def _park(self, run: _Run, was_closed_cleanly: bool) -> None:
         """Keeps the progress of a stream that was taken back.
@@ -244,3 +303,8 @@
     return ErrorReport(
         ErrorCode.BACKEND_SERVER_LOST, "the engine's answer was cut", Ran.YES
     )
+
+
+def _down_error() -> ErrorReport:
+    message = "the backend server's engine does not answer"
+    return ErrorReport(ErrorCode.NO_BACKEND_SERVER, message, Ran.NO, 0.0)
--- a/src/pomeloshift/sidecar/_plain_lane.py
+++ b/src/pomeloshift/sidecar/_plain_lane.py
@@ -52,7 +52,10 @@
         call = Deferred.fromCoroutine(self._call(req))
         self._running[req.attempt_id] = call
         call.addErrback(self._fail, req.attempt_id)
-        call.addBoth(lambda _: self._running.pop(req.attempt_id, None))
+        call.addBoth(self._forget, req.attempt_id)
+
+    def _forget(self, _: Any, attempt_id: str) -> None:
+        self._running.pop(attempt_id, None)
 
     def withdraw(self, attempt_id: str) -> None:
         """Leaves the call alone, because cancelling would not undo it."""
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -182,6 +182,8 @@
                 Admission(AdmissionConfig()),
                 self._puller,
                 self._clock,
+                self._sleep,
+                self._on_engine_state,
             )
             for engine in engines
         ]
@@ -242,7 +244,7 @@
         return None
 
     def _start_attempt(self, req: AttemptRequest) -> None:
-        lane = min(self._lanes, key=lambda lane: lane.load().online_tokens)
+        lane = min(self._lanes, key=_preference)
         self._lane_of_attempt[req.attempt_id] = lane
         if isinstance(lane, PlainLane):
             lane.offer(req)
@@ -276,18 +278,19 @@
         self._reporter.observe_list(await self._list_client.instances())
 
     async def _check_engines(self) -> None:
+        for lane in self._engine_lanes():
+            await lane.check()
+
+    def _on_engine_state(self) -> None:
         lanes = self._engine_lanes()
-        if not lanes:
-            return
-        answers = [await lane.is_alive() for lane in lanes]
-        alive = any(answers)
+        alive = not all(lane.is_down for lane in lanes)
         if alive != self._engine_alive:
             self._engine_alive = alive
-            logger.warning(
-                "event=engine_state instance={} alive={}", self.instance.name, alive
-            )
             self._reporter.changed(urgent=True)
 
+    async def _sleep(self, seconds: float) -> None:
+        await deferLater(self._reactor, seconds)
+
     def _engine_lanes(self) -> list[EngineLane]:
         return [lane for lane in self._lanes if isinstance(lane, EngineLane)]
 
@@ -296,6 +299,11 @@
         return busy + (not self._puller.is_settled)
 
 
+def _preference(lane: EngineLane | PlainLane) -> tuple[bool, int]:
+    is_down = isinstance(lane, EngineLane) and lane.is_down
+    return is_down, lane.load().online_tokens
+
+
 def _heartbeat_timing(settings: SidecarSettings) -> HeartbeatTiming:
     interval_s = settings.heartbeat_interval_s
     change_s = min(DEFAULT_CHANGE_INTERVAL_S, interval_s)
--- a/tests/test_call_claims.py
+++ b/tests/test_call_claims.py
@@ -9,8 +9,14 @@
     CallOutcomeUnknownError,
     ClaimUnsettledError,
 )
+from pomeloshift.entry.calls._claimer import KEY_LIFETIME_S
 from pomeloshift.errors import Ran
-from pomeloshift.log import AppendOutcomeUnknownError, LogPage, StoredRecord
+from pomeloshift.log import (
+    AppendOutcomeUnknownError,
+    LogExpiredError,
+    LogPage,
+    StoredRecord,
+)
 
 
 class FakeLog:
@@ -42,18 +48,36 @@
 
 @pytest.fixture
 def claim(log):
-    claimers = [CallClaimer(f"entry-{n}", log, 4, Random(n)) for n in range(2)]
+    claimers = [make_claimer(n, log) for n in range(2)]
 
     def run(entry, key, fingerprint="f"):
-        outcome = []
-        coroutine = claimers[entry].claim("w", "s", key, fingerprint)
-        Deferred.fromCoroutine(coroutine).addBoth(outcome.append)
-        if outcome[0] is not None:
-            outcome[0].raiseException()
+        run_now(claimers[entry].claim("w", "s", key, fingerprint))
 
     return run
 
 
+class ManualClock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def wall(self):
+        return self.now
+
+    monotonic = wall
+
+
+def make_claimer(number, log, partitions=4, clock=None):
+    clock = clock or ManualClock()
+    return CallClaimer(f"entry-{number}", log, partitions, Random(number), clock, 100.0)
+
+
+def run_now(coroutine):
+    outcome = []
+    Deferred.fromCoroutine(coroutine).addBoth(outcome.append)
+    if outcome[0] is not None:
+        outcome[0].raiseException()
+
+
 def test_first_claim_wins_over_all_entries(claim):
     claim(0, "k1")
     for entry in (0, 1):
@@ -79,7 +103,7 @@
 
 
 def test_claims_that_race_have_one_winner(log):
-    claimers = [CallClaimer(f"entry-{n}", log, 1, Random(n)) for n in range(2)]
+    claimers = [make_claimer(n, log, 1) for n in range(2)]
     held = Deferred()
     append = log.append
 
@@ -97,3 +121,32 @@
     lost = [o for o in outcomes if o is not None and o.check(CallOutcomeUnknownError)]
     assert len(won) == 1
     assert len(lost) == 1
+
+
+class ExpiringLog(FakeLog):
+    """Forgets all records before ``first``."""
+
+    first = 0
+
+    async def read(self, stream, offset, limit=1000):
+        if offset < self.first:
+            raise LogExpiredError("expired", self.first)
+        page = await super().read(stream, offset, limit)
+        return LogPage(self.first, page.next_offset, page.records)
+
+
+def test_claim_outlives_its_record_and_ends_with_its_lifetime():
+    log, clock = ExpiringLog(), ManualClock()
+    keeper = make_claimer(0, log, 1, clock)
+    run_now(keeper.claim("w", "s", "k", "f"))
+    clock.now += 30.0
+    run_now(keeper.keep(lambda partition: True))
+    run_now(keeper.keep(lambda partition: True))
+    assert len(log.streams["calls-000"]) == 2
+    log.first = 1
+    restarted = make_claimer(1, log, 1, clock)
+    with pytest.raises(CallOutcomeUnknownError):
+        run_now(restarted.claim("w", "s", "k", "f"))
+    clock.now += KEY_LIFETIME_S
+    run_now(restarted.keep(lambda partition: True))
+    run_now(restarted.claim("w", "s", "k", "f"))
--- a/tests/test_engine_lane.py
+++ b/tests/test_engine_lane.py
@@ -77,7 +77,7 @@
 
 
 @pytest.fixture
-def in_lane(reactor, run_async):
+def in_lane(reactor, run_async, pause):
     """Runs a coroutine function with a lane before a real engine stand-in."""
 
     def run(function):
@@ -88,7 +88,7 @@
             listener = serve(reactor, server.resource, "127.0.0.1")
             engine = EngineClient(f"http://{listener.address}", reactor)
             admission = OrderedAdmission()
-            lane = EngineLane("e", engine, admission, NoSource(), clock)
+            lane = EngineLane("e", engine, admission, NoSource(), clock, pause)
             try:
                 await function(lane, admission, server)
             finally:
