Tell runs that broke from runs that were never answered

Change: a loss with ran yes is a certain strike; one without an answer becomes certain only if the loss is confirmed and the item was leased before it was told.

--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..errors import Ran
 from ..log import Record
 from ..wire import ItemOutcome, ItemPull, LeaseRelease
 from ._chooser import ChoiceRules, ChosenItem, ItemQueues, choose_items
@@ -78,6 +79,7 @@
         self._resumes = ResumeStore(settings.resume_bytes)
         self._withdrawals: list[Record] = []
         self._crash_told_at: dict[str, float] = {}
+        self._unanswered: list[tuple[float, Lease]] = []
         self._silent: dict[tuple[str, int], list[Lease]] = {}
 
     @property
@@ -188,7 +190,7 @@
 
     def crash_told(self, instance: str, now: float) -> None:
         """Notes that a sidecar told of its engine's crash."""
-        self._crash_told_at[instance] = now
+        self._crash_told_at.setdefault(instance, now)
         while len(self._crash_told_at) > self.settings.remembered_pulls:
             del self._crash_told_at[next(iter(self._crash_told_at))]
 
@@ -219,7 +221,7 @@
             return None
         kind = outcome_kind(outcome.status, outcome.error)
         if job.is_repeatable:
-            record = self._repeatable_outcome(outcome, kind, wall)
+            record = self._repeatable_outcome(outcome, kind, lease, wall)
         else:
             record = _unrepeatable_outcome(outcome, kind, wall)
         if record is not None:
@@ -270,9 +272,16 @@
             and (told_at is None or lease.granted_at < told_at)
         ]
         records = self._strike_all(lost, True, now, wall)
+        unconfirmed = self._take_unanswered(instance, incarnation)
         for key in [key for key in self._silent if key[0] == instance]:
             if key[1] <= incarnation:
-                records += self._confirm(self._silent.pop(key), wall)
+                unconfirmed += self._silent.pop(key)
+        in_time = [
+            lease
+            for lease in unconfirmed
+            if told_at is None or lease.granted_at < told_at
+        ]
+        records += self._confirm(in_time, wall)
         return records
 
     def tick(self, now: float, wall: float) -> list[Record]:
@@ -290,10 +299,7 @@
         records, self._withdrawals = self._withdrawals, []
         late = self._leases.late(now)
         for lease in late:
-            key = (lease.instance, lease.incarnation)
-            self._silent.setdefault(key, []).append(lease)
-        while len(self._silent) > self.settings.remembered_pulls:
-            del self._silent[next(iter(self._silent))]
+            self._keep_unconfirmed(lease)
         return records + self._strike_all(late, False, now, wall)
 
     def cancel(self, job_id: str, wall: float) -> Record | None:
@@ -326,7 +332,7 @@
         if self._job_of_waiting(body.job_id, body.index) is None:
             self._settle(body.job_id, body.index)
         else:
-            self._settle_lease(body.lease_id)
+            self._settle_lease(body.lease_id, self.settings.suspect_delay_s)
 
     def _follow_claim(self, body: AttemptStarted) -> None:
         name = parse_lease_id(body.attempt_id)
@@ -343,10 +349,10 @@
         elif queue is not None and not queue.is_out(body.index):
             queue.put_back(body.index, self._now)
 
-    def _settle_lease(self, lease_id: str) -> None:
+    def _settle_lease(self, lease_id: str, delay_s: float | None = None) -> None:
         lease = self._leases.get(lease_id)
         if lease is not None:
-            self._drop(lease, self._now)
+            self._drop(lease, self._now, delay_s)
 
     def _settle(self, job_id: str, index: int) -> None:
         queue = self._queues.get(job_id)
@@ -483,11 +489,18 @@
         return job is None or job.is_over or job_id in self._cancelling
 
     def _repeatable_outcome(
-        self, outcome: ItemOutcome, kind: OutcomeKind, wall: float
+        self,
+        outcome: ItemOutcome,
+        kind: OutcomeKind,
+        lease: Lease | None,
+        wall: float,
     ) -> Record | None:
         key = (outcome.job_id, outcome.index)
         if kind is OutcomeKind.CRASHED:
-            return strike_record(*key, outcome.lease_id, True, wall)
+            is_certain = outcome.error is not None and outcome.error.ran is Ran.YES
+            if lease is not None and not is_certain:
+                self._keep_unanswered(lease)
+            return strike_record(*key, outcome.lease_id, is_certain, wall)
         if kind is OutcomeKind.NOT_RUN:
             return None
         if kind is OutcomeKind.PASSING:
@@ -513,6 +526,34 @@
                 records.append(unknown_outcome_record(*key, wall))
         return records
 
+    def _keep_unanswered(self, lease: Lease) -> None:
+        """Remembers a run that a living sidecar got no answer for.
+
+        It counts as running at the loss of its engine only for the length of a lease.
+        """
+        oldest = self._now - self.settings.lease_s
+        kept = [pair for pair in self._unanswered if pair[0] > oldest]
+        self._unanswered = [*kept, (self._now, lease)]
+
+    def _take_unanswered(self, instance: str, incarnation: int) -> list[Lease]:
+        oldest = self._now - self.settings.lease_s
+        taken = [
+            lease
+            for told_at, lease in self._unanswered
+            if told_at > oldest
+            and lease.instance == instance
+            and lease.incarnation <= incarnation
+        ]
+        self._unanswered = [pair for pair in self._unanswered if pair[1] not in taken]
+        return taken
+
+    def _keep_unconfirmed(self, lease: Lease) -> None:
+        """Remembers a lease whose strike becomes certain if the loss is confirmed."""
+        key = (lease.instance, lease.incarnation)
+        self._silent.setdefault(key, []).append(lease)
+        while len(self._silent) > self.settings.remembered_pulls:
+            del self._silent[next(iter(self._silent))]
+
     def _confirm(self, leases: list[Lease], wall: float) -> list[Record]:
         """Makes strikes certain that were written when their leases ran out."""
         records = []
@@ -531,14 +572,15 @@
             return self._strike_all([lease], False, now, wall)
         if job is not None:
             self._resumes.put((lease.job_id, lease.index), resume)
-        self._drop(lease, now, is_at_once=True)
+        self._drop(lease, now, 0.0)
         return []
 
-    def _drop(self, lease: Lease, now: float, is_at_once: bool = False) -> None:
+    def _drop(self, lease: Lease, now: float, delay_s: float | None = None) -> None:
         self._leases.remove(lease)
         queue = self._queues.get(lease.job_id)
         if queue is not None:
-            delay_s = 0.0 if is_at_once else self.settings.retry_delay_s
+            if delay_s is None:
+                delay_s = self.settings.retry_delay_s
             queue.put_back(lease.index, now + delay_s)
 
     def _job_of_waiting(self, job_id: str, index: int) -> JobState | None:
--- a/tests/_jobs.py
+++ b/tests/_jobs.py
@@ -16,7 +16,7 @@
 ENDPOINT = "/v1/chat/completions"
 PLACE = Place("gorenjska", "kranj-a")
 SETTINGS = BatchSettings(
-    OwnerSettings(lease_s=5, retry_delay_s=0.01),
+    OwnerSettings(lease_s=5, retry_delay_s=0.01, suspect_delay_s=0.01),
     CommitLimits(min_interval_s=0.005, retry_base_s=0.02, retry_max_s=0.1),
     ownership_s=0.05,
     appends_per_s=2000,
--- a/tests/_partition.py
+++ b/tests/_partition.py
@@ -15,7 +15,7 @@
 from pomeloshift.log import Record
 from pomeloshift.wire import ItemOutcome, ItemPull
 
-SETTINGS = OwnerSettings(lease_s=10, retry_delay_s=0, max_tries=3)
+SETTINGS = OwnerSettings(lease_s=10, retry_delay_s=0, max_tries=3, suspect_delay_s=0)
 TOKENS = 100
 
 
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -11,7 +11,8 @@
 from pomeloshift.errors import ErrorCode, ErrorReport, Ran
 from pomeloshift.wire import ItemOutcome, ItemPull, LeaseRelease
 
-LOST = ErrorReport(ErrorCode.BACKEND_SERVER_LOST, "lost")
+LOST = ErrorReport(ErrorCode.BACKEND_SERVER_LOST, "lost", Ran.YES)
+NO_ANSWER = ErrorReport(ErrorCode.BACKEND_SERVER_LOST, "no answer")
 BUSY = ErrorReport(ErrorCode.OVERLOADED, "busy", Ran.NO)
 SLOW = ErrorReport(ErrorCode.DEADLINE_EXCEEDED, "slow")
 BAD = ErrorReport(ErrorCode.INVALID_REQUEST, "bad", Ran.NO)
@@ -404,3 +405,32 @@
     assert len(job.strikes[0]) == 1
     partition.append(owner.instance_lost("s1", 1, 5, 5))
     assert statuses(owner, job_id) == ["FAILED", "WAITING"]
+
+
+def test_run_without_an_answer_is_struck_for_good_once_the_loss_is_known(
+    partition, owner
+):
+    job_id = partition.add_job("k", items=1)
+    for number in range(2):
+        now = 10 * number
+        (lease,) = partition.pull(owner, now=now, nonce=2 * number).leases
+        owner.crash_told("s1", now + 1)
+        partition.finish(owner, lease, now=now + 1, error=NO_ANSWER)
+        partition.pull(owner, now=now + 1, nonce=2 * number + 1, items=0)
+        assert statuses(owner, job_id) == ["WAITING"]
+        partition.append(owner.instance_lost("s1", 1, now + 2, now + 2))
+    assert statuses(owner, job_id) == ["FAILED"]
+
+
+def test_item_that_a_dead_engine_never_answered_is_not_struck_for_good(
+    partition, owner
+):
+    job_id = partition.add_job("k", items=2)
+    first, second = partition.pull(owner).leases
+    owner.crash_told("s1", 1)
+    partition.finish(owner, first, now=1, error=LOST)
+    partition.finish(owner, second, now=1, error=LOST)
+    (late,) = partition.pull(owner, now=1, nonce=2, items=1).leases
+    partition.finish(owner, late, now=1, error=NO_ANSWER)
+    partition.append(owner.instance_lost("s1", 1, 2, 2))
+    assert statuses(owner, job_id) == ["WAITING", "WAITING"]
