Never begin an accepted answer anew in its middle; split the request's core

Change: after an acknowledgement the entry only asks to join, and a registry that does not know an attempt refuses to start it in its middle. The retry plan, the timer and the order's message are modules of their own.

--- a/src/pomeloshift/attempts/_online_request.py
+++ b/src/pomeloshift/attempts/_online_request.py
@@ -6,7 +6,9 @@
 import attrs
 
 from ..errors import ErrorCode, ErrorReport, Ran
-from ..wire import AttemptRequest, Frame
+from ..wire import Frame
+from ._alarm import Alarm
+from ._attempt_request import make_request
 from ._chooser import Budget, Chooser, Target
 from ._continuity import Continuity, ContinuityError
 from ._effects import (
@@ -19,7 +21,6 @@
     OpenAttempt,
     ServerFailed,
     ServerFault,
-    SetTimer,
 )
 from ._events import (
     AttemptAccepted,
@@ -36,9 +37,8 @@
 )
 from ._online_config import OnlineConfig
 from ._online_order import OnlineOrder
-from ._verdict import Verdict, judge, worse
-
-MAX_CRASHES = 2
+from ._retry_plan import RetryPlan
+from ._verdict import worse
 
 
 class Phase(Enum):
@@ -68,9 +68,11 @@
     ) -> None:
         self._order = order
         self._chooser = chooser
-        self._budget = budget
-        self._rng = rng
         self._cfg = cfg or OnlineConfig()
+        self._plan = RetryPlan(
+            self._cfg, budget, rng, order.idempotent, alone=order.alone
+        )
+        self._alarm = Alarm(order.deadline_at)
         self._phase = Phase.NEW
         self._target: Target | None = None
         self._attempts = 0
@@ -78,18 +80,10 @@
         self._sequence = 0
         self._sent = False
         self._reconnects = 0
-        self._retries = 0
-        self._crashes = 0
-        self._alone = order.alone
-        self._spread = False
-        self._last_error: ErrorReport | None = None
-        self._excluded: frozenset[str] = frozenset()
+        self._accepted = False
         self._ran = Ran.NO
         self._continuity = Continuity()
         self._stall_s = self._cfg.stall_s
-        self._limit_at = order.deadline_at
-        self._paused = False
-        self._timer = 0
         self._out: list[OnlineEffect] = []
 
     @property
@@ -111,7 +105,7 @@
 
     def _is_outdated(self, event: OnlineEvent) -> bool:
         if isinstance(event, Timer):
-            return event.number != self._timer
+            return event.number != self._alarm.number
         connection = getattr(event, "connection", None)
         if connection is None:
             return False
@@ -149,26 +143,27 @@
         if error is not None:
             self._finish_failed(error)
             return
-        self._alone = self._alone or self._chooser.is_suspect(now)
-        if self._alone and not self._spread:
-            self._spread = True
-            self._wait_between(self._cfg.spread_s, 1.5 * self._cfg.spread_s, now)
+        self._plan.alone = self._plan.alone or self._chooser.is_suspect(now)
+        spread_s = self._plan.wait_for_spread()
+        if spread_s:
+            self._wait(spread_s, now)
             return
-        self._target = self._chooser.choose(self._excluded, self._alone, now)
+        self._target = self._chooser.choose(self._plan.excluded, self._plan.alone, now)
         if self._target is None:
             self._miss_server(now)
             return
         self._attempts += 1
         self._sequence = 0
         self._sent = False
+        self._accepted = False
         self._reconnects = 0
         self._stall_s = self._cfg.stall_s
         self._continuity.restart()
         self._open(now, join_only=False)
 
     def _miss_server(self, now: float) -> None:
-        if self._last_error is not None:
-            self._finish_failed(self._last_error)
+        if self._plan.last_error is not None:
+            self._finish_failed(self._plan.last_error)
             return
         self._fail_with(ErrorCode.NO_BACKEND_SERVER, "no backend server is available")
 
@@ -176,28 +171,14 @@
         assert self._target is not None
         self._connection += 1
         self._phase = Phase.OPENING
-        order = self._order
-        request = AttemptRequest(
-            attempt_id=self.attempt_id,
-            request_id=order.request_id,
-            workspace=order.workspace,
-            service=order.service,
-            method=order.method,
-            path=order.path,
-            body=b"" if join_only else order.body,
-            prompt_tokens=order.prompt_tokens,
-            max_tokens=order.max_tokens,
-            deadline_s=max(0.0, self._limit_at - now),
-            idempotent=order.idempotent,
-            stream=order.stream,
+        request = make_request(
+            self._order,
+            self.attempt_id,
+            self._target.incarnation,
+            deadline_s=self._alarm.limit_at - now,
             next_sequence=self._sequence,
             join_only=join_only,
-            content_type=order.content_type,
-            headers=order.headers,
-            config_version=order.config_version,
-            incarnation=self._target.incarnation,
-            alone=self._alone,
-            fingerprint=order.fingerprint,
+            alone=self._plan.alone,
         )
         self._out.append(OpenAttempt(self._connection, self._target.instance, request))
         self._set_timer(now + self._cfg.accept_timeout_s)
@@ -206,6 +187,7 @@
         if self._phase is Phase.OPENING:
             self._phase = Phase.STREAMING
             self._sent = True
+            self._accepted = True
             self._set_timer(now + self._stall_s)
 
     def _lose_connection(self, sent: bool, now: float) -> None:
@@ -216,14 +198,19 @@
         self._reconnect(now)
 
     def _reconnect(self, now: float) -> None:
-        """Calls the same sidecar again; the last time only to ask what it knows."""
+        """Calls the same sidecar again.
+
+        It must not start the attempt anew if it had accepted it or the call may not
+        be repeated; the last time it is only asked in any case.
+        """
         self._out.append(CloseConnection(self._connection))
         self._reconnects += 1
         if self._reconnects > self._cfg.max_reconnects:
             self._lose_server(ServerFault.UNREACHABLE, now, exempt=False)
             return
         is_last = self._reconnects == self._cfg.max_reconnects
-        self._open(now, join_only=is_last or not self._order.idempotent)
+        may_start = self._order.idempotent and not self._accepted
+        self._open(now, join_only=is_last or not may_start)
 
     def _lose_server(self, fault: ServerFault, now: float, *, exempt: bool) -> None:
         """Gives up the attempt; goes to another server where that is safe."""
@@ -261,7 +248,7 @@
     def _suspect(self, now: float) -> None:
         """Stops a run that may crash its server, to repeat it as a suspect."""
         running = self._phase in (Phase.OPENING, Phase.STREAMING)
-        if self._alone or not running or not self._order.idempotent:
+        if self._plan.alone or not running or not self._order.idempotent:
             return
         if self._continuity.delivered_any:
             return
@@ -306,7 +293,7 @@
         if not payload and self._continuity.delivered_any:
             return
         self._continuity.deliver(payload)
-        self._limit_at = max(self._limit_at, now + self._cfg.idle_limit_s)
+        self._alarm.extend(now + self._cfg.idle_limit_s)
         self._out.append(
             Deliver(payload, frame.status, frame.content_type, frame.tokens)
         )
@@ -342,51 +329,25 @@
             fault = ServerFault.CRASHED
         if fault is not None:
             self._report_server(fault)
-        if fault is ServerFault.CRASHED:
-            self._crashes += 1
-            self._alone = True
-            self._spread = False
-            if self._crashes >= MAX_CRASHES:
-                self._finish_failed(error)
-                return
+        if fault is ServerFault.CRASHED and self._plan.crashed():
+            self._finish_failed(error)
+            return
         self._retry(error, now, exempt=exempt)
 
     def _retry(self, error: ErrorReport, now: float, *, exempt: bool) -> None:
-        self._last_error = error
-        verdict = judge(error, idempotent=self._order.idempotent)
-        if verdict is Verdict.FINAL:
-            self._finish_failed(error)
-            return
-        if verdict is Verdict.ELSEWHERE and self._target is not None:
-            self._excluded |= {self._target.instance.name}
-        self._retries += 1
-        if self._alone and error.ran is Ran.NO:
-            self._excluded = frozenset()
-            self._wait(self._cfg.suspect_wait_s, now)
-            return
-        if self._retries > self._cfg.max_retries:
-            self._finish_failed(error)
-            return
-        if not exempt and not self._budget.try_spend(now):
+        assert self._target is not None
+        name = self._target.instance.name
+        wait_s = self._plan.wait_after(error, name, now, exempt=exempt)
+        if wait_s is None:
             self._finish_failed(error)
-            return
-        self._back_off(now)
-
-    def _back_off(self, now: float) -> None:
-        waits_anyway = self._alone and not self._spread
-        is_first = self._retries == 1 and not self._alone
-        if waits_anyway or is_first:
+        elif wait_s:
+            self._wait(wait_s, now)
+        else:
             self._begin_attempt(now)
-            return
-        longest = self._cfg.backoff_s * 2**self._retries
-        self._wait(min(longest, self._cfg.max_backoff_s), now)
 
-    def _wait(self, longest_s: float, now: float) -> None:
-        self._wait_between(0.2 * longest_s, longest_s, now)
-
-    def _wait_between(self, shortest_s: float, longest_s: float, now: float) -> None:
+    def _wait(self, seconds: float, now: float) -> None:
         self._phase = Phase.WAITING
-        self._set_timer(now + self._rng.uniform(shortest_s, longest_s))
+        self._set_timer(now + seconds)
 
     def _fail_with(self, code: ErrorCode, message: str) -> None:
         error = ErrorReport(code, message, self._ran, self._cfg.retry_after_s)
@@ -402,10 +363,10 @@
     # Time.
 
     def _take_timer(self, now: float) -> None:
-        if self._paused:
+        if self._alarm.paused:
             self._leave_attempt()
             self._fail_with(ErrorCode.CANCELLED, "the caller stopped reading")
-        elif now >= self._limit_at:
+        elif now >= self._alarm.limit_at:
             self._expire()
         elif self._phase is Phase.WAITING:
             self._begin_attempt(now)
@@ -423,19 +384,17 @@
         self._fail_with(ErrorCode.DEADLINE_EXCEEDED, "the deadline has passed")
 
     def _pause(self, now: float) -> None:
-        self._limit_at = max(self._limit_at, now + self._cfg.caller_stall_s)
-        self._set_timer(now + self._cfg.caller_stall_s)
-        self._paused = True
+        give_up_at = now + self._cfg.caller_stall_s
+        self._alarm.extend(give_up_at)
+        self._set_timer(give_up_at)
+        self._alarm.paused = True
 
     def _resume(self, now: float) -> None:
-        self._paused = False
+        self._alarm.paused = False
         self._set_timer(now + self._stall_s)
 
     def _set_timer(self, at: float) -> None:
-        if self._paused:
-            return
-        self._timer += 1
-        self._out.append(SetTimer(self._timer, min(at, self._limit_at)))
+        self._out += self._alarm.set(at)
 
 
 def _has_valid_total(frame: Frame) -> bool:
--- a/src/pomeloshift/attempts/_registry.py
+++ b/src/pomeloshift/attempts/_registry.py
@@ -123,7 +123,7 @@
             if req.next_sequence < record.first_kept:
                 return AttemptEndedError("the asked part of the answer is not kept")
             return None
-        if req.join_only:
+        if req.join_only or req.next_sequence > 0:
             return self._refuse_unknown(req, now)
         return self._refuse_start(req, now)
 
--- a/tests/test_attempts_online.py
+++ b/tests/test_attempts_online.py
@@ -165,6 +165,21 @@
     assert driver.only(Complete)
 
 
+def test_accepted_attempt_is_never_started_anew_by_a_restarted_sidecar():
+    driver = Driver()
+    driver.accept()
+    driver.frame(0, b"a")
+    driver.lose()
+    assert driver.last.request.join_only
+    driver.refuse(ErrorCode.ATTEMPT_UNKNOWN, Ran.UNKNOWN)
+    driver.wait()
+    assert driver.last.request.attempt_id == "r.2"
+    assert driver.last.request.next_sequence == 0
+    driver.accept()
+    driver.frame(0, b"b")
+    assert driver.delivered == b"a"
+
+
 def test_gap_in_the_stream_is_fetched_again():
     driver = Driver()
     driver.accept()
--- a/tests/test_attempts_registry.py
+++ b/tests/test_attempts_registry.py
@@ -46,6 +46,12 @@
     assert asked.error.ran is Ran.UNKNOWN
 
 
+def test_answer_is_never_begun_in_its_middle(registry):
+    opened = registry.open(order(next_sequence=3), 0.0)
+    assert (opened.kind, opened.error.ran) == (OpenedKind.REFUSED, Ran.UNKNOWN)
+    assert registry.running == ()
+
+
 def test_full_list_of_refused_ids_is_never_answered_with_not_run():
     registry = AttemptRegistry(RegistryConfig(max_ids=2), incarnation=1)
     answers = [
