--- a/src/pomeloshift/batch/_owner.py
+++ b/src/pomeloshift/batch/_owner.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+import attrs
+
 from ..log import Record
 from ..wire import ItemOutcome, ItemPull, LeaseRelease
 from ._chooser import ChoiceRules, ChosenItem, ItemQueues, choose_items
@@ -75,6 +77,7 @@
         self._tries: dict[tuple[str, int], int] = {}
         self._resumes = ResumeStore(settings.resume_bytes)
         self._withdrawals: list[Record] = []
+        self._crash_told_at: dict[str, float] = {}
         self._silent: dict[tuple[str, int], list[Lease]] = {}
 
     @property
@@ -134,6 +137,10 @@
             tuple(leases), start.records + claims, self._cancelled_leases(pull)
         )
 
+    def holds_suspect(self, instance: str) -> bool:
+        """Tells whether a sidecar holds an item that has to run alone."""
+        return any(lease.is_alone for lease in self._leases.of_instance(instance))
+
     @property
     def choices(self) -> tuple[ItemQueues, set[str]]:
         """The queues to choose from and the jobs that are being cancelled."""
@@ -179,6 +186,12 @@
         lease.phase = LeasePhase.SETTLING
         return [withdrawal_record(lease.job_id, lease.index, lease_id)]
 
+    def crash_told(self, instance: str, now: float) -> None:
+        """Notes that a sidecar told of its engine's crash."""
+        self._crash_told_at[instance] = now
+        while len(self._crash_told_at) > self.settings.remembered_pulls:
+            del self._crash_told_at[next(iter(self._crash_told_at))]
+
     def heard(self, instance: str, incarnation: int, now: float) -> None:
         """Notes that a sidecar is alive.
 
@@ -244,13 +257,17 @@
     ) -> list[Record]:
         """Strikes the items that ran on a backend server that was lost.
 
-        Leases of an incarnation later than the one given stay.
+        Leases of an incarnation later than the one given stay, and so do those that
+        a living sidecar got after it had told of its engine's crash itself.
         """
         self._now = now
+        told_at = self._crash_told_at.pop(instance, None)
         lost = [
             lease
             for lease in self._leases.of_instance(instance)
-            if lease.incarnation <= incarnation and lease.phase is LeasePhase.RUNNING
+            if lease.incarnation <= incarnation
+            and lease.phase is LeasePhase.RUNNING
+            and (told_at is None or lease.granted_at < told_at)
         ]
         records = self._strike_all(lost, True, now, wall)
         for key in [key for key in self._silent if key[0] == instance]:
@@ -398,7 +415,10 @@
         self, job: JobState, index: int, lease_id: str, instance: str, incarnation: int
     ) -> None:
         expires_at = self._now + self.settings.lease_s
-        lease = Lease(lease_id, job.job_id, index, instance, incarnation, expires_at)
+        is_alone = index in job.strikes
+        lease = Lease(
+            lease_id, job.job_id, index, instance, incarnation, expires_at, is_alone
+        )
         self._leases.add(lease)
         queue = self._queues.get(job.job_id)
         if queue is not None:
@@ -434,6 +454,7 @@
             index in job.strikes,
             LeasePhase.RUNNING if job.is_repeatable else LeasePhase.CLAIMING,
             pull.nonce,
+            now,
         )
         self._leases.add(lease)
         return lease
@@ -544,6 +565,8 @@
     chosen: list[list[ChosenItem]] = [[] for _ in owners]
     may_choose = rules.may_grant and all(start.answer is None for start in starts)
     if may_choose:
+        if any(owner.holds_suspect(pull.instance) for owner in owners):
+            rules = attrs.evolve(rules, may_be_suspect=False)
         choices = [owner.choices for owner in owners]
         for item in choose_items(choices, order, pull, now, rules):
             chosen[item.position].append(item)
