Send the silent connection's traffic through the relay for certain

Cause: a sidecar's heartbeat names its own address, which goes before the list's, so that the relay was passed by in one of two runs. Change: the sidecar advertises the relay's host.

--- a/tests/processes/relay.py
+++ b/tests/processes/relay.py
@@ -8,14 +8,13 @@
     Silent connections stay open at both ends and carry nothing; new ones work.
     """
 
-    def __init__(self, target):
-        host, port = target.rsplit(":", 1)
-        self._target = (host, int(port))
+    def __init__(self, address, target_host):
+        host, port = address.rsplit(":", 1)
+        self._target = (target_host, int(port))
         self._silent = set()
         self._open = []
         self._lock = threading.Lock()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        self._listener = socket.create_server((host, int(port)))
         self.dropped = 0
         threading.Thread(target=self._accept, daemon=True).start()
 
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -14,6 +14,7 @@
 STEP_S = 0.05
 TOKENS = 60
 ANSWER_LIMIT_S = 60.0
+RELAY_HOST = "127.0.0.2"
 
 
 def chat(number, **more):
@@ -130,10 +131,9 @@
 def test_answer_survives_a_connection_that_goes_silent(fleet):
     fleet.start_entry()
     fleet.start_engine("engine-1", step_base_s=STEP_S)
-    fleet.start_sidecar("vezi-lm-1", "engine-1")
-    relay = Relay(fleet.addresses["vezi-lm-1"])
+    fleet.start_sidecar("vezi-lm-1", "engine-1", advertised_host=RELAY_HOST)
+    relay = Relay(fleet.addresses["vezi-lm-1"], "127.0.0.1")
     try:
-        fleet._list("vezi-lm-1", "backend_server", relay.address, "", "vezi-lm")
         fleet.publish()
         fleet.wait_until(lambda: ready_servers(fleet) == 1)
         stream = Stream(fleet, 4)
