Leave the leases of a lost engine to its living sidecar

Cause: when an engine died, entries struck every lease of its instance, also those that the sidecar still held back; with two owners, after a take-over, innocents got two. Ruled out: the lane, which gives unstarted streams back without a strike; the owners' rule of one suspect at a time, which holds for each owner. Change: the loss of an engine alone is left to its sidecar's own word; leases are only taken for lost when the sidecar is silent or started anew. Conclusion: strikes come from whoever saw the stream run.

--- a/src/pomeloshift/entry/_fleet_observer.py
+++ b/src/pomeloshift/entry/_fleet_observer.py
@@ -10,6 +10,7 @@
     FleetView,
     MemberLost,
     MembershipTiming,
+    MemberState,
     StateChanged,
 )
 from ..model import Instance, InstanceRole, InstanceState
@@ -130,6 +131,8 @@
     def _take(self, effects: Sequence[FleetEffect]) -> None:
         for effect in effects:
             match effect:
+                case MemberLost() if self._speaks_for_itself(effect):
+                    logger.warning("event=engine_lost instance={}", effect.name)
                 case MemberLost():
                     logger.warning("event=instance_lost instance={}", effect.name)
                     self._listener.instance_lost(effect.name, effect.incarnation)
@@ -139,3 +142,14 @@
                         effect.name,
                         effect.state.value,
                     )
+
+    def _speaks_for_itself(self, lost: MemberLost) -> bool:
+        """Whether only the engine was lost.
+
+        Its sidecar then reports what the engine ran and gives back what it had not
+        started; taking all of its leases for lost would strike the latter as well.
+        """
+        member = self._view.get(lost.name)
+        if member is None or member.incarnation != lost.incarnation:
+            return False
+        return member.state is not MemberState.GONE and not member.engine_alive
