--- a/src/pomeloshift/admission/_observer.py
+++ b/src/pomeloshift/admission/_observer.py
@@ -23,6 +23,7 @@
         pace: PaceGoal,
     ) -> None:
         self.gap_s = 0.0
+        self._same_step_s = SAME_STEP_S
         self.step_count = 0
         self.read_step = 0
         self._roster = roster
@@ -36,9 +37,11 @@
 
     def adds_only(self, stream: Stream, tokens: int, now: float) -> bool:
         """Counts tokens of a step that was observed already; `False` for others."""
+        # Written out because it runs for every token.
+        step_at = self._step_at
         if self._is_new_step or stream.phase is not Phase.DECODING:
             return False
-        if self._begins_step(stream, now):
+        if stream.last_token_at >= step_at or now - step_at > self._same_step_s:
             return False
         stream.tokens += tokens
         stream.last_token_at = now
@@ -64,7 +67,7 @@
         """Tells steps apart: a stream gets tokens once a step, all at about a time."""
         if stream.phase is Phase.DECODING and stream.last_token_at >= self._step_at:
             return True
-        return now - self._step_at > max(SAME_STEP_S, SAME_STEP_SHARE * self.gap_s)
+        return now - self._step_at > self._same_step_s
 
     def _on_step(self, gap_s: float) -> None:
         if gap_s > LONGEST_GAP_S:
@@ -73,6 +76,7 @@
         self._steps.observe(gap_s, self._sequences, reading or self._was_reading)
         self._was_reading = reading
         self.gap_s += GAP_SHARE * (gap_s - self.gap_s)
+        self._same_step_s = max(SAME_STEP_S, SAME_STEP_SHARE * self.gap_s)
         online = len(self._roster.online_decoding)
         if online:
             self._pace.observe(gap_s, online)
--- a/src/pomeloshift/bench/policy/_bench.py
+++ b/src/pomeloshift/bench/policy/_bench.py
@@ -1,6 +1,7 @@
 """Runs admission and its baselines over one trace."""
 
 import math
+from bisect import bisect_left
 from collections.abc import Callable
 from random import Random
 
@@ -21,7 +22,7 @@
 BEST_FIXED_LIMIT = "best_fixed_limit"
 OURS = "ours"
 FIXED_LIMITS = (8, 16, 24, 32, 40, 48, 56, 64, 80)
-SWEEP_S = 30.0
+SWEEP_S = 150.0
 SAMPLED_ITEMS = 2000
 
 
@@ -84,14 +85,16 @@
 def best_fixed_limit(bench: "_Bench", load_fraction: float, duration_s: float) -> int:
     """Returns the largest fixed limit that meets both online targets.
 
-    If none does, the smallest one is returned.
+    Harm grows with the limit, so halving finds it. If no limit meets the targets,
+    the smallest one is returned.
     """
     trace = bench.draw(load_fraction, duration_s)
-    for limit in reversed(FIXED_LIMITS):
-        measures = bench.measure(trace, lambda: FixedLimit(limit))  # noqa: B023
-        if bench.meets_targets(measures):
-            return limit
-    return FIXED_LIMITS[0]
+
+    def misses_targets(limit: int) -> bool:
+        return not bench.meets_targets(bench.measure(trace, lambda: FixedLimit(limit)))
+
+    first_miss = bisect_left(FIXED_LIMITS, True, key=misses_targets)
+    return FIXED_LIMITS[max(0, first_miss - 1)]
 
 
 def find_load_rate(deployment: BenchDeployment, seeds: tuple[int, ...]) -> float:
