Stamp load reports and reach the load tool and the batch bench from the command line

Cause: routers correct late reports only if reports say when they were made; two tools had no command. Change: the sidecar stamps its reports; pomeloshift load and pomeloshift bench batch. Before: lag correction without effect in processes.

--- a/src/pomeloshift/cli/_bench.py
+++ b/src/pomeloshift/cli/_bench.py
@@ -70,6 +70,17 @@
 
         sys.exit(run_command(seed=seed, pairs=pairs, json=json))
 
+    def batch(self, items: int = 88_000, json: bool = False) -> None:
+        """Measures the state of a large job and the appends of its completions.
+
+        Args:
+            items: number of items of the job.
+            json: print one JSON object in place of a table.
+        """
+        from ..bench.batch import run_command
+
+        sys.exit(run_command(items=items, json=json))
+
     def control(self, json: bool = False) -> None:
         """Measures the cost of control work by role.
 
--- a/src/pomeloshift/cli/_commands.py
+++ b/src/pomeloshift/cli/_commands.py
@@ -105,6 +105,31 @@
 
         drain(name, wait, entry, token)
 
+    def load(
+        self,
+        target: str,
+        rate: float = 10.0,
+        seconds: float = 10.0,
+        seed: int = 1,
+        key: str = "",
+        model: str = "",
+        json: bool = False,
+    ) -> None:
+        """Sends requests to a running entry at random times of a given rate.
+
+        Args:
+            target: URL of the entry.
+            rate: requests a second.
+            seconds: length of the load in seconds.
+            seed: seed of the times and the prompts.
+            key: caller's key.
+            model: model to ask.
+            json: print one JSON object in place of a table.
+        """
+        from ..load import run_command
+
+        sys.exit(run_command(target, rate, seconds, seed, key, model, json))
+
     def demo(self, json: bool = False, seed: int = 1) -> None:
         """Runs a whole deployment in one process and checks every promise.
 
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+import attrs
 from loguru import logger
 from twisted.internet.task import deferLater
 
@@ -210,12 +211,16 @@
             self._incarnation,
             self._sequence,
             self._config.version,
-            _sum_loads([lane.load() for lane in self._lanes], self._sequence),
+            self._load(),
             draining=self.is_draining,
             engine_alive=self._engine_alive,
             running=self._puller.running_leases,
         )
 
+    def _load(self) -> LoadReport:
+        load = _sum_loads([lane.load() for lane in self._lanes], self._sequence)
+        return attrs.evolve(load, made_at_s=self._clock.monotonic())
+
     def _offer_config(self, document: ConfigDocument) -> None:
         if not self._config.offer(document.version, document.document):
             return
