--- a/src/pomeloshift/bench/policy/_deployment.py
+++ b/src/pomeloshift/bench/policy/_deployment.py
@@ -46,9 +46,9 @@
 class BenchDeployment:
     """Places with their engines, and what their callers send.
 
-    ``engines`` names one place for each engine. ``load_rate`` is the highest mean
-    arrival rate, in requests a second, at which the fleet of speed 1 meets the
-    online targets without batch work; `find_load_rate` works it out. Latencies are
+    ``engines`` names one place for each engine. ``load_rate`` is a mean arrival rate,
+    in requests a second, about 5% below the highest that `find_load_rate` finds to
+    meet the online targets on the fleet of speed 1 without batch work. Latencies are
     one-way, in seconds.
     """
 
