Name the loss of an engine, so that each crash counts once and no two count as one

Ruled out: the spread between entries, which takes at most 0.5 s before a resend. Change: the sidecar numbers the losses of its engine and says so with the error; the loss of a whole instance is named by its incarnation. Conclusion: a name made where the crash is seen needs no window.

--- a/src/pomeloshift/attempts/_effects.py
+++ b/src/pomeloshift/attempts/_effects.py
@@ -77,10 +77,14 @@
 
 @attrs.frozen
 class ServerFailed:
-    """A backend server did not do its part of an attempt."""
+    """A backend server did not do its part of an attempt.
+
+    ``incident`` is the sidecar's name of a crash, empty if it could not tell one.
+    """
 
     instance: Instance
     fault: ServerFault
+    incident: str = ""
 
 
 OnlineEffect = (
--- a/src/pomeloshift/attempts/_online_request.py
+++ b/src/pomeloshift/attempts/_online_request.py
@@ -241,9 +241,9 @@
             instance = self._target.instance
             self._out.append(AbandonAttempt(instance, self.attempt_id))
 
-    def _report_server(self, fault: ServerFault) -> None:
+    def _report_server(self, fault: ServerFault, incident: str = "") -> None:
         assert self._target is not None
-        self._out.append(ServerFailed(self._target.instance, fault))
+        self._out.append(ServerFailed(self._target.instance, fault, incident))
 
     def _suspect(self, now: float) -> None:
         """Stops a run that may crash its server, to repeat it as a suspect."""
@@ -328,7 +328,7 @@
         if _may_have_crashed(error):
             fault = ServerFault.CRASHED
         if fault is not None:
-            self._report_server(fault)
+            self._report_server(fault, error.incident)
         if fault is ServerFault.CRASHED and self._plan.crashed():
             self._finish_failed(error)
             return
--- a/src/pomeloshift/entry/online/_run.py
+++ b/src/pomeloshift/entry/online/_run.py
@@ -27,8 +27,6 @@
 from ._ledger import Ledger
 from ._sidecar_client import SidecarClient
 
-CRASH_WINDOW_S = 10.0
-
 
 class Run:
     """Carries a request to its end and keeps router and suspects informed."""
@@ -145,10 +143,14 @@
             return
         self._router.mark_suspect(name, self._now())
         if effect.fault is ServerFault.CRASHED:
-            crash = f"{name}/{int(self._clock.wall() / CRASH_WINDOW_S)}"
+            crash = effect.incident or self._name_of_loss(name)
             self._suspects.crashed(self._order.fingerprint, crash, self._now())
         self._ledger.close()
 
+    def _name_of_loss(self, name: str) -> str:
+        """Names the loss of a whole instance, alike at all entries."""
+        return f"{name}/{self._router.incarnation(name)}"
+
     def _log_failure(self, error: ErrorReport) -> None:
         logger.info(
             "event=request_failed request={} code={} ran={}",
--- a/src/pomeloshift/errors/_report.py
+++ b/src/pomeloshift/errors/_report.py
@@ -13,12 +13,15 @@
     """Describes one failure to another process or to a caller.
 
     ``retry_after_s`` is in seconds and is `None` where a retry would not help.
+    ``incident`` names the loss of an engine, alike for all that it ran; callers do
+    not see it.
     """
 
     code: ErrorCode
     message: str
     ran: Ran = Ran.UNKNOWN
     retry_after_s: float | None = None
+    incident: str = ""
 
     def as_json(self) -> dict[str, Any]:
         """Returns the body of the error answer that callers receive."""
--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -77,8 +77,11 @@
         clock: Clock,
         sleep: Callable[[float], Awaitable[None]],
         on_state: Callable[[], None] = lambda: None,
+        incarnation: int = 0,
     ) -> None:
         self.name = name
+        self._incarnation = incarnation
+        self._losses = 0
         self._engine = engine
         self._admission = admission
         self._batch = batch
@@ -200,10 +203,13 @@
             self._mark_down()
             self._turn_away(run)
             return
+        report = error.report()
         if isinstance(error, EngineLostError):
             self._mark_down()
+            incident = f"{self.name}/{self._incarnation}/{self._losses}"
+            report = attrs.evolve(report, incident=incident)
         self._end(run)
-        run.work.fail(error.report())
+        run.work.fail(report)
 
     def _turn_away(self, run: _Run) -> None:
         """Ends a stream that an engine which is down has not seen."""
@@ -219,6 +225,7 @@
         if self._is_down or self._closed:
             return
         self._is_down = True
+        self._losses += 1
         logger.warning("event=engine_down engine={}", self.name)
         self._on_state()
         spawn(self._wait_until_up())
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -185,6 +185,7 @@
                 self._clock,
                 self._sleep,
                 self._on_engine_state,
+                self._incarnation,
             )
             for engine in engines
         ]
