Split the engine lane: health and stream state have modules of their own

Cause: the lane had grown to 317 lines and did three jobs. Change: EngineHealth follows an engine from its loss to its return, StreamRun holds the state of one stream; behaviour is the same. Conclusion: one concept a module.

--- a/src/pomeloshift/sidecar/_engine_lane.py
+++ b/src/pomeloshift/sidecar/_engine_lane.py
@@ -29,11 +29,11 @@
 from ..net._loops import spawn
 from ._engine_client import EngineClient
 from ._engine_errors import EngineLostError, EngineRefusedError
+from ._engine_health import EngineHealth
 from ._engine_types import EngineEnd
+from ._stream_run import StreamRun
 from ._work import Work
 
-ENGINE_POLL_S = 0.25
-
 
 class BatchSource(Protocol):
     """Where a lane asks for batch work."""
@@ -42,25 +42,6 @@
         """Notes that the lane has room for batch work."""
 
 
-@attrs.define
-class _Run:
-    """What the lane knows of one stream.
-
-    ``cancelled`` gives the engine's resume token once a cancel was answered. A run
-    is parked when the engine knows it no more and admission has not resumed it.
-    """
-
-    work: Work
-    resume: bytes = b""
-    at_engine: bool = False
-    withdrawn: bool = False
-    taken_back: bool = False
-    resume_wanted: bool = False
-    releasing: bool = False
-    cancelled: Deferred[bytes] | None = None
-    stopped: Deferred[None] | None = None
-
-
 class EngineLane:
     """The streams of one engine.
 
@@ -80,22 +61,17 @@
         incarnation: int = 0,
     ) -> None:
         self.name = name
-        self._incarnation = incarnation
-        self._losses = 0
         self._engine = engine
         self._admission = admission
         self._batch = batch
         self._clock = clock
-        self._sleep = sleep
-        self._on_state = on_state
-        self._runs: dict[str, _Run] = {}
-        self._is_down = False
-        self._closed = False
+        self._health = EngineHealth(name, incarnation, engine, sleep, on_state)
+        self._runs: dict[str, StreamRun] = {}
 
     @property
     def is_down(self) -> bool:
         """Whether the engine was lost and has not answered since."""
-        return self._is_down
+        return self._health.is_down
 
     @property
     def is_idle(self) -> bool:
@@ -107,13 +83,12 @@
         return self._admission.load(self._clock.monotonic())
 
     async def check(self) -> None:
-        """Asks whether the engine answers, and waits until it does."""
-        if not self._is_down and not await self._engine.alive():
-            self._mark_down()
+        """Asks whether the engine answers."""
+        await self._health.check()
 
     async def close(self) -> None:
         """Closes the connections to the engine."""
-        self._closed = True
+        self._health.close()
         await self._engine.close()
 
     def configure(self, service: ServiceConfig) -> None:
@@ -122,7 +97,7 @@
 
     def offer(self, work: Work, resume: bytes = b"") -> None:
         """Takes new work; admission decides when it runs."""
-        self._runs[work.stream_id] = _Run(work, resume)
+        self._runs[work.stream_id] = StreamRun(work, resume)
         self._tell(work.offer(self._clock.monotonic()))
 
     def withdraw(self, stream_id: str) -> None:
@@ -152,7 +127,7 @@
 
     def _carry_out(self, effect: AdmissionEffect) -> None:
         if isinstance(effect, BatchWanted):
-            if self._is_down:
+            if self._health.is_down:
                 return
             self._batch.want(self, effect.tokens, effect.items)
             return
@@ -174,9 +149,9 @@
                 del self._runs[run.work.stream_id]
                 run.work.fail(effect.error)
 
-    async def _run(self, run: _Run) -> None:
+    async def _run(self, run: StreamRun) -> None:
         """Runs a stream to its end, with every taking back and resuming between."""
-        if self._is_down:
+        if self._health.is_down:
             self._turn_away(run)
             return
         run.at_engine = True
@@ -197,21 +172,20 @@
         if run.stopped is not None:
             run.stopped.callback(None)
 
-    def _take_failure(self, run: _Run, error: PomeloshiftError) -> None:
+    def _take_failure(self, run: StreamRun, error: PomeloshiftError) -> None:
         run.at_engine = False
         if isinstance(error, EngineRefusedError) and error.status == 0:
-            self._mark_down()
+            self._health.mark_down()
             self._turn_away(run)
             return
         report = error.report()
         if isinstance(error, EngineLostError):
-            self._mark_down()
-            incident = f"{self.name}/{self._incarnation}/{self._losses}"
-            report = attrs.evolve(report, incident=incident)
+            self._health.mark_down()
+            report = attrs.evolve(report, incident=self._health.incident)
         self._end(run)
         run.work.fail(report)
 
-    def _turn_away(self, run: _Run) -> None:
+    def _turn_away(self, run: StreamRun) -> None:
         """Ends a stream that an engine which is down has not seen."""
         if self._runs.pop(run.work.stream_id, None) is None:
             return
@@ -221,24 +195,7 @@
         else:
             run.work.fail(_down_error())
 
-    def _mark_down(self) -> None:
-        if self._is_down or self._closed:
-            return
-        self._is_down = True
-        self._losses += 1
-        logger.warning("event=engine_down engine={}", self.name)
-        self._on_state()
-        spawn(self._wait_until_up())
-
-    async def _wait_until_up(self) -> None:
-        while not self._closed and not await self._engine.alive():
-            await self._sleep(ENGINE_POLL_S)
-        self._is_down = False
-        if not self._closed:
-            logger.info("event=engine_up engine={}", self.name)
-            self._on_state()
-
-    async def _run_once(self, run: _Run) -> EngineEnd | PomeloshiftError:
+    async def _run_once(self, run: StreamRun) -> EngineEnd | PomeloshiftError:
         stream_id = run.work.stream_id
         run.taken_back = False
         run.cancelled = None
@@ -257,7 +214,7 @@
         except PomeloshiftError as exc:
             return exc
 
-    async def _park(self, run: _Run, was_closed_cleanly: bool) -> None:
+    async def _park(self, run: StreamRun, was_closed_cleanly: bool) -> None:
         """Keeps the progress of a stream that was taken back.
 
         The engine closes a stream only after every token that its resume token
@@ -269,18 +226,18 @@
             run.work.restart()
         run.at_engine = run.resume_wanted and not run.withdrawn
 
-    def _resume(self, run: _Run) -> None:
+    def _resume(self, run: StreamRun) -> None:
         if run.at_engine:
             run.resume_wanted = not run.releasing
         elif not run.releasing:
             spawn(self._run(run))
 
-    def _end(self, run: _Run) -> None:
+    def _end(self, run: StreamRun) -> None:
         run.at_engine = False
         self._runs.pop(run.work.stream_id, None)
         self._tell(StreamEnded(run.work.stream_id))
 
-    async def _release(self, run: _Run) -> None:
+    async def _release(self, run: StreamRun) -> None:
         run.releasing = True
         run.taken_back = True
         run.resume_wanted = False
@@ -292,7 +249,7 @@
             self._tell(StreamEnded(run.work.stream_id))
             run.work.release(run.resume)
 
-    def _cancel(self, run: _Run) -> None:
+    def _cancel(self, run: StreamRun) -> None:
         if run.cancelled is None:
             run.cancelled = spawn(self._cancel_at_engine(run.work.stream_id))
 
