Take the log's retention from an entry's settings; let the policy bench be set

Change: log_retention_s is a setting of entries; upkeep and checkpoints follow from it, in the bench of faults as in processes. bench policy takes load, duration, lag, speeds. Before: the bench patched the entry's parts. Conclusion: a log with another retention is a matter of settings.

--- a/src/pomeloshift/bench/faults/_world.py
+++ b/src/pomeloshift/bench/faults/_world.py
@@ -25,8 +25,6 @@
 )
 from ...entry import _entry as entry_module
 from ...entry._entry import Entry
-from ...entry.batch import BatchSettings, JobService
-from ...entry.config import ConfigService, ConfigTiming
 from ...log import LogExpiredError
 from ...model import Instance, InstanceState, Place
 from ...net._serve import serve
@@ -59,7 +57,6 @@
 LIST_LAG_S = 0.5
 STEP_S = 0.04
 LONG_RETENTION_S = 86400.0
-UPKEEP_S = 2.0
 
 
 @attrs.define
@@ -151,6 +148,7 @@
             control_port=0,
             partitions=PARTITIONS,
             drain_linger_s=1.0,
+            log_retention_s=self.retention_s,
         )
         listed: Any = SimList(self.live_list, process)
         log = SimLog(self.log, process, self.watch)
@@ -328,15 +326,13 @@
     """Puts the carriers of virtual time in the place of pynng for a while.
 
     Bodies of HTTP requests are produced by twisted's one cooperator, which needs the
-    virtual clock too. The entries are told how long the log keeps records.
+    virtual clock too.
     """
     history = world.history
     schedule: Any = partial(world.clock.callLater, 0)
     cooperator = Cooperator(scheduler=schedule)
     client = type("Client", (SimControlClient,), {"switch": world.switch})
     server = type("Server", (SimControlServer,), {"switch": world.switch})
-    batch = BatchSettings(log_retention_s=world.retention_s, upkeep_s=UPKEEP_S)
-    timing = ConfigTiming(checkpoint_s=world.retention_s / 4)
     sink = logger.add(
         lambda message: history.unexpected.append(_summary(message.record)),
         level="ERROR",
@@ -345,12 +341,6 @@
         with (
             patch.object(entry_module, "ControlClient", client),
             patch.object(entry_module, "ControlServer", server),
-            patch.object(
-                entry_module, "JobService", partial(JobService, settings=batch)
-            ),
-            patch.object(
-                entry_module, "ConfigService", partial(ConfigService, timing=timing)
-            ),
             patch.object(sidecar_module, "ControlClient", client),
             patch.object(task, "_theCooperator", cooperator),
         ):
--- a/src/pomeloshift/cli/_bench.py
+++ b/src/pomeloshift/cli/_bench.py
@@ -12,6 +12,10 @@
         seed: int = 1,
         json: bool = False,
         plot: str | None = None,
+        load: float = 0.6,
+        duration: float = 600.0,
+        lag: float = 0.5,
+        speeds: tuple[float, ...] = (1.0,),
     ) -> None:
         """Measures batch throughput and harm to online latency by policy.
 
@@ -20,10 +24,17 @@
             seed: seed of the trace.
             json: print one JSON object in place of a table.
             plot: path of an SVG file to draw to.
+            load: online load as a share of what the fleet carries within target.
+            duration: simulated seconds.
+            lag: age in seconds of the engines' reports.
+            speeds: speeds of the engines in turn, 1 for the usual one.
         """
         from ..bench.policy import run_command
 
-        sys.exit(run_command(deployment=deployment, seed=seed, json=json, plot=plot))
+        code = run_command(
+            deployment, seed, json, plot, load, duration, tuple(speeds), lag
+        )
+        sys.exit(code)
 
     def routing(self, seed: int = 1, json: bool = False) -> None:
         """Compares routing rules under stale and missing reports.
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -33,7 +33,7 @@
 from ._metered_log import MeteredLog
 from ._peer_exchange import PeerExchange
 from ._root import PrefixRoot
-from .batch import FilesAndBatches, JobService
+from .batch import BatchSettings, FilesAndBatches, JobService
 from .burn import BurnPeers, BurnService, RequestAccount
 from .calls import CallClaimer
 from .config import ConfigService, ConfigTiming
@@ -44,6 +44,10 @@
 FLEET_TICK_S = 0.25
 CONFIG_PULL_TIMEOUT_S = 2.0
 DRAIN_POLL_S = 0.05
+MAX_UPKEEP_S = 60.0
+UPKEEP_SHARE = 0.05
+MAX_CHECKPOINT_S = 600.0
+CHECKPOINT_SHARE = 0.25
 SECRET_BITS = 256
 RECORD_ID_BITS = 64
 
@@ -86,6 +90,7 @@
             lambda: self.config.current,
             settings.partitions,
             settings.internal_key,
+            _batch_settings(settings),
         )
         self.fleet = FleetObserver(
             live_list, self._router, clock, lambda: self.instance, self.jobs
@@ -99,7 +104,7 @@
             settings.place.region,
             self.fleet.entries,
             pull=self._pull_config,
-            timing=ConfigTiming(poll_s=settings.config_poll_s),
+            timing=_config_timing(settings),
         )
         self.auth = Authenticator(lambda: self.config.current)
         self.burn = BurnService(
@@ -308,3 +313,14 @@
         )
         pull = ConfigPull(self.config.version)
         return await self._control.ask(address, pull, CONFIG_PULL_TIMEOUT_S)
+
+
+def _batch_settings(settings: EntrySettings) -> BatchSettings:
+    retention_s = settings.log_retention_s
+    upkeep_s = min(MAX_UPKEEP_S, retention_s * UPKEEP_SHARE)
+    return BatchSettings(log_retention_s=retention_s, upkeep_s=upkeep_s)
+
+
+def _config_timing(settings: EntrySettings) -> ConfigTiming:
+    checkpoint_s = min(MAX_CHECKPOINT_S, settings.log_retention_s * CHECKPOINT_SHARE)
+    return ConfigTiming(poll_s=settings.config_poll_s, checkpoint_s=checkpoint_s)
--- a/src/pomeloshift/settings/_entry.py
+++ b/src/pomeloshift/settings/_entry.py
@@ -44,6 +44,11 @@
         default=0.5,
         validator=v.gt(0),
     )
+    log_retention_s: float = setting(
+        "time for which the log service keeps records, above 0",
+        default=86400.0,
+        validator=v.gt(0),
+    )
     config_poll_s: float = setting(
         "time between reads of the configuration stream, above 0",
         default=0.5,
