Tell a caller that closes in mid-request so, with a typed error

Cause: a caller that closed its side before its request was whole got no answer at all. Ruled out: answering callers that close later; nothing tells them from callers that are gone, whose attempts have to be given up. Change: the channel answers 400 invalid_request with ran: no and closes; both early refusals share one function. Before: an empty answer.

--- a/src/pomeloshift/net/_serve.py
+++ b/src/pomeloshift/net/_serve.py
@@ -5,10 +5,13 @@
 from typing import Any
 
 import attrs
+import msgspec
 from twisted.internet.defer import maybeDeferred
+from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.web.http import HTTPChannel
 from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
+from zope.interface import implementer
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
 
@@ -23,30 +26,51 @@
     ran = Ran.NO
 
 
+class RequestCutError(PomeloshiftError):
+    """The caller closed its side before the whole request had arrived."""
+
+    code = ErrorCode.INVALID_REQUEST
+    ran = Ran.NO
+
+
 class MemoryRequest(Request):
     """A request whose body is kept in memory, because instances have no disk."""
 
+    is_received = False
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Prepares to receive a body of ``length`` bytes."""
         self.content = BytesIO()
         if length is not None and length > MAX_BODY_BYTES:
             self._refuse(length)
 
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Notes that the whole request is here and handles it."""
+        self.is_received = True
+        super().requestReceived(command, path, version)
+
     def _refuse(self, length: int) -> None:
         error = BodyTooLargeError(
             f"the body has {length} bytes; at most {MAX_BODY_BYTES} are accepted"
         )
-        import msgspec
-
-        body = msgspec.json.encode(error.report().as_json())
-        channel: Any = self.channel
-        channel.transport.write(
-            b"HTTP/1.1 413 Content Too Large\r\n"
-            b"Content-Type: application/json\r\n"
-            b"Connection: close\r\n"
-            b"Content-Length: " + str(len(body)).encode() + b"\r\n\r\n" + body
-        )
-        channel.transport.loseConnection()
+        _answer_and_close(self.channel, b"413 Content Too Large", error)
+
+
+def _answer_and_close(channel: Any, status: bytes, error: PomeloshiftError) -> None:
+    """Answers a request that cannot be handled and closes its connection."""
+    body = msgspec.json.encode(error.report().as_json())
+    lines = [
+        b"HTTP/1.1 " + status,
+        b"Content-Type: application/json",
+        b"Connection: close",
+        b"Content-Length: " + str(len(body)).encode(),
+        b"",
+        body,
+    ]
+    channel.transport.write(b"\r\n".join(lines))
+    channel.transport.loseConnection()
 
 
 @attrs.define
@@ -76,8 +100,13 @@
                 transport.abortConnection()
 
 
+@implementer(IHalfCloseableProtocol)
 class _TrackedChannel(HTTPChannel):
-    """Keeps a site's set of open channels up to date."""
+    """Keeps a site's set of open channels up to date.
+
+    A caller that closes its side in the middle of a request is told so; one that
+    does so later has gone, since nothing tells it from a caller that closed both.
+    """
 
     channels: set[HTTPChannel]
 
@@ -89,6 +118,21 @@
         self.channels.discard(self)
         super().connectionLost(reason)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        request: Any = self.requests[-1] if self.requests else None
+        if request is None or request.is_received:
+            self._abort()
+            return
+        error = RequestCutError("the request ended before it was whole")
+        _answer_and_close(self, b"400 Bad Request", error)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        self._abort()
+
+    def _abort(self) -> None:
+        transport: Any = self.transport
+        transport.abortConnection()
+
 
 def serve(reactor: Any, resource: IResource, host: str, port: int = 0) -> Listener:
     """Serves ``resource`` on ``host`` and returns the listener.
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -1,3 +1,6 @@
+import json
+import socket
+
 from twisted.web.resource import Resource
 
 from pomeloshift.net._serve import serve
@@ -8,3 +11,39 @@
     run_async(listener.stop_accepting())
     run_async(listener.stop())
     run_async(listener.stop())
+
+
+def exchange(address, data):
+    """Sends bytes, closes the sending side and returns all that comes back."""
+    host, port = address.split(":")
+    with socket.create_connection((host, int(port)), timeout=60) as conn:
+        conn.sendall(data)
+        conn.shutdown(socket.SHUT_WR)
+        received = b""
+        while data := conn.recv(65536):
+            received += data
+    return received
+
+
+def test_caller_that_closes_in_mid_request_gets_a_typed_error(
+    reactor, run_async, run_blocking
+):
+    listener = serve(reactor, Resource(), "127.0.0.1")
+    head = b"POST /v1/files HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n"
+    answer = run_blocking(exchange, listener.address, head + b"only a part")
+    body = json.loads(answer.partition(b"\r\n\r\n")[2])
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    assert body["error"]["code"] == "invalid_request"
+    assert body["error"]["ran"] == "no"
+    run_async(listener.stop())
+
+
+def test_body_over_the_limit_is_refused_before_it_arrives(
+    reactor, run_async, run_blocking
+):
+    listener = serve(reactor, Resource(), "127.0.0.1")
+    head = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999\r\n\r\n"
+    answer = run_blocking(exchange, listener.address, head)
+    assert answer.startswith(b"HTTP/1.1 413 ")
+    assert b'"body_too_large"' in answer
+    run_async(listener.stop())
