List all commands in the help; drive the whole path with the openai client

Change: the help lists groups and commands; separate processes are driven with the unmodified openai client (models, chat streamed and not, completions, an unknown model), and their logs are searched for the three keys. Before: an empty help. Conclusion: what a person types first now answers.

--- a/src/pomeloshift/cli/_main.py
+++ b/src/pomeloshift/cli/_main.py
@@ -18,7 +18,7 @@
     from ._commands import Commands
 
     try:
-        fire.Fire(Commands, name="pomeloshift")
+        fire.Fire(Commands(), name="pomeloshift")
     except PomeloshiftError as exc:
         print(f"error {exc.code.value}: {exc.message}", file=sys.stderr)
         sys.exit(EXIT_FAILURE)
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,5 +1,10 @@
+import openai
+import pytest
+
 from pomeloshift.standins.engine import expected_answer
 
+from .fleet import KEY
+
 
 def chat(number=1, **more):
     message = {"role": "user", "content": f"which tension for seam {number}"}
@@ -24,3 +29,33 @@
     assert status == 503
     assert answer["error"]["ran"] == "no"
     assert entry.stop() == 0
+
+    logged = "".join(line for program in fleet.programs for line in program.lines)
+    assert "event=config_applied" in logged
+    for secret in (KEY, fleet.caller_key, fleet.operator_token):
+        assert secret not in logged
+
+
+def test_openai_client_drives_models_chat_and_completions(fleet):
+    fleet.start_entry()
+    fleet.start_engine("engine-1")
+    fleet.start_sidecar("vezi-lm-1", "engine-1")
+    fleet.publish()
+    fleet.wait_until(lambda: "vezi-lm-1" in fleet.command("status"))
+    url = f"http://{fleet.addresses['entry-1']}/v1"
+    with openai.OpenAI(base_url=url, api_key=fleet.caller_key) as client:
+        assert "vezi-lm" in [model.id for model in client.models.list()]
+        expected = expected_answer(chat())
+        whole = client.chat.completions.create(**chat())
+        assert whole.choices[0].message.content == expected
+        assert whole.usage.completion_tokens > 0
+        pieces = client.chat.completions.create(**chat(stream=True))
+        deltas = [c.choices[0].delta.content or "" for c in pieces if c.choices]
+        assert "".join(deltas) == expected
+        prompt = {"model": "vezi-lm", "prompt": "which thread", "max_tokens": 8}
+        text = client.completions.create(**prompt).choices[0].text
+        assert text == expected_answer(prompt)
+        with pytest.raises(openai.NotFoundError) as caught:
+            client.chat.completions.create(model="none", messages=chat()["messages"])
+    assert caught.value.body["code"] == "unknown_model"
+    assert caught.value.body["ran"] == "no"
