Move what both roles serve out of the entry's package

Cause: the sidecar imported private modules of the entry for its health, its dispatch by path and a missing key; one error class was used nowhere. Change: these modules live in net; the unused class is gone. Conclusion: roles import from net, not from each other.

--- a/src/pomeloshift/entry/_auth.py
+++ b/src/pomeloshift/entry/_auth.py
@@ -5,25 +5,11 @@
 from typing import TypeVar
 
 from ..config import ApiKeyConfig, Configuration, OperatorKeyConfig, digest_key
-from ..errors import ErrorCode, PomeloshiftError, Ran
+from ..net._auth_errors import UnauthenticatedError
 
 BEARER_PREFIX = "Bearer "
 
 
-class UnauthenticatedError(PomeloshiftError):
-    """The request carries no valid key."""
-
-    code = ErrorCode.UNAUTHENTICATED
-    ran = Ran.NO
-
-
-class ForbiddenError(PomeloshiftError):
-    """The key does not allow this request."""
-
-    code = ErrorCode.FORBIDDEN
-    ran = Ran.NO
-
-
 class Authenticator:
     """Checks keys of the form ``<key id>.<secret>`` against the configuration.
 
--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -17,9 +17,11 @@
 from ..net import Clock
 from ..net._control_client import ControlClient
 from ..net._control_server import ControlServer
+from ..net._health import HealthApi
 from ..net._list_client import LiveListClient
 from ..net._log_client import LogClient
 from ..net._loops import Loops, spawn
+from ..net._prefix_root import PrefixRoot
 from ..net._serve import Listener, serve
 from ..routing import Router, RouterConfig
 from ..settings import EntrySettings
@@ -29,10 +31,8 @@
 from ._collector import EntryCollector
 from ._control_handler import ControlHandler
 from ._fleet_observer import FleetObserver
-from ._health import HealthApi
 from ._metered_log import MeteredLog
 from ._peer_exchange import PeerExchange
-from ._root import PrefixRoot
 from .batch import BatchSettings, FilesAndBatches, JobService
 from .burn import BurnPeers, BurnService, RequestAccount
 from .calls import CallClaimer
--- /dev/null
+++ b/src/pomeloshift/net/_auth_errors.py
@@ -0,0 +1,10 @@
+"""The failure of a request without a valid key."""
+
+from ..errors import ErrorCode, PomeloshiftError, Ran
+
+
+class UnauthenticatedError(PomeloshiftError):
+    """The request carries no valid key."""
+
+    code = ErrorCode.UNAUTHENTICATED
+    ran = Ran.NO
--- a/src/pomeloshift/entry/_health.py
+++ b/src/pomeloshift/net/_health.py
@@ -1,4 +1,4 @@
-"""Health and readiness of an entry, and its metrics."""
+"""Health and readiness of a process, and its metrics."""
 
 from collections.abc import Callable
 from typing import Any
@@ -7,18 +7,18 @@
 from twisted.web.server import Request
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
-from ..net._http import answers_errors, respond_json
+from ._http import answers_errors, respond_json
 
 
 class NotReadyError(PomeloshiftError):
-    """The entry must not be sent requests now."""
+    """The process must not be sent requests now."""
 
     code = ErrorCode.NOT_READY
     ran = Ran.NO
 
 
 class PathNotFoundError(PomeloshiftError):
-    """No interface of the entry has this path."""
+    """No interface of the process has this path."""
 
     code = ErrorCode.NOT_FOUND
     ran = Ran.NO
@@ -55,7 +55,7 @@
     @app.route("/readyz", methods=["GET"])
     @answers_errors
     async def ready(self, req: Request) -> bytes:
-        """Answers 200 if the balancer may send requests, 503 otherwise."""
+        """Answers 200 if requests may be sent here, 503 otherwise."""
         reason = self._unready_reason()
         if reason:
             raise NotReadyError(reason, retry_after_s=1.0)
--- a/src/pomeloshift/entry/_root.py
+++ b/src/pomeloshift/net/_prefix_root.py
@@ -1,4 +1,4 @@
-"""Dispatches requests to the entry's interfaces by the first parts of the path."""
+"""Dispatches requests to interfaces by the first parts of the path."""
 
 from collections.abc import Mapping
 from typing import Any
--- a/src/pomeloshift/sidecar/_attempts_resource.py
+++ b/src/pomeloshift/sidecar/_attempts_resource.py
@@ -10,10 +10,10 @@
 from twisted.web.server import Request
 
 from ..attempts import AttemptRegistry, OpenedKind
-from ..entry._auth import UnauthenticatedError
 from ..errors import ErrorReport
 from ..errors._error import HTTP_STATUS_BY_CODE
 from ..net import Clock
+from ..net._auth_errors import UnauthenticatedError
 from ..net._http import answers_errors, read_body
 from ..wire import AttemptRequest, Frame, WireError, encode_frame
 
--- a/src/pomeloshift/sidecar/_sidecar.py
+++ b/src/pomeloshift/sidecar/_sidecar.py
@@ -11,8 +11,6 @@
 from ..admission import Admission, AdmissionConfig
 from ..attempts import AttemptRegistry
 from ..config import ConfigHolder, ServiceConfig, ServiceKind
-from ..entry._health import HealthApi
-from ..entry._root import PrefixRoot
 from ..errors import ErrorCode, ErrorReport, Ran
 from ..membership import (
     Drain,
@@ -25,8 +23,10 @@
 from ..model import Instance, InstanceRole, LoadReport
 from ..net import Clock
 from ..net._control_client import ControlClient
+from ..net._health import HealthApi
 from ..net._list_client import LiveListClient
 from ..net._loops import Loops, spawn
+from ..net._prefix_root import PrefixRoot
 from ..net._serve import Listener, serve
 from ..settings import SidecarSettings
 from ..wire import AttemptRequest, ConfigDocument, SidecarReport
