--- a/src/pomeloshift/bench/control/_idle_role.py
+++ b/src/pomeloshift/bench/control/_idle_role.py
@@ -108,7 +108,7 @@
     from twisted.internet.defer import Deferred
 
     logger.remove()
-    reactor = install_reactor()
+    reactor = install_reactor(with_tls=False)
 
     def begin() -> None:
         running = Deferred.fromCoroutine(_run(reactor, role))
