Hand the claims' upkeep to the loop as it is

Cause: the entry wrapped a coroutine in a deferred, which Loops.repeat does itself. Change: the wrapper is gone; behaviour is the same. Conclusion: one place starts the turns of loops.

--- a/src/pomeloshift/entry/_entry.py
+++ b/src/pomeloshift/entry/_entry.py
@@ -5,7 +5,6 @@
 
 import attrs
 from loguru import logger
-from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
 from ..admin import AdminApi, AuditLog, OperatorGate
@@ -186,7 +185,7 @@
         self.config.on_change(self._apply_config)
         self.config.start()
         self._loops.repeat(
-            lambda: Deferred.fromCoroutine(self._claimer.keep(self.jobs.owns)),
+            lambda: self._claimer.keep(self.jobs.owns),
             self.jobs.settings.upkeep_s,
         )
         self._loops.repeat(self.fleet.read_list, LIST_INTERVAL_S)
