Keep bodies and outputs of items apart from the job log

After all processes are killed each entry reads the newest records of the job log; with bodies and outputs in it, three entries across a 15 Mbit/s link asked for megabytes, timed out and asked again, so nobody got it. Ruled out: the store itself (entries of its region read it in 50 ms). Change: keyed.blobs holds bodies and outputs, read on demand; the log holds references.

--- a/src/pomeloshift/gateway/_batch_front.py
+++ b/src/pomeloshift/gateway/_batch_front.py
@@ -3,12 +3,12 @@
 from typing import Any
 
 import attrs
-from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.defer import CancelledError, Deferred, gatherResults
 
 from ..direct import Route
 from ..errors import PomeloshiftError, Ran
 from ..http1 import Exchange
-from ..jobs import Item, Job, JobEnded, JobSubmitted, Result
+from ..jobs import BlobRef, Job, JobEnded, JobSubmitted, NewItem, Result
 from ..net._loops import spawn
 from ..platform import (
     FrontRequest,
@@ -19,8 +19,10 @@
     decode_items,
     encode_results,
 )
+from ._blob_store import BlobStore
 from ._events import EventLog
 from ._job_log import JobLog
+from ._log_writer import LogAwayError, LogTimeoutError
 from ._refusal import answer_json, refuse
 from ._timing import MAX_HOLD_S, RESULTS_FRESH_S, SUBMIT_WAIT_S
 
@@ -30,15 +32,29 @@
 RETRY_AFTER_S = 0.3
 
 
+# An append without an answer takes effect within some seconds or never.
+RESERVATION_S = 10.0
+
+
+@attrs.frozen
+class _Reservation:
+    """Tokens of a job whose record may be on its way into the log."""
+
+    queue: str
+    tokens: int
+    made_at: float
+
+
 @attrs.define
 class BatchFront:
     """Accepts jobs and serves reads of their results from the folded log."""
 
     log: JobLog
+    blobs: BlobStore
     events: EventLog
     reactor: Any
     clock: Any
-    _reserved: dict[str, int] = attrs.field(factory=dict)
+    _reserved: dict[str, _Reservation] = attrs.field(factory=dict)
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
 
     def submit(self, exchange: Exchange, req: FrontRequest, route: Route) -> None:
@@ -106,7 +122,7 @@
             return
         queue = queue_name(route)
         tokens = sum(item.tokens for item in items)
-        waiting = self.log.book.waiting_tokens(queue) + self._reserved.get(queue, 0)
+        waiting = self._waiting_tokens(queue)
         if route.queue_token_cap and waiting + tokens > route.queue_token_cap:
             self.events.info(
                 "job_refused",
@@ -117,17 +133,52 @@
             )
             refuse(exchange, 429, route.job_deadline_s / 4)
             return
-        self._reserved[queue] = self._reserved.get(queue, 0) + tokens
+        self._reserved[req.id] = _Reservation(queue, tokens, self.clock.monotonic())
         try:
-            await self.log.append_within(self._record(req, queue, items), SUBMIT_WAIT_S)
-        finally:
-            self._reserved[queue] -= tokens
+            await self._keep(req, queue, items)
+        except LogAwayError:
+            del self._reserved[req.id]
+            raise
         self._accepted(exchange, req, "new", len(items))
 
+    def _waiting_tokens(self, queue: str) -> int:
+        """Returns a queue's waiting tokens, with those of jobs not folded yet."""
+        now = self.clock.monotonic()
+        book = self.log.book
+        self._reserved = {
+            job_id: reservation
+            for job_id, reservation in self._reserved.items()
+            if job_id not in book.jobs and now - reservation.made_at < RESERVATION_S
+        }
+        reserved = (r.tokens for r in self._reserved.values() if r.queue == queue)
+        return book.waiting_tokens(queue) + sum(reserved)
+
+    async def _keep(
+        self, req: FrontRequest, queue: str, items: tuple[NewItem, ...]
+    ) -> None:
+        """Keeps the bodies, and then the job, which refers to them."""
+        until = self.clock.monotonic() + SUBMIT_WAIT_S
+        try:
+            refs = await self.blobs.put(
+                req.id, [item.body for item in items], SUBMIT_WAIT_S
+            )
+        except LogTimeoutError as exc:
+            # Bodies that no job refers to have no effect.
+            raise LogAwayError(exc.message) from exc
+        record = self._record(req, queue, items, refs)
+        await self.log.append_within(record, until - self.clock.monotonic())
+
     def _record(
-        self, req: FrontRequest, queue: str, items: tuple[Item, ...]
+        self,
+        req: FrontRequest,
+        queue: str,
+        items: tuple[NewItem, ...],
+        bodies: list[BlobRef],
     ) -> JobSubmitted:
-        rows = [(i.id, i.path, list(i.headers), i.body, i.tokens) for i in items]
+        rows = [
+            (item.id, item.path, list(item.headers), body, item.tokens)
+            for item, body in zip(items, bodies, strict=True)
+        ]
         wall = self.clock.wall()
         return JobSubmitted(req.id, queue, req.host, req.path, wall, rows)
 
@@ -160,9 +211,16 @@
             self._unknown(exchange, call.job_id)
             return
         results = _page(job.results[call.position :])
-        body = encode_results(len(job.items), call.position, results)
+        texts = await gatherResults(
+            [Deferred.fromCoroutine(self._text(r)) for r in results]
+        )
+        rows = list(zip(results, texts, strict=True))
+        body = encode_results(len(job.items), call.position, rows)
         answer_json(exchange, 200, body)
 
+    async def _text(self, result: Result) -> bytes:
+        return b"" if result.text is None else await self.blobs.get(result.text)
+
     @staticmethod
     def _may_come(job: Job, position: int) -> bool:
         return len(job.results) <= position and job.is_open
@@ -200,8 +258,9 @@
         if item is None:
             self._unknown(exchange, call.job_id)
             return
+        body = await self.blobs.get(item.body)
         headers = [(b"Content-Type", b"application/octet-stream")]
-        exchange.respond(200, headers, item.body)
+        exchange.respond(200, headers, body)
 
     async def _find(self, job_id: str) -> Job | None:
         """Returns a job; makes sure that the log does not hold it before None."""
@@ -230,7 +289,7 @@
     """Returns the first results that fit into one answer, at least one."""
     size = 0
     for number, result in enumerate(results):
-        size += len(result.text)
+        size += result.text.size if result.text is not None else 0
         if size > PAGE_BYTES and number > 0:
             return results[:number]
     return results
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -13,7 +13,6 @@
     ItemPolicy,
     ItemProgress,
     ItemSettled,
-    Job,
     Progress,
     WorkItem,
     WorkQueue,
@@ -21,11 +20,19 @@
 from ..net._loops import Loops, spawn
 from ._batch_front import queue_name
 from ._batch_places import BatchPlaces
+from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._item_run import ItemRun, RunEnd
 from ._job_log import JobLog
-from ._timing import BATCH_TICK_S, ITEM_RETRY_S, ITEM_RUN_S, PROBE_S
+from ._timing import (
+    BATCH_TICK_S,
+    HAND_OVER_WAIT_S,
+    ITEM_RETRY_S,
+    ITEM_RUN_S,
+    KEEP_WAIT_S,
+    PROBE_S,
+)
 
 # Weight of a new measurement of how long an item runs.
 SMOOTHING = 0.1
@@ -42,6 +49,7 @@
 
     access: EngineAccess
     log: JobLog
+    blobs: BlobStore
     queue: WorkQueue
     config: ConfigHolder
     places: BatchPlaces
@@ -153,13 +161,7 @@
 
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = (work.job.id, work.index)
-        known = work.job.progress.get(work.index)
-        progress = self._progress.get(key)
-        if known is not None and (
-            progress is None or known.event_id > progress.event_id
-        ):
-            progress = known
-        run = ItemRun(self.access, work, engine, progress)
+        run = ItemRun(self.access, self.blobs, work, engine, self._progress.get(key))
         self.places.started(engine, self.access.now())
         self.queue.running.add(key)
         self._runs[key] = run
@@ -174,6 +176,10 @@
         except CancelledError:
             self._keep_progress(key, run)
             raise
+        except PomeloshiftError as exc:
+            self.events.warn("item_not_run", id=item.id, why=exc.message)
+            self.queue.defer(run.work.job, run.work.index, self.access.now() + 1.0)
+            return
         finally:
             self._runs.pop(key, None)
             self._tasks.pop(key, None)
@@ -211,7 +217,7 @@
             self._settle(run.work, False, b"")
             return
         if after is AfterRun.COUNT_FAILURE:
-            self._append(ItemFailed(job.id, index))
+            spawn(self.log.append_within(ItemFailed(job.id, index), KEEP_WAIT_S))
         self.queue.defer(job, index, self.access.now() + ITEM_RETRY_S)
 
     def _settle(self, work: WorkItem, is_done: bool, text: bytes) -> None:
@@ -219,17 +225,21 @@
         self._progress.pop(key, None)
         # Until the log has it, the item counts as running.
         self.queue.running.add(key)
-        done = self._append(ItemSettled(work.job.id, work.index, is_done, text))
+        done = spawn(self._keep_result(work, is_done, text))
         done.addBoth(lambda _: self.queue.running.discard(key))
 
-    def _append(self, record: Any) -> Deferred[None]:
-        done = self.log.append(record).done
-        done.addErrback(self._note_append_failed)
-        return done
+    async def _keep_result(self, work: WorkItem, is_done: bool, text: bytes) -> None:
+        """Keeps an item's output, and then the record that lists it."""
+        ref = None
+        if is_done:
+            (ref,) = await self.blobs.put(work.job.id, [text], KEEP_WAIT_S)
+        record = ItemSettled(work.job.id, work.index, is_done, ref)
+        await self.log.append_within(record, KEEP_WAIT_S)
 
-    def _note_append_failed(self, failure: Any) -> None:
-        failure.trap(PomeloshiftError)
-        self.events.warn("record_lost", why=failure.value.message)
+    async def _keep_handed_over(self, key: Key, progress: Progress) -> None:
+        (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OVER_WAIT_S)
+        record = ItemProgress(key[0], key[1], progress.event_id, ref)
+        await self.log.append_within(record, HAND_OVER_WAIT_S)
 
     def _keep_progress(self, key: Key, run: ItemRun) -> None:
         if run.progress is not None and run.work.index in run.work.job.pending:
@@ -241,7 +251,7 @@
             task.cancel()
         progress = self._progress.pop(key, None)
         if progress is not None:
-            self._append(ItemProgress(key[0], key[1], progress.event_id, progress.text))
+            spawn(self._keep_handed_over(key, progress))
 
     def _stop_ended(self) -> None:
         for key, run in list(self._runs.items()):
@@ -272,13 +282,18 @@
             age_s = now - job.accepted_at
             if age_s < self.status_s + FORGET_MARGIN_S or job.is_open:
                 continue
-            if self._is_owner(job):
+            if self.queue.owns(job):
                 self.events.info("job_forgotten", id=job.id, age_s=age_s)
                 del self.log.book.jobs[job.id]
-                self.log.remove(job.keys)
+                self.log.remove(job.keys).addErrback(self._note_removal_failed)
+                removals = self.blobs.remove_keys(job.blobs())
+                self.blobs.writer.append(removals).done.addErrback(
+                    self._note_removal_failed
+                )
 
-    def _is_owner(self, job: Job) -> bool:
-        return self.queue.owns(job)
+    def _note_removal_failed(self, failure: Any) -> None:
+        failure.trap(PomeloshiftError)
+        self.events.warn("removal_failed", why=failure.value.message)
 
 
 def _events_done(run: ItemRun) -> int:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -34,12 +34,15 @@
     read_batch_call,
     read_front_request,
 )
+from . import _blob_store, _job_log
 from ._batch_front import BatchFront
 from ._batch_loop import BatchLoop
 from ._batch_places import BatchPlaces
+from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._job_log import JobLog
+from ._log_writer import LogWriter
 from ._online import OnlineService
 from ._refusal import refuse
 from ._sleep import sleep
@@ -102,14 +105,27 @@
         )
         self._access = access
         self._online = OnlineService(access, events)
+        self._blobs = BlobStore(
+            self._store,
+            self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
+            self._incarnation,
+            settings.store.record_bytes,
+        )
         self._log = JobLog(
-            self._store, settings.store, self._incarnation, reactor, clock, events
+            self._store,
+            self._writer(_job_log.TOPIC, _job_log.PARTITION),
+            self._incarnation,
+            settings.store.record_bytes,
+            reactor,
+            clock,
+            events,
         )
-        self._batch = BatchFront(self._log, events, reactor, clock)
+        self._batch = BatchFront(self._log, self._blobs, events, reactor, clock)
         self._log.on_change = self._batch.job_changed
         self._work = BatchLoop(
             access,
             self._log,
+            self._blobs,
             WorkQueue(settings.store.partitions),
             self._config,
             BatchPlaces(),
@@ -138,6 +154,21 @@
         self._front = HttpListener(reactor, clock, self._handle, max_front)
         self._ready = HttpListener(reactor, clock, self._answer_ready, SIDE_CONNECTIONS)
 
+    def _writer(self, topic: str, partition: int) -> LogWriter:
+        return LogWriter(
+            topic,
+            partition,
+            self._store,
+            self._incarnation,
+            self._settings.store.call_bytes,
+            self._reactor,
+            self._events,
+        )
+
+    @property
+    def _has_unwritten(self) -> bool:
+        return self._log.writer.has_unwritten or self._blobs.writer.has_unwritten
+
     def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
         return TopicFollower(
             topic, 0, self._store, self._reactor, self._clock, self._events, handlers
@@ -154,7 +185,7 @@
         self._pool.start()
         self._config_follower.start()
         self._engine_follower.start()
-        self._log.start()
+        self._log.follower.start()
         self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
         self._loops.repeat(self._join, JOIN_S)
         self._work.start(self._loops)
@@ -176,7 +207,7 @@
         while self._clock.monotonic() < last:
             await sleep(self._reactor, DRAIN_TICK_S)
             is_out = self._clock.monotonic() - began > LEAVE_ROTATION_S
-            is_idle = self._online.open_requests == 0 and not self._log.has_unwritten
+            is_idle = self._online.open_requests == 0 and not self._has_unwritten
             if is_out and is_idle:
                 break
         self._events.info(
@@ -190,9 +221,14 @@
         self._front.close_idle()
         await sleep(self._reactor, DRAIN_TICK_S)
         self._loops.stop()
-        for follower in (self._config_follower, self._engine_follower):
+        for follower in (
+            self._config_follower,
+            self._engine_follower,
+            self._log.follower,
+        ):
             follower.stop()
-        self._log.stop()
+        self._log.writer.stop()
+        self._blobs.writer.stop()
         await self._front.stop()
         await self._ready.stop()
         self._pool.stop()
@@ -205,7 +241,7 @@
     async def _leave_work(self) -> None:
         self._is_leaving_work = True
         self._work.stop()
-        while self._log.has_unwritten:
+        while self._has_unwritten:
             await sleep(self._reactor, DRAIN_TICK_S)
         await self._store.leave(WORK_GROUP, self._incarnation)
 
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -9,6 +9,7 @@
 from ..http1 import CallTimeoutError, ConnectError, End, Lost
 from ..jobs import Progress, WorkItem
 from ..platform import is_stamped, item_request, proves_not_run
+from ._blob_store import BlobStore
 from ._engine_access import EngineAccess, EngineRun
 from ._timing import BATCH_STALL_S
 
@@ -30,6 +31,7 @@
     """
 
     access: EngineAccess
+    blobs: BlobStore
     work: WorkItem
     engine: Engine
     progress: Progress | None
@@ -40,6 +42,8 @@
     async def run(self) -> RunEnd:
         """Runs the item and returns how that ended."""
         item = self.work.job.items[self.work.index]
+        await self._load_progress()
+        body = await self.blobs.get(item.body)
         head = item_request(
             self.work.job.host,
             item.path,
@@ -49,7 +53,7 @@
             self.progress.event_id if self.progress else None,
         )
         try:
-            run = await self.access.send(self.engine, head, item.body, True)
+            run = await self.access.send(self.engine, head, body, True)
         except ConnectError as exc:
             self.access.note_failed(self.engine, exc.message, item.id)
             return RunEnd.NOT_RUN
@@ -62,6 +66,14 @@
         finally:
             run.close()
 
+    async def _load_progress(self) -> None:
+        """Takes over the progress that another entry kept, if it is further."""
+        kept = self.work.job.progress.get(self.work.index)
+        known = self.progress.event_id if self.progress else 0
+        if kept is not None and kept.event_id > known:
+            text = await self.blobs.get(kept.text)
+            self.progress = Progress(kept.event_id, text)
+
     async def _receive(self, run: EngineRun) -> RunEnd:
         event: Any = await run.next(BATCH_STALL_S)
         if isinstance(event, Lost):
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -14,6 +14,11 @@
 RESULTS_FRESH_S = 0.4
 # How long a caller's submission waits for the log, of the four seconds it has.
 SUBMIT_WAIT_S = 1.6
+# A finished item is held while the store is away, for longer than an outage lasts;
+# after this it is run again.
+KEEP_WAIT_S = 60.0
+# Progress that is handed over is only useful until the next owner has begun anew.
+HAND_OVER_WAIT_S = 3.0
 # How long one long poll of a caller may be held.
 MAX_HOLD_S = 1.0
 
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -1,11 +1,13 @@
 """Batch jobs whose state is folded from the platform's log."""
 
-from ._fragments import Assembler, split
-from ._item import Item, ItemState, Result
+from ._blob_ref import BlobRef
+from ._fragments import Assembler, base_key, split
+from ._item import Item, ItemState, NewItem, Result
 from ._item_outcome import AfterRun, ItemPolicy
-from ._job import Job, Progress
+from ._job import Job, KeptProgress
 from ._job_book import JobBook
 from ._ownership import partition_of
+from ._progress import Progress
 from ._records import (
     ItemFailed,
     ItemProgress,
@@ -21,6 +23,7 @@
 __all__ = [
     "AfterRun",
     "Assembler",
+    "BlobRef",
     "Item",
     "ItemFailed",
     "ItemPolicy",
@@ -32,10 +35,13 @@
     "JobEnded",
     "JobRecord",
     "JobSubmitted",
+    "KeptProgress",
+    "NewItem",
     "Progress",
     "Result",
     "WorkItem",
     "WorkQueue",
+    "base_key",
     "decode_record",
     "encode_record",
     "partition_of",
--- /dev/null
+++ b/src/pomeloshift/jobs/_blob_ref.py
@@ -0,0 +1,21 @@
+"""Where a blob is kept."""
+
+import msgspec
+
+from ._fragments import KEY_SEPARATOR
+
+
+class BlobRef(msgspec.Struct, array_like=True, frozen=True):
+    """The key of a blob, the offset of its first record, and its size in bytes.
+
+    ``parts`` is the number of records that hold it.
+    """
+
+    key: str
+    offset: int
+    size: int
+    parts: int
+
+    def fragment_keys(self) -> list[str]:
+        """Returns the keys of the records that hold the blob."""
+        return [f"{self.key}{KEY_SEPARATOR}{n}" for n in range(self.parts)]
--- a/src/pomeloshift/jobs/_item.py
+++ b/src/pomeloshift/jobs/_item.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ._blob_ref import BlobRef
+
 
 class ItemState(Enum):
     """How an item ended."""
@@ -16,6 +18,17 @@
 class Item:
     """A request to be run later; ``tokens`` are its prompt and most output tokens."""
 
+    id: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: BlobRef
+    tokens: int
+
+
+@attrs.frozen
+class NewItem:
+    """An item as a caller submits it, with its body."""
+
     id: str
     path: str
     headers: tuple[tuple[str, str], ...]
@@ -25,8 +38,8 @@
 
 @attrs.frozen
 class Result:
-    """What became of an item; ``text`` is its whole output if it is done."""
+    """What became of an item; ``text`` says where its output is if it is done."""
 
     item_id: str
     state: ItemState
-    text: bytes
+    text: BlobRef | None
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -2,15 +2,16 @@
 
 import attrs
 
+from ._blob_ref import BlobRef
 from ._item import Item, ItemState, Result
 
 
 @attrs.frozen
-class Progress:
-    """An unfinished item's output up to and with the event ``event_id``."""
+class KeptProgress:
+    """Where an unfinished item's output up to the event ``event_id`` is kept."""
 
     event_id: int
-    text: bytes
+    text: BlobRef
 
 
 @attrs.define(eq=False)
@@ -31,7 +32,7 @@
     results: list[Result] = attrs.field(factory=list)
     keys: list[str] = attrs.field(factory=list)
     failures: dict[int, int] = attrs.field(factory=dict)
-    progress: dict[int, Progress] = attrs.field(factory=dict)
+    progress: dict[int, KeptProgress] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
 
@@ -44,7 +45,7 @@
         """Whether items are still to be run."""
         return not self.is_ended and bool(self.pending)
 
-    def settle(self, index: int, state: ItemState, text: bytes) -> bool:
+    def settle(self, index: int, state: ItemState, text: BlobRef | None) -> bool:
         """Lists an item's result; returns whether it had none before."""
         if index not in self.pending:
             return False
@@ -55,11 +56,17 @@
         self.results.append(Result(item.id, state, text))
         return True
 
-    def note_progress(self, index: int, event_id: int, text: bytes) -> None:
+    def note_progress(self, index: int, event_id: int, text: BlobRef) -> None:
         """Keeps the furthest progress of an unfinished item."""
         known = self.progress.get(index)
         if index in self.pending and (known is None or known.event_id < event_id):
-            self.progress[index] = Progress(event_id, text)
+            self.progress[index] = KeptProgress(event_id, text)
+
+    def blobs(self) -> list[BlobRef]:
+        """Returns all blobs that the job's records refer to."""
+        refs = [item.body for item in self.items]
+        refs += [result.text for result in self.results if result.text is not None]
+        return refs + [progress.text for progress in self.progress.values()]
 
     def item_by_id(self, item_id: str) -> Item | None:
         """Returns an item, or None."""
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -8,12 +8,15 @@
 
 import msgspec
 
+from ._blob_ref import BlobRef
+
 
 class JobSubmitted(msgspec.Struct, tag="job", array_like=True):
     """A job was accepted, unless an earlier record has accepted it.
 
     ``queue`` names the route's host and prefix; ``submitted_at`` is wall time in
-    seconds; each of ``items`` is an id, a path, headers, a body and a token count.
+    seconds; each of ``items`` is an id, a path, headers, where its body is and its
+    tokens.
     """
 
     job_id: str
@@ -21,16 +24,19 @@
     host: str
     path: str
     submitted_at: float
-    items: list[tuple[str, str, list[tuple[str, str]], bytes, int]]
+    items: list[tuple[str, str, list[tuple[str, str]], BlobRef, int]]
 
 
 class ItemSettled(msgspec.Struct, tag="settled", array_like=True):
-    """An item ended; the first such record of an item counts."""
+    """An item ended; the first such record of an item counts.
+
+    ``text`` says where the output of an item that is done is kept.
+    """
 
     job_id: str
     index: int
     is_done: bool
-    text: bytes
+    text: BlobRef | None
 
 
 class ItemFailed(msgspec.Struct, tag="failed", array_like=True):
@@ -46,7 +52,7 @@
     job_id: str
     index: int
     event_id: int
-    text: bytes
+    text: BlobRef
 
 
 class JobEnded(msgspec.Struct, tag="ended", array_like=True):
--- a/src/pomeloshift/net/_loops.py
+++ b/src/pomeloshift/net/_loops.py
@@ -1,11 +1,11 @@
 """Functions that a process runs again and again."""
 
-from asyncio import CancelledError
+from asyncio import CancelledError as AsyncioCancelledError
 from collections.abc import Callable
 from typing import Any
 
 from loguru import logger
-from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.defer import CancelledError, Deferred, maybeDeferred
 from twisted.internet.task import LoopingCall
 
 from ..errors import PomeloshiftError
@@ -82,7 +82,7 @@
 
 
 def _log_failure(failure: Any, name: str) -> None:
-    if failure.check(CancelledError):
+    if failure.check(CancelledError, AsyncioCancelledError):
         return
     if failure.check(PomeloshiftError):
         logger.warning(
--- a/src/pomeloshift/platform/_errors.py
+++ b/src/pomeloshift/platform/_errors.py
@@ -32,14 +32,17 @@
 
 
 class SequenceError(PomeloshiftError):
-    """An append does not follow its producer's last one."""
+    """An append does not follow its producer's last one.
+
+    ``expected`` is the number that would, if the store tells it.
+    """
 
     code = ErrorCode.FENCED
     ran = Ran.NO
 
-    def __init__(self, message: str, reason: str) -> None:
+    def __init__(self, message: str, expected: int | None) -> None:
         super().__init__(message)
-        self.reason = reason
+        self.expected = expected
 
 
 class HistoryLostError(PomeloshiftError):
--- a/src/pomeloshift/platform/_job_bodies.py
+++ b/src/pomeloshift/platform/_job_bodies.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from ..jobs import Item, ItemState, Result
+from ..jobs import ItemState, NewItem, Result
 from ._errors import MalformedError
 
 
@@ -26,12 +26,12 @@
 STATE_NAMES = {ItemState.DONE: "completed", ItemState.DEAD: "dead_letter"}
 
 
-def decode_items(body: bytes) -> tuple[Item, ...]:
+def decode_items(body: bytes) -> tuple[NewItem, ...]:
     """Returns the items of a submitted job; raises `MalformedError`."""
     try:
         wire = _DECODER.decode(body)
         return tuple(
-            Item(
+            NewItem(
                 item.id,
                 item.path,
                 tuple(item.headers.items()),
@@ -44,11 +44,13 @@
         raise MalformedError(f"the job cannot be read: {exc}") from exc
 
 
-def encode_results(total: int, position: int, results: Sequence[Result]) -> bytes:
-    """Returns the answer to a read of a job's results."""
+def encode_results(
+    total: int, position: int, results: Sequence[tuple[Result, bytes]]
+) -> bytes:
+    """Returns the answer to a read of a job's results, given with their texts."""
     rows = [
-        {"id": r.item_id, "state": STATE_NAMES[r.state], "text": r.text.decode()}
-        for r in results
+        {"id": r.item_id, "state": STATE_NAMES[r.state], "text": text.decode()}
+        for r, text in results
     ]
     # The next position to read; requests for tokens use the field for something else.
     following = position + len(rows)
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -128,20 +128,30 @@
         self._take(self._writes)
         answer = await self._call(b"POST", "/api/log-append", query, body, timeout_s)
         if answer.status == 409:
-            reason = str(decode_json(answer.body, "a refused append").get("why", ""))
-            raise SequenceError(f"append {sequence} of {producer}: {reason}", reason)
+            refusal = decode_json(answer.body, "a refused append")
+            raise SequenceError(
+                f"append {sequence} of {producer}: {refusal.get('why')}",
+                refusal.get("seq"),
+            )
         _check(answer)
         return int(decode_json(answer.body, "an append's answer")["offset"])
 
     async def read(
-        self, topic: str, partition: int, offset: int, wait_s: float
+        self,
+        topic: str,
+        partition: int,
+        offset: int,
+        wait_s: float,
+        max_kb: int | None = None,
     ) -> Page:
         """Returns the records of a keyed topic from ``offset`` on.
 
-        Waits up to ``wait_s`` for the first one. Raises `HistoryLostError` if they
-        are no longer kept.
+        Waits up to ``wait_s`` for the first one; ``max_kb`` bounds the answer. Raises
+        `HistoryLostError` if they are no longer kept.
         """
-        query = {"topic": topic, "part": partition, "from": offset}
+        query: dict[str, Any] = {"topic": topic, "part": partition, "from": offset}
+        if max_kb is not None:
+            query["maxKb"] = max_kb
         if wait_s > 0:
             query["waitMs"] = round(wait_s * 1000)
         self._take(self._reads)
