Tell other entries what is under way at each engine; make batch items give way

Each entry knew only its own work and loads some 350 ms old, so batch items were placed into the bursts and taken back late. Ruled out: the engines' queue limits (0 refused), the region link. Change: entries send each other their counts by datagram when they change; online requests go where fewest requests are, batch items only to free places, and the holders of an engine's batch items all rank themselves alike to give back what is too many.

--- a/src/pomeloshift/direct/__init__.py
+++ b/src/pomeloshift/direct/__init__.py
@@ -7,6 +7,7 @@
 from ._engine_load import EngineLoad
 from ._event_stream import EventSplitter, StreamEvent
 from ._fleet import LAPSE_GRACE_S, Fleet
+from ._peer_loads import NO_WORK, PeerLoads, Work
 from ._placement import Placement, PlacementConfig
 from ._retry_after import ReturnTimes
 from ._route import Route, RouteKind, Split
@@ -14,6 +15,7 @@
 
 __all__ = [
     "LAPSE_GRACE_S",
+    "NO_WORK",
     "AttemptPlan",
     "ConfigHolder",
     "Engine",
@@ -22,6 +24,7 @@
     "EventSplitter",
     "Fleet",
     "FrontLimits",
+    "PeerLoads",
     "Placement",
     "PlacementConfig",
     "ReturnTimes",
@@ -32,4 +35,5 @@
     "Split",
     "Step",
     "StreamEvent",
+    "Work",
 ]
--- a/src/pomeloshift/direct/_engine.py
+++ b/src/pomeloshift/direct/_engine.py
@@ -4,9 +4,10 @@
 
 from ._engine_entry import EngineEntry
 from ._engine_load import EngineLoad
+from ._peer_loads import NO_WORK, Work
 
-# A reported load is used for this long; reports are some hundred milliseconds old
-# when they arrive, and an online request holds a place for about as long as this.
+# A reported load is used for this long: about as long as an online request holds a
+# place.
 LOAD_VALID_S = 0.6
 
 
@@ -26,9 +27,10 @@
     failures: int = 0
     last_byte_at: float = float("-inf")
     rtt_s: float | None = None
+    peers: Work = NO_WORK
     _load: EngineLoad | None = None
     _load_at: float = float("-inf")
-    _own_at_load: int = 0
+    _known_at_load: int = 0
     _unanswered: dict[int, float] = attrs.field(factory=dict)
     _next_key: int = 0
 
@@ -49,27 +51,37 @@
 
     def note_load(self, load: EngineLoad, now: float) -> None:
         """Takes a load that the engine reported."""
-        self._load, self._load_at, self._own_at_load = load, now, self.own
+        self._load, self._load_at, self._known_at_load = load, now, self.known
 
     def load_age(self, now: float) -> float:
         """Returns the seconds since the engine last reported its load."""
         return now - self._load_at
 
+    @property
+    def known(self) -> int:
+        """Requests of this entry and of those that it hears from."""
+        return self.own + self.peers.online + self.peers.batch
+
     def occupancy(self, now: float) -> float:
         """Returns an estimate of the requests that run or wait there.
 
-        It is the last report, corrected by what this entry has begun and ended since;
-        an old report fades towards this entry's own work.
+        It is what entries tell of their work, and what the engine reported beyond
+        that, which fades as the report grows old.
         """
+        return self.known + self._unexplained(now)
+
+    def online_occupancy(self, now: float) -> float:
+        """Returns the same without batch items, which give way."""
+        return self.occupancy(now) - self.batch - self.peers.batch
+
+    def _unexplained(self, now: float) -> float:
         if self._load is None:
-            return float(self.own)
-        reported = self._load.running + self._load.waiting
-        estimate = max(self.own, reported + self.own - self._own_at_load)
+            return 0.0
         age = now - self._load_at
-        if age <= LOAD_VALID_S:
-            return float(estimate)
-        weight = LOAD_VALID_S / age
-        return weight * estimate + (1.0 - weight) * self.own
+        if age >= LOAD_VALID_S:
+            return 0.0
+        excess = self._load.running + self._load.waiting - self._known_at_load
+        return max(0, excess) * (1.0 - age / LOAD_VALID_S)
 
     def waiting(self, now: float) -> int:
         """Returns the reported number of waiting requests, 0 if the report is old."""
--- a/src/pomeloshift/direct/_placement.py
+++ b/src/pomeloshift/direct/_placement.py
@@ -19,8 +19,9 @@
     ``zone_cost_s`` and ``region_cost_s`` stand for the delay and the paid bytes of a
     request that leaves its zone or region (measured: under a hundredth of what a late
     answer costs); ``silent_s`` is how long an engine may send nothing while a request
-    waits there (several times the longest pause of a full engine); ``noise`` spreads
-    entries that see the same load.
+    waits there (several times the longest pause of a full engine); ``yield_s`` is how
+    long a batch item takes to give its place back; ``noise_s`` spreads entries that
+    see the same load.
     """
 
     hold_s: float = 0.7
@@ -28,6 +29,7 @@
     zone_cost_s: float = 0.004
     region_cost_s: float = 0.045
     silent_s: float = 0.5
+    yield_s: float = 0.06
     noise_s: float = 0.004
 
 
@@ -64,9 +66,13 @@
         return engine.silence(now) < self.config.silent_s
 
     def expected_wait(self, engine: Engine, now: float) -> float:
-        """Returns the seconds that a new request would wait for a place."""
-        excess = engine.occupancy(now) + 1 - engine.slots
-        return max(0.0, excess) * self.config.hold_s / engine.slots
+        """Returns the seconds that a new online request would wait for a place."""
+        cfg = self.config
+        excess = engine.online_occupancy(now) + 1 - engine.slots
+        if excess > 0:
+            return excess * cfg.hold_s / engine.slots
+        is_full = engine.occupancy(now) + 1 > engine.slots
+        return cfg.yield_s if is_full else 0.0
 
     def _cost(self, engine: Engine, now: float) -> float:
         cfg = self.config
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -103,7 +103,7 @@
         deadlines = {name: route.job_deadline_s for name, route in routes.items()}
         pending = self.queue.pending(self.log.book, deadlines, now, self._run_s)
         self._probe(pending, now)
-        self._yield_places(now)
+        self.yield_places()
         used: set[str] = set()
         for work in pending:
             route = routes.get(work.job.queue)
@@ -139,25 +139,27 @@
             self._probed_at[engine.entry.id] = now
             spawn(self.access.probe(engine))
 
-    def _yield_places(self, now: float) -> None:
-        """Stops the item with the fewest events where others wait for a place."""
-        for engine in self.access.fleet.engines.values():
-            if not self.places.must_yield(engine, now):
-                continue
-            here = [(k, r) for k, r in self._runs.items() if r.engine is engine]
-            if not here:
+    def yield_places(self) -> None:
+        """Stops the items with the fewest events where places are short."""
+        now = self.access.now()
+        for engine in list(self.access.fleet.engines.values()):
+            count = self.places.to_yield(engine, now)
+            if count == 0:
                 continue
-            key, run = min(here, key=lambda pair: _events_done(pair[1]))
             self.places.yielded(engine, now)
-            self.events.info(
-                "item_yielded",
-                id=run.work.job.items[run.work.index].id,
-                engine=engine.entry.id,
-                waiting=engine.waiting(now),
-                event_id=_events_done(run),
-            )
-            self.queue.defer(run.work.job, run.work.index, now + ITEM_RETRY_S)
-            self._tasks[key].cancel()
+            here = [(k, r) for k, r in self._runs.items() if r.engine is engine]
+            here.sort(key=lambda pair: _events_done(pair[1]))
+            for key, run in here[:count]:
+                self.events.info(
+                    "item_yielded",
+                    id=run.work.job.items[run.work.index].id,
+                    engine=engine.entry.id,
+                    occupancy=engine.occupancy(now),
+                    event_id=_events_done(run),
+                )
+                until = now + ITEM_RETRY_S
+                self.queue.defer(run.work.job, run.work.index, until)
+                self._tasks[key].cancel()
 
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = (work.job.id, work.index)
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -3,6 +3,8 @@
 from random import Random
 from typing import Any
 
+import msgspec
+
 from ..direct import (
     ConfigHolder,
     EngineEntry,
@@ -34,7 +36,7 @@
     read_batch_call,
     read_front_request,
 )
-from . import _blob_store, _job_log
+from . import _blob_store, _job_log, _peer_exchange
 from ._batch_front import BatchFront
 from ._batch_loop import BatchLoop
 from ._batch_places import BatchPlaces
@@ -44,6 +46,7 @@
 from ._job_log import JobLog
 from ._log_writer import LogWriter
 from ._online import OnlineService
+from ._peer_exchange import PeerExchange
 from ._refusal import refuse
 from ._sleep import sleep
 from ._timing import (
@@ -53,6 +56,8 @@
     JOIN_S,
     LEAVE_ROTATION_S,
     MEMBER_TTL_S,
+    PEER_POLL_S,
+    PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
     STORE_RETRY_S,
@@ -122,13 +127,17 @@
         )
         self._batch = BatchFront(self._log, self._blobs, events, reactor, clock)
         self._log.on_change = self._batch.job_changed
+        self._peers = PeerExchange(
+            self._incarnation, self._fleet, reactor, clock, events
+        )
+        self._peer_writer = self._writer(_peer_exchange.TOPIC, _peer_exchange.PARTITION)
         self._work = BatchLoop(
             access,
             self._log,
             self._blobs,
             WorkQueue(settings.store.partitions),
             self._config,
-            BatchPlaces(),
+            BatchPlaces(self._incarnation, self._peers.loads),
             events,
             settings.status_s,
         )
@@ -150,6 +159,22 @@
                 self._note_engines_reachable,
             ),
         )
+        self._peers.on_news = self._work.yield_places
+        self._peer_follower = TopicFollower(
+            _peer_exchange.TOPIC,
+            _peer_exchange.PARTITION,
+            self._store,
+            reactor,
+            clock,
+            events,
+            TopicHandlers(
+                self._take_peers,
+                self._peers.take_record,
+                lambda now: None,
+                lambda is_reachable: None,
+            ),
+            poll_s=PEER_POLL_S,
+        )
         max_front = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
         self._front = HttpListener(reactor, clock, self._handle, max_front)
         self._ready = HttpListener(reactor, clock, self._answer_ready, SIDE_CONNECTIONS)
@@ -186,6 +211,9 @@
         self._config_follower.start()
         self._engine_follower.start()
         self._log.follower.start()
+        self._publish_address()
+        self._peer_follower.start()
+        self._loops.repeat(self._peers.tick, PEER_TICK_S)
         self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
         self._loops.repeat(self._join, JOIN_S)
         self._work.start(self._loops)
@@ -225,10 +253,13 @@
             self._config_follower,
             self._engine_follower,
             self._log.follower,
+            self._peer_follower,
         ):
             follower.stop()
         self._log.writer.stop()
         self._blobs.writer.stop()
+        self._peer_writer.stop()
+        self._peers.stop()
         await self._front.stop()
         await self._ready.stop()
         self._pool.stop()
@@ -381,6 +412,22 @@
         for engine_id in self._fleet.settle(self._clock.monotonic()):
             self._events.info("engine_gone", engine=engine_id)
 
+    # Other entries
+
+    def _publish_address(self) -> None:
+        port, _ = self._settings.internal_ports
+        address = self._peers.listen(self._settings.ip, port)
+        record = (address.ip, msgspec.msgpack.encode(address))
+        self._peer_writer.append([record]).done.addErrback(
+            lambda failure: self._events.warn(
+                "address_not_published", why=failure.getErrorMessage()
+            )
+        )
+
+    def _take_peers(self, records: list[KeyedRecord], end: int) -> None:
+        for record in records:
+            self._peers.take_record(record)
+
     # Batch work
 
     async def _join(self) -> None:
--- /dev/null
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -0,0 +1,148 @@
+"""Tells other entries what is under way at engines, and hears it from them."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import msgspec
+from twisted.internet.protocol import DatagramProtocol
+
+from ..direct import Fleet, PeerLoads, Work
+from ..platform import KeyedRecord
+from ._events import EventLog
+from ._timing import PEER_BEAT_S, PEER_LOST_BEAT_S, PEER_SEND_GAP_S
+
+TOPIC = "keyed.peers"
+PARTITION = 0
+
+
+class PeerAddress(msgspec.Struct, array_like=True):
+    """Where an entry listens for others."""
+
+    name: str
+    ip: str
+    port: int
+
+
+class _Beat(msgspec.Struct, array_like=True):
+    """An entry's work at each engine: online requests and batch items."""
+
+    name: str
+    work: dict[str, tuple[int, int]]
+
+
+_ADDRESS_DECODER = msgspec.msgpack.Decoder(PeerAddress)
+_BEAT_DECODER = msgspec.msgpack.Decoder(_Beat)
+
+
+@attrs.define
+class _Peer:
+    address: PeerAddress
+    sent_at: float = float("-inf")
+    heard_at: float = float("-inf")
+
+
+class PeerExchange(DatagramProtocol):
+    """Sends this entry's counts whenever they change, and at least twice a second.
+
+    Each datagram holds the whole state, so that a lost one does no lasting harm.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        fleet: Fleet,
+        reactor: Any,
+        clock: Any,
+        events: EventLog,
+    ) -> None:
+        self.loads = PeerLoads()
+        self.on_news: Callable[[], None] = lambda: None
+        self._name = name
+        self._fleet = fleet
+        self._reactor = reactor
+        self._clock = clock
+        self._events = events
+        self._peers: dict[str, _Peer] = {}
+        self._last_work: dict[str, tuple[int, int]] = {}
+        self._port: Any = None
+
+    def listen(self, ip: str, port: int) -> PeerAddress:
+        """Listens for datagrams and returns the address to publish."""
+        self._port = self._reactor.listenUDP(port, self, interface=ip)
+        return PeerAddress(self._name, ip, int(self._port.getHost().port))
+
+    def stop(self) -> None:
+        """Stops to listen."""
+        if self._port is not None:
+            self._port.stopListening()
+
+    def take_record(self, record: KeyedRecord) -> None:
+        """Takes the address that an entry published."""
+        if record.value is None:
+            self._peers.pop(record.key, None)
+            return
+        try:
+            address = _ADDRESS_DECODER.decode(record.value)
+        except msgspec.DecodeError as exc:
+            self._events.warn("peer_ignored", peer=record.key, why=exc)
+            return
+        if address.name != self._name:
+            self._peers[record.key] = _Peer(address)
+
+    def tick(self) -> None:
+        """Sends what has changed; drops the counts of entries that fell silent."""
+        now = self._clock.monotonic()
+        silent = self.loads.expire(now)
+        for name in silent:
+            self._events.info("peer_silent", peer=name)
+        if silent:
+            self._apply()
+        work = self._own_work()
+        has_changed = work != self._last_work
+        self._last_work = work
+        data = msgspec.msgpack.encode(_Beat(self._name, work))
+        for peer in self._peers.values():
+            if now - peer.sent_at >= self._gap(peer, has_changed, now):
+                peer.sent_at = now
+                self._send(data, peer.address)
+
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
+        """Takes the state of another entry."""
+        try:
+            beat = _BEAT_DECODER.decode(datagram)
+        except msgspec.DecodeError as exc:
+            self._events.warn("datagram_ignored", peer=addr[0], why=exc)
+            return
+        now = self._clock.monotonic()
+        peer = self._peers.get(addr[0])
+        if peer is not None:
+            peer.heard_at = now
+        work = {engine: Work(*counts) for engine, counts in beat.work.items()}
+        self.loads.note(beat.name, work, now)
+        self._apply()
+        self.on_news()
+
+    def _apply(self) -> None:
+        for engine_id, engine in self._fleet.engines.items():
+            engine.peers = self.loads.total(engine_id)
+
+    def _own_work(self) -> dict[str, tuple[int, int]]:
+        return {
+            engine_id: (engine.online, engine.batch)
+            for engine_id, engine in self._fleet.engines.items()
+            if engine.own > 0
+        }
+
+    @staticmethod
+    def _gap(peer: _Peer, has_changed: bool, now: float) -> float:
+        if now - peer.heard_at > PEER_LOST_BEAT_S:
+            return PEER_LOST_BEAT_S
+        return PEER_SEND_GAP_S if has_changed else PEER_BEAT_S
+
+    def _send(self, data: bytes, address: PeerAddress) -> None:
+        transport: Any = self.transport
+        try:
+            transport.write(data, (address.ip, address.port))
+        except OSError as exc:
+            self._events.info("datagram_not_sent", peer=address.name, why=exc)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -37,8 +37,9 @@
 
 # Between two looks at the batch work; engines' places come free every some 10 ms.
 BATCH_TICK_S = 0.1
-# An engine's load is asked for again after this when batch work needs to know it.
-PROBE_S = 0.35
+# An engine whose load no answer has told for this long is asked when batch work needs
+# to know it; what entries tell each other is newer.
+PROBE_S = 2.0
 PROBE_TIMEOUT_S = 0.5
 # Pause of a batch stream after which it goes on elsewhere.
 BATCH_STALL_S = 2.5
@@ -60,3 +61,12 @@
 SIDE_CONNECTIONS = 64
 # Descriptors that are not connections from callers: files, the store, engines.
 RESERVED_DESCRIPTORS = 600
+
+# Counts for other entries: checked this often and sent when they have changed, and
+# otherwise often enough for `PEER_VALID_S`; entries that are not heard are told less.
+PEER_TICK_S = 0.04
+PEER_SEND_GAP_S = 0.03
+PEER_BEAT_S = 0.5
+PEER_LOST_BEAT_S = 2.0
+# Long poll of the entries' addresses, which change with restarts only.
+PEER_POLL_S = 10.0
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -42,6 +42,7 @@
         events: EventLog,
         handlers: TopicHandlers,
         read_gap_s: float = 0.0,
+        poll_s: float = POLL_S,
     ) -> None:
         self.topic = topic
         self.partition = partition
@@ -51,6 +52,7 @@
         self._events = events
         self._handlers = handlers
         self._read_gap_s = read_gap_s
+        self._poll_s = poll_s
         self._offset: int | None = None
         self._is_reachable = True
         self._failures = 0
@@ -112,7 +114,7 @@
             return
         # A read that has nothing to wait for finds out at once whether the store
         # is back.
-        wait_s = POLL_S if self._is_reachable else 0.0
+        wait_s = self._poll_s if self._is_reachable else 0.0
         page = await self._store.read(self.topic, self.partition, self._offset, wait_s)
         self._fold(page.records, page.next_offset)
         if page.next_offset >= page.end:
