--- a/src/pomeloshift/direct/_placement.py
+++ b/src/pomeloshift/direct/_placement.py
@@ -15,7 +15,8 @@
 class PlacementConfig:
     """Weights of the placement, in seconds unless said otherwise.
 
-    ``hold_s`` is how long an online request holds a place before any was measured;
+    ``hold_s`` is how long an online request holds a place until some were measured,
+    and ``hold_smoothing`` the weight of a new measurement;
     ``zone_cost_s`` and ``region_cost_s`` stand for the delay and the paid bytes of a
     request that leaves its zone or region (measured: under a hundredth of what a late
     answer costs); ``silent_s`` is how long an engine may send nothing while a request
@@ -25,6 +26,7 @@
     """
 
     hold_s: float = 0.7
+    hold_smoothing: float = 0.05
     slot_cost_s: float = 0.004
     zone_cost_s: float = 0.004
     region_cost_s: float = 0.045
@@ -41,6 +43,7 @@
     regions: dict[str, str]
     config: PlacementConfig
     _random: Random
+    _hold_s: dict[str, float] = attrs.field(factory=dict)
 
     def choose(
         self,
@@ -59,6 +62,15 @@
             return None
         return min(pool, key=lambda e: self._cost(e, now))
 
+    def note_hold(self, service: str, held_s: float) -> None:
+        """Takes how long an online request held its place, its wait left out."""
+        known = self.hold_s(service)
+        self._hold_s[service] = known + self.config.hold_smoothing * (held_s - known)
+
+    def hold_s(self, service: str) -> float:
+        """Returns how long a service's online requests usually hold a place."""
+        return self._hold_s.get(service, self.config.hold_s)
+
     def is_sound(self, engine: Engine, now: float) -> bool:
         """Whether nothing speaks against using the engine."""
         if engine.avoided_until > now:
@@ -70,7 +82,7 @@
         cfg = self.config
         excess = engine.online_occupancy(now) + 1 - engine.slots
         if excess > 0:
-            return excess * cfg.hold_s / engine.slots
+            return excess * self.hold_s(engine.entry.service) / engine.slots
         is_full = engine.occupancy(now) + 1 > engine.slots
         return cfg.yield_s if is_full else 0.0
 
--- a/src/pomeloshift/gateway/_answer_relay.py
+++ b/src/pomeloshift/gateway/_answer_relay.py
@@ -16,6 +16,7 @@
     The head is held back until the first whole event, or until a plain answer is
     whole or long, so that until then another engine may still be asked. Only whole
     events are passed on, so that a stream can go on elsewhere behind the last one.
+    ``run_s`` is how long a stream took from its first event to its end.
     """
 
     _exchange: Exchange
@@ -23,6 +24,9 @@
     _now: Callable[[], float]
     has_begun: bool = False
     first_event_s: float = 0.0
+    run_s: float = 0.0
+    _run_began_at: float | None = None
+    _is_resumed: bool = False
     _head: AnswerHead | None = None
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _held: list[bytes] = attrs.field(factory=list)
@@ -48,6 +52,7 @@
     def take_head(self, head: AnswerHead) -> bool:
         """Takes an answer's head; returns whether the answer can be used."""
         if self.has_begun:
+            self._is_resumed = True
             return head.status == 200
         self._head = head
         return True
@@ -62,6 +67,8 @@
             return True
         if not self._is_in_order(events):
             return False
+        if self._run_began_at is None:
+            self._run_began_at = self._now()
         self._begin()
         self._exchange.write(b"".join(event.raw for event in events))
         return True
@@ -73,6 +80,8 @@
                 return False
             self._begin()
             self._exchange.finish()
+            if self._run_began_at is not None and not self._is_resumed:
+                self.run_s = self._now() - self._run_began_at
             return True
         body = b"".join(self._held)
         if self.has_begun:
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -18,6 +18,9 @@
 # Answers of an engine that promise that a request has not run, so that they may be
 # passed on only with the engine's proof of it.
 PROMISES = frozenset({408, 421, 429, 503})
+# From a place at an engine to the first event at the caller: a prompt's prefill, a
+# step and the way back.
+START_S = 0.03
 
 
 @attrs.define
@@ -50,7 +53,7 @@
             self._give_up()
             return
         engine = self._choose(now)
-        if engine is None:
+        if engine is None or self._would_be_late(engine, now):
             self._give_up()
             return
         await self._attempt(engine)
@@ -62,6 +65,27 @@
         engines = self.access.fleet.of(service)
         return self.access.placement.choose(engines, now, self.plan.excluded)
 
+    def _would_be_late(self, engine: Engine, now: float) -> bool:
+        """Whether a request that has not run cannot start within its objective.
+
+        Behind it the queue would only grow, and make those late that come after.
+        """
+        if self.plan.may_have_run:
+            return False
+        wait_s = self.access.placement.expected_wait(engine, now)
+        elapsed_s = now - self.exchange.arrived
+        if elapsed_s + wait_s + START_S <= self.route.objective_s:
+            return False
+        self.events.info(
+            "would_be_late",
+            id=self.req.id,
+            engine=engine.entry.id,
+            wait_s=wait_s,
+            online=engine.online_occupancy(now),
+            load_age_s=engine.load_age(now),
+        )
+        return True
+
     async def _attempt(self, engine: Engine) -> None:
         engine_id = engine.entry.id
         remaining_s = self.plan.deadline - self.access.now()
@@ -146,6 +170,8 @@
 
     def _note_answered(self, engine: Engine, status: int) -> None:
         self._is_done = True
+        if self.relay.run_s > 0:
+            self.access.placement.note_hold(engine.entry.service, self.relay.run_s)
         self.events.info(
             "request_answered",
             id=self.req.id,
