Share batch work by engine, and refuse what comes too late in a shutdown

Each entry now works out from the entries it hears which engines' places it fills, with the most urgent items of all jobs; items it runs are claimed in the datagrams. Found on the way: after a restart a process heard itself and counted its work twice; items were counted at an engine only once their body was read. From 2.6 s on the port is closed and requests on kept connections are refused as not run.

--- a/src/pomeloshift/direct/__init__.py
+++ b/src/pomeloshift/direct/__init__.py
@@ -7,7 +7,7 @@
 from ._engine_load import EngineLoad
 from ._event_stream import EventSplitter, StreamEvent
 from ._fleet import LAPSE_GRACE_S, Fleet
-from ._peer_loads import NO_WORK, PeerLoads, Work
+from ._peer_loads import NO_WORK, PeerLoads, PeerState, Work
 from ._placement import Placement, PlacementConfig
 from ._retry_after import ReturnTimes
 from ._route import Route, RouteKind, Split
@@ -25,6 +25,7 @@
     "Fleet",
     "FrontLimits",
     "PeerLoads",
+    "PeerState",
     "Placement",
     "PlacementConfig",
     "ReturnTimes",
--- a/src/pomeloshift/direct/_engine.py
+++ b/src/pomeloshift/direct/_engine.py
@@ -90,15 +90,24 @@
         return self._load.waiting
 
     def begin(self, now: float, is_batch: bool) -> int:
-        """Counts a request that is sent; returns a key for `heard` and `end`."""
-        if is_batch:
-            self.batch += 1
-        else:
+        """Counts a request that is sent; returns a key for `heard` and `end`.
+
+        A batch item was counted before, when its place was taken.
+        """
+        if not is_batch:
             self.online += 1
         self._next_key += 1
         self._unanswered[self._next_key] = now
         return self._next_key
 
+    def take_place(self) -> None:
+        """Counts a batch item from when it is chosen, before it is sent."""
+        self.batch += 1
+
+    def leave_place(self) -> None:
+        """Counts a batch item that is no longer at the engine."""
+        self.batch -= 1
+
     def heard(self, key: int, now: float) -> None:
         """Notes that bytes of a request's answer arrived."""
         self.last_byte_at = now
@@ -107,9 +116,7 @@
     def end(self, key: int, is_batch: bool) -> None:
         """Counts a request that is no longer at the engine."""
         self._unanswered.pop(key, None)
-        if is_batch:
-            self.batch -= 1
-        else:
+        if not is_batch:
             self.online -= 1
 
     def silence(self, now: float) -> float:
--- a/src/pomeloshift/gateway/_batch_front.py
+++ b/src/pomeloshift/gateway/_batch_front.py
@@ -3,7 +3,12 @@
 from typing import Any
 
 import attrs
-from twisted.internet.defer import CancelledError, Deferred, gatherResults
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    FirstError,
+    gatherResults,
+)
 
 from ..direct import Route
 from ..errors import PomeloshiftError, Ran
@@ -211,13 +216,18 @@
             self._unknown(exchange, call.job_id)
             return
         results = _page(job.results[call.position :])
-        texts = await gatherResults(
-            [Deferred.fromCoroutine(self._text(r)) for r in results]
-        )
-        rows = list(zip(results, texts, strict=True))
+        rows = list(zip(results, await self._texts(results), strict=True))
         body = encode_results(len(job.items), call.position, rows)
         answer_json(exchange, 200, body)
 
+    async def _texts(self, results: list[Result]) -> list[bytes]:
+        texts = [Deferred.fromCoroutine(self._text(result)) for result in results]
+        try:
+            return await gatherResults(texts, consumeErrors=True)
+        except FirstError as exc:
+            cause: Any = exc.subFailure.value
+            raise cause from exc
+
     async def _text(self, result: Result) -> bytes:
         return b"" if result.text is None else await self.blobs.get(result.text)
 
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -13,9 +13,11 @@
     ItemPolicy,
     ItemProgress,
     ItemSettled,
+    Ownership,
     Progress,
     WorkItem,
     WorkQueue,
+    claim_of,
 )
 from ..net._loops import Loops, spawn
 from ._batch_front import queue_name
@@ -27,11 +29,14 @@
 from ._job_log import JobLog
 from ._timing import (
     BATCH_TICK_S,
+    FOLD_LAG_S,
     HAND_OVER_WAIT_S,
+    HOLD_STOPPED_S,
     ITEM_RETRY_S,
     ITEM_RUN_S,
     KEEP_WAIT_S,
     PROBE_S,
+    STORE_PAUSE_S,
 )
 
 # Weight of a new measurement of how long an item runs.
@@ -45,17 +50,19 @@
 
 @attrs.define
 class BatchLoop:
-    """Looks for places and items several times a second."""
+    """Fills the places of the engines that this entry has the batch work of."""
 
     access: EngineAccess
     log: JobLog
     blobs: BlobStore
     queue: WorkQueue
+    ownership: Ownership
     config: ConfigHolder
     places: BatchPlaces
     events: EventLog
     status_s: float
     _run_s: float = ITEM_RUN_S
+    _event_s: float = 0.0
     _runs: dict[Key, ItemRun] = attrs.field(factory=dict)
     _tasks: dict[Key, Deferred[Any]] = attrs.field(factory=dict)
     _progress: dict[Key, Progress] = attrs.field(factory=dict)
@@ -63,7 +70,7 @@
     _is_stopped: bool = False
 
     def start(self, loops: Loops) -> None:
-        """Begins to look."""
+        """Begins to look for places and items."""
         loops.repeat(self.tick, BATCH_TICK_S)
 
     @property
@@ -71,73 +78,105 @@
         """The number of items at engines."""
         return len(self._tasks)
 
-    def set_owned(self, owned: frozenset[int]) -> None:
-        """Takes over jobs, or hands them over with the progress of their items."""
-        if owned == self.queue.owned:
-            return
-        self.events.info(
-            "work_reassigned",
-            gained=",".join(map(str, sorted(owned - self.queue.owned))),
-            lost=",".join(map(str, sorted(self.queue.owned - owned))),
-        )
-        self.queue.owned = owned
-        for key, run in list(self._runs.items()):
-            if not self.queue.owns(run.work.job):
-                self._hand_over(key, run)
+    def set_members(self, zones: dict[str, str]) -> None:
+        """Takes the entries that share the engines; items that run here go on."""
+        if self.ownership.set_members(zones):
+            self.events.info("members_changed", members=",".join(sorted(zones)))
 
-    def stop(self) -> None:
-        """Hands over everything."""
+    def stop_starting(self) -> None:
+        """Starts no more items; those at engines go on."""
         self._is_stopped = True
-        for key, run in list(self._runs.items()):
-            self._hand_over(key, run)
-        self.queue.owned = frozenset()
+        for key in list(self.queue.held):
+            self._release(key)
+
+    def hand_over(self) -> None:
+        """Stops all items and keeps their progress for whoever goes on."""
+        for key in list(self._runs):
+            self._tasks[key].cancel()
+            self._release(key)
 
     def tick(self) -> None:
         """Starts items where places are free and stops those of ended jobs."""
-        if self._is_stopped or self.config.current is None:
+        if self.config.current is None:
             return
         now = self.access.now()
         self._stop_ended()
+        self._stop_doubled(now)
+        engines = self._own_engines()
+        self.places.observe(engines, now)
+        self.yield_places()
+        if self._is_stopped:
+            return
         routes = self._routes()
         self._give_up_expired(routes, now)
+        self._forget_old(now)
+        self._release_held(now)
+        self._start_items(engines, routes, now)
+
+    def _own_engines(self) -> list[Engine]:
+        return [
+            engine
+            for engine in self.access.fleet.engines.values()
+            if engine.is_serving
+            and self.ownership.owns(engine.entry.id, engine.entry.zone)
+        ]
+
+    def _start_items(
+        self, engines: list[Engine], routes: dict[str, Route], now: float
+    ) -> None:
+        sound = [e for e in engines if self.access.placement.is_sound(e, now)]
+        free = {e.entry.id: self.places.free(e, now) for e in sound}
+        open_engines = [e for e in sound if free[e.entry.id] > 0]
+        has_late = any(run.work.is_late for run in self._runs.values())
+        if not open_engines and not has_late:
+            return
         deadlines = {name: route.job_deadline_s for name, route in routes.items()}
-        pending = self.queue.pending(self.log.book, deadlines, now, self._run_s)
-        self._probe(pending, now)
-        self.yield_places()
-        used: set[str] = set()
+        pending = self.queue.pending(
+            self.log.book, deadlines, now, self._event_s, self._run_s
+        )
+        if pending:
+            self._probe(sound, now)
+        has_made_room = False
         for work in pending:
             route = routes.get(work.job.queue)
-            if route is None:
+            service = self._pick_service(route)
+            fitting = [e for e in open_engines if e.entry.service == service]
+            if route is None or not fitting:
+                if not work.is_late and not has_made_room:
+                    has_made_room = True
+                    self._stop_late(service, now)
                 continue
-            engine = self._choose(route, used, now)
-            if engine is None:
-                break
-            used.add(engine.entry.id)
+            engine = max(fitting, key=lambda e: free[e.entry.id])
+            free[engine.entry.id] -= 1
+            if free[engine.entry.id] == 0:
+                open_engines.remove(engine)
             self._begin(work, engine, route)
-        self._forget_old(now)
+            if not open_engines:
+                break
+
+    def _pick_service(self, route: Route | None) -> str | None:
+        if route is None:
+            return None
+        return route.pick_service(self.access.random.random())
+
+    def _stop_late(self, service: str | None, now: float) -> None:
+        """Makes room for an item that can still be done in time."""
+        for key, run in self._runs.items():
+            if run.work.is_late and run.engine.entry.service == service:
+                self._stop(key, run, now, "late")
+                return
 
     def _routes(self) -> dict[str, Route]:
         assert self.config.current is not None
         return {queue_name(route): route for route in self.config.current.routes}
 
-    def _choose(self, route: Route, used: set[str], now: float) -> Engine | None:
-        service = route.pick_service(self.access.random.random())
-        if service is None:
-            return None
-        engines = [e for e in self.access.fleet.of(service) if e.entry.id not in used]
-        sound = [e for e in engines if self.access.placement.is_sound(e, now)]
-        return self.places.choose(sound, now)
-
-    def _probe(self, pending: list[WorkItem], now: float) -> None:
-        """Renews the loads of engines that batch work waits for or uses."""
-        for engine in self.access.fleet.engines.values():
-            if not engine.is_serving or not (pending or engine.batch):
-                continue
+    def _probe(self, engines: list[Engine], now: float) -> None:
+        """Renews loads that no answer has told for long."""
+        for engine in engines:
             last = self._probed_at.get(engine.entry.id, float("-inf"))
-            if engine.load_age(now) < PROBE_S or now - last < PROBE_S:
-                continue
-            self._probed_at[engine.entry.id] = now
-            spawn(self.access.probe(engine))
+            if engine.load_age(now) >= PROBE_S and now - last >= PROBE_S:
+                self._probed_at[engine.entry.id] = now
+                spawn(self.access.probe(engine))
 
     def yield_places(self) -> None:
         """Stops the items with the fewest events where places are short."""
@@ -148,41 +187,94 @@
                 continue
             self.places.yielded(engine, now)
             here = [(k, r) for k, r in self._runs.items() if r.engine is engine]
-            here.sort(key=lambda pair: _events_done(pair[1]))
+            here.sort(key=lambda pair: (not pair[1].work.is_late, _events(pair[1])))
             for key, run in here[:count]:
-                self.events.info(
-                    "item_yielded",
-                    id=run.work.job.items[run.work.index].id,
-                    engine=engine.entry.id,
-                    occupancy=engine.occupancy(now),
-                    event_id=_events_done(run),
-                )
-                until = now + ITEM_RETRY_S
-                self.queue.defer(run.work.job, run.work.index, until)
-                self._tasks[key].cancel()
+                self._stop(key, run, now, "place needed")
+
+    def _stop_doubled(self, now: float) -> None:
+        """Leaves an item to another entry that chose it at the same moment."""
+        for key, run in list(self._runs.items()):
+            claimants = self.places.loads.claimants(claim_of(*key))
+            if any(name < self.places.name for name in claimants):
+                self._stop(key, run, now, "chosen twice")
+                self.queue.held.pop(key, None)
+
+    def _stop(self, key: Key, run: ItemRun, now: float, why: str) -> None:
+        """Stops an item; this entry keeps it for a while to go on with it."""
+        self.events.info(
+            "item_yielded",
+            id=run.work.job.items[run.work.index].id,
+            engine=run.engine.entry.id,
+            why=why,
+            occupancy=run.engine.occupancy(now),
+            batch=run.engine.batch,
+            peers_batch=run.engine.peers.batch,
+            event_id=_events(run),
+        )
+        self._tasks[key].cancel()
+        if key in self._progress:
+            self.queue.held[key] = now + HOLD_STOPPED_S
+
+    def _release_held(self, now: float) -> None:
+        for key, until in list(self.queue.held.items()):
+            if until <= now:
+                self._release(key)
+
+    def _release(self, key: Key) -> None:
+        """Lets other entries go on with an item, behind the progress made here."""
+        self.queue.held.pop(key, None)
+        progress = self._progress.pop(key, None)
+        if progress is not None:
+            # Others see the progress before they may take the item.
+            self.queue.running.add(key)
+            done = spawn(self._keep_progress_record(key, progress))
+            done.addBoth(lambda _: self._drop_claim(key))
+
+    def _drop_claim(self, key: Key) -> None:
+        """Lets others have an item once they have read what the log says of it."""
+        self.access.call_later(FOLD_LAG_S, self.queue.running.discard, key)
 
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
-        key = (work.job.id, work.index)
+        key = work.key
+        self.queue.held.pop(key, None)
         run = ItemRun(self.access, self.blobs, work, engine, self._progress.get(key))
-        self.places.started(engine, self.access.now())
+        self.events.info(
+            "item_started",
+            id=work.job.items[work.index].id,
+            job=work.job.id,
+            engine=engine.entry.id,
+            occupancy=engine.occupancy(self.access.now()),
+            peak=self.places.peak(engine),
+            is_late=work.is_late,
+            event_id=_events(run),
+        )
         self.queue.running.add(key)
+        engine.take_place()
         self._runs[key] = run
         self._tasks[key] = spawn(self._run(key, run, route))
 
     async def _run(self, key: Key, run: ItemRun, route: Route) -> None:
         began = self.access.now()
-        begun_at_event = _events_done(run)
+        begun_at_event = _events(run)
         item = run.work.job.items[run.work.index]
         try:
             end = await run.run()
         except CancelledError:
             self._keep_progress(key, run)
+            self.events.info(
+                "item_stopped",
+                id=item.id,
+                engine=run.engine.entry.id,
+                events=_events(run),
+                took_s=self.access.now() - began,
+            )
             raise
         except PomeloshiftError as exc:
             self.events.warn("item_not_run", id=item.id, why=exc.message)
-            self.queue.defer(run.work.job, run.work.index, self.access.now() + 1.0)
+            self.queue.defer(key, self.access.now() + STORE_PAUSE_S)
             return
         finally:
+            run.engine.leave_place()
             self._runs.pop(key, None)
             self._tasks.pop(key, None)
             self.queue.running.discard(key)
@@ -194,13 +286,13 @@
             end=end.value,
             status=run.status,
             why=run.why,
-            events=_events_done(run),
+            events=_events(run),
             took_s=self.access.now() - began,
         )
         if end is RunEnd.WHOLE:
             assert run.progress is not None
             if begun_at_event == 0:
-                self._run_s += SMOOTHING * (self.access.now() - began - self._run_s)
+                self._note_run(self.access.now() - began, run.progress.event_id)
             self._settle(run.work, True, run.progress.text)
         elif end is RunEnd.ANSWERED:
             self._judge(run, route)
@@ -208,7 +300,11 @@
             self._keep_progress(key, run)
             delay_s = ITEM_RETRY_S if end is RunEnd.NOT_RUN else 0.0
             until = self.access.now() + delay_s
-            self.queue.defer(run.work.job, run.work.index, until)
+            self.queue.defer(key, until)
+
+    def _note_run(self, took_s: float, events: int) -> None:
+        self._run_s += SMOOTHING * (took_s - self._run_s)
+        self._event_s += SMOOTHING * (took_s / max(1, events) - self._event_s)
 
     def _judge(self, run: ItemRun, route: Route) -> None:
         job, index = run.work.job, run.work.index
@@ -220,7 +316,7 @@
             return
         if after is AfterRun.COUNT_FAILURE:
             spawn(self.log.append_within(ItemFailed(job.id, index), KEEP_WAIT_S))
-        self.queue.defer(job, index, self.access.now() + ITEM_RETRY_S)
+        self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
 
     def _settle(self, work: WorkItem, is_done: bool, text: bytes) -> None:
         key = (work.job.id, work.index)
@@ -228,7 +324,7 @@
         # Until the log has it, the item counts as running.
         self.queue.running.add(key)
         done = spawn(self._keep_result(work, is_done, text))
-        done.addBoth(lambda _: self.queue.running.discard(key))
+        done.addBoth(lambda _: self._drop_claim(key))
 
     async def _keep_result(self, work: WorkItem, is_done: bool, text: bytes) -> None:
         """Keeps an item's output, and then the record that lists it."""
@@ -238,7 +334,7 @@
         record = ItemSettled(work.job.id, work.index, is_done, ref)
         await self.log.append_within(record, KEEP_WAIT_S)
 
-    async def _keep_handed_over(self, key: Key, progress: Progress) -> None:
+    async def _keep_progress_record(self, key: Key, progress: Progress) -> None:
         (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OVER_WAIT_S)
         record = ItemProgress(key[0], key[1], progress.event_id, ref)
         await self.log.append_within(record, HAND_OVER_WAIT_S)
@@ -246,14 +342,7 @@
     def _keep_progress(self, key: Key, run: ItemRun) -> None:
         if run.progress is not None and run.work.index in run.work.job.pending:
             self._progress[key] = run.progress
-
-    def _hand_over(self, key: Key, run: ItemRun) -> None:
-        task = self._tasks.get(key)
-        if task is not None:
-            task.cancel()
-        progress = self._progress.pop(key, None)
-        if progress is not None:
-            spawn(self._keep_handed_over(key, progress))
+            run.work.job.events_done[run.work.index] = run.progress.event_id
 
     def _stop_ended(self) -> None:
         for key, run in list(self._runs.items()):
@@ -261,11 +350,16 @@
             if job is None or job.is_ended or run.work.index not in job.pending:
                 self._tasks[key].cancel()
                 self._progress.pop(key, None)
+        for key in list(self.queue.held):
+            job = self.log.book.jobs.get(key[0])
+            if job is None or job.is_ended or key[1] not in job.pending:
+                del self.queue.held[key]
+                self._progress.pop(key, None)
 
     def _give_up_expired(self, routes: dict[str, Route], now: float) -> None:
         """Lists items as dead letters whose time or whose route is over."""
         for job in list(self.log.book.jobs.values()):
-            if not job.is_open or not self.queue.owns(job):
+            if not job.is_open or not self.ownership.owns(job.id):
                 continue
             route = routes.get(job.queue)
             retention_s = route.item_retention_s if route else 0.0
@@ -284,7 +378,7 @@
             age_s = now - job.accepted_at
             if age_s < self.status_s + FORGET_MARGIN_S or job.is_open:
                 continue
-            if self.queue.owns(job):
+            if self.ownership.owns(job.id):
                 self.events.info("job_forgotten", id=job.id, age_s=age_s)
                 del self.log.book.jobs[job.id]
                 self.log.remove(job.keys).addErrback(self._note_removal_failed)
@@ -298,5 +392,5 @@
         self.events.warn("removal_failed", why=failure.value.message)
 
 
-def _events_done(run: ItemRun) -> int:
+def _events(run: ItemRun) -> int:
     return run.progress.event_id if run.progress else 0
--- a/src/pomeloshift/gateway/_batch_places.py
+++ b/src/pomeloshift/gateway/_batch_places.py
@@ -1,45 +1,77 @@
 """Decides where batch items run beside online requests.
 
 The load it answers: engines that serve in order of arrival, with online bursts every
-few seconds. Batch items take the places that online requests leave; where more
-requests are at an engine than it has places, the items that lose least give way.
+few seconds. One entry at a time fills an engine's free places with batch items. It
+leaves as many as online requests lately held at once, so that places do not change
+hands with each request; where more requests are at an engine than it has places, items
+give way.
 """
 
+from collections import deque
+
 import attrs
 
 from ..direct import Engine, PeerLoads
 
-# Places of an engine that batch items leave free for online arrivals.
-RESERVED_PLACES = 0.5
-# Between two items that this entry starts at, or takes back from, one engine: the
-# other entries have heard of the first one by then.
-START_GAP_S = 0.12
+# How far back the most online requests at once are looked for: about as long as one
+# holds its place.
+PEAK_S = 0.8
+# Between two times that items are taken back from one engine: the effect of the first
+# shows in the counts by then.
 YIELD_GAP_S = 0.05
 
 
+@attrs.define
+class _Recent:
+    """The online requests at an engine in the last `PEAK_S` seconds."""
+
+    samples: deque[tuple[float, float]] = attrs.field(factory=deque)
+
+    def add(self, now: float, online: float) -> None:
+        while self.samples and now - self.samples[0][0] > PEAK_S:
+            self.samples.popleft()
+        # Smaller samples before this one can no longer be the peak.
+        while self.samples and self.samples[-1][1] <= online:
+            self.samples.pop()
+        self.samples.append((now, online))
+
+    @property
+    def peak(self) -> float:
+        return self.samples[0][1] if self.samples else 0.0
+
+
 @attrs.define
 class BatchPlaces:
-    """Keeps when items were last started and stopped at each engine."""
+    """Keeps what online requests lately needed at each engine."""
 
     name: str
     loads: PeerLoads
-    _started: dict[str, float] = attrs.field(factory=dict)
+    _recent: dict[str, _Recent] = attrs.field(factory=dict)
     _yielded: dict[str, float] = attrs.field(factory=dict)
 
-    def choose(self, engines: list[Engine], now: float) -> Engine | None:
-        """Returns the engine with the most free places, or None if none has one."""
-        free = [e for e in engines if self._has_place(e, now)]
-        return max(free, key=lambda e: e.slots - e.occupancy(now), default=None)
+    def observe(self, engines: list[Engine], now: float) -> None:
+        """Takes the online requests that are at the engines now."""
+        for engine in engines:
+            recent = self._recent.setdefault(engine.entry.id, _Recent())
+            recent.add(now, engine.online_occupancy(now))
 
-    def started(self, engine: Engine, now: float) -> None:
-        """Notes that an item was started."""
-        self._started[engine.entry.id] = now
+    def peak(self, engine: Engine) -> float:
+        """Returns the most online requests that were lately there at once."""
+        recent = self._recent.get(engine.entry.id)
+        return recent.peak if recent is not None else 0.0
+
+    def free(self, engine: Engine, now: float) -> int:
+        """Returns how many more batch items an engine has places for."""
+        peak = self.peak(engine)
+        batch = engine.batch + engine.peers.batch
+        held = max(engine.occupancy(now), peak + batch)
+        return max(0, int(engine.slots - held))
 
     def to_yield(self, engine: Engine, now: float) -> int:
         """Returns how many of this entry's items should give their places back.
 
-        All entries rank the holders of an engine's batch items alike, so that
-        together they give back what is needed and not more.
+        If several entries have items there, all rank them alike, so that together
+        they give back what is needed and not more.
         """
         excess = int(engine.occupancy(now) - engine.slots)
         if engine.batch == 0 or excess <= 0:
@@ -64,9 +96,3 @@
         held[self.name] = engine.batch
         # Those with the most items come first.
         return sorted(held.items(), key=lambda pair: (-pair[1], pair[0]))
-
-    def _has_place(self, engine: Engine, now: float) -> bool:
-        last = self._started.get(engine.entry.id, float("-inf"))
-        if now - last < START_GAP_S:
-            return False
-        return engine.occupancy(now) + 1 + RESERVED_PLACES <= engine.slots
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -78,11 +78,16 @@
     random: Random
     events: EventLog
     _clock: Any
+    _reactor: Any
 
     def now(self) -> float:
         """Returns the monotonic time."""
         return float(self._clock.monotonic())
 
+    def call_later(self, delay_s: float, function: Any, *args: Any) -> None:
+        """Calls a function after a delay."""
+        self._reactor.callLater(delay_s, function, *args)
+
     async def send(
         self, engine: Engine, head: RequestHead, body: bytes, is_batch: bool
     ) -> EngineRun:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -10,16 +10,18 @@
     EngineEntry,
     Fleet,
     FrontLimits,
+    PeerState,
     Placement,
     PlacementConfig,
     ReturnTimes,
     Route,
     RouteKind,
+    Work,
 )
 from ..errors import PomeloshiftError
 from ..http1 import Client, ClientLimits, ConnectionPool, Exchange, HttpListener
 from ..http1._pool_config import PoolConfig
-from ..jobs import WorkQueue
+from ..jobs import Ownership, WorkQueue
 from ..net._loops import Loops, spawn
 from ..platform import (
     CONFIG_KEY,
@@ -53,19 +55,16 @@
     CLOSE_MARGIN_S,
     CONFIG_FRESH_S,
     DRAIN_TICK_S,
-    JOIN_S,
+    HAND_OVER_S,
     LEAVE_ROTATION_S,
-    MEMBER_TTL_S,
+    MEMBERS_TICK_S,
     PEER_POLL_S,
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
-    STORE_RETRY_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
-WORK_GROUP = "batch"
-WORK_TOPIC = "work"
 SETTLE_TICK_S = 0.2
 
 
@@ -87,8 +86,7 @@
         self._fleet = Fleet()
         self._loops = Loops(reactor)
         self._is_draining = False
-        self._is_leaving_work = False
-        self._generation = 0
+        self._is_closed = False
         # A process's name in the store; a restart is another producer and member.
         self._incarnation = f"{settings.name}.{random.getrandbits(48):012x}"
 
@@ -107,6 +105,7 @@
             random,
             events,
             clock,
+            reactor,
         )
         self._access = access
         self._online = OnlineService(access, events)
@@ -128,16 +127,24 @@
         self._batch = BatchFront(self._log, self._blobs, events, reactor, clock)
         self._log.on_change = self._batch.job_changed
         self._peers = PeerExchange(
-            self._incarnation, self._fleet, reactor, clock, events
+            self._incarnation,
+            settings.ip,
+            settings.zone,
+            self._fleet,
+            reactor,
+            clock,
+            events,
         )
+        self._peers.own_state = self._own_state
         self._peer_writer = self._writer(_peer_exchange.TOPIC, _peer_exchange.PARTITION)
         self._work = BatchLoop(
             access,
             self._log,
             self._blobs,
-            WorkQueue(settings.store.partitions),
+            WorkQueue(random.getrandbits(48), self._peers.loads.is_claimed),
+            Ownership(settings.ip),
             self._config,
-            BatchPlaces(self._incarnation, self._peers.loads),
+            BatchPlaces(settings.ip, self._peers.loads),
             events,
             settings.status_s,
         )
@@ -215,7 +222,7 @@
         self._peer_follower.start()
         self._loops.repeat(self._peers.tick, PEER_TICK_S)
         self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
-        self._loops.repeat(self._join, JOIN_S)
+        self._loops.repeat(self._share_work, MEMBERS_TICK_S)
         self._work.start(self._loops)
         self._events.info(
             "started",
@@ -230,14 +237,20 @@
         self._is_draining = True
         self._front.is_closing = True
         self._events.info("draining", open_requests=self._online.open_requests)
-        spawn(self._leave_work())
+        self._work.stop_starting()
         last = began + self._settings.grace_s - CLOSE_MARGIN_S
+        await sleep(self._reactor, LEAVE_ROTATION_S)
+        # What still comes could not be finished in the grace: it is refused as not run.
+        self._is_closed = True
+        await self._front.stop_accepting()
+        self._front.close_idle()
         while self._clock.monotonic() < last:
             await sleep(self._reactor, DRAIN_TICK_S)
-            is_out = self._clock.monotonic() - began > LEAVE_ROTATION_S
-            is_idle = self._online.open_requests == 0 and not self._has_unwritten
-            if is_out and is_idle:
+            is_idle = self._online.open_requests == 0 and self._work.running == 0
+            if is_idle and not self._has_unwritten:
                 break
+            if self._clock.monotonic() > last - HAND_OVER_S:
+                self._work.hand_over()
         self._events.info(
             "drained",
             open_requests=self._online.open_requests,
@@ -269,20 +282,14 @@
         """Notes a change of the settings file, whose fields hold for a lifetime."""
         self._events.info("reloaded", instance=self._incarnation)
 
-    async def _leave_work(self) -> None:
-        self._is_leaving_work = True
-        self._work.stop()
-        while self._has_unwritten:
-            await sleep(self._reactor, DRAIN_TICK_S)
-        await self._store.leave(WORK_GROUP, self._incarnation)
-
     # Requests
 
     def _handle(self, exchange: Exchange) -> None:
         req = read_front_request(exchange.head)
         config = self._config.current
-        if config is None:
-            self._refuse(exchange, req, "no configuration yet")
+        if config is None or self._is_closed:
+            why = "stopping" if self._is_closed else "no configuration yet"
+            self._refuse(exchange, req, why)
             return
         call = read_batch_call(req)
         if call is not None and _has_batch_route(config.routes_of(req.host)):
@@ -416,7 +423,7 @@
 
     def _publish_address(self) -> None:
         port, _ = self._settings.internal_ports
-        address = self._peers.listen(self._settings.ip, port)
+        address = self._peers.listen(port)
         record = (address.ip, msgspec.msgpack.encode(address))
         self._peer_writer.append([record]).done.addErrback(
             lambda failure: self._events.warn(
@@ -430,23 +437,27 @@
 
     # Batch work
 
-    async def _join(self) -> None:
-        """Stays in the group that shares the batch work."""
-        if self._is_leaving_work or not self._log.follower.is_synced:
-            return
-        ttl_s = max(MEMBER_TTL_S, self._settings.store.min_member_ttl_s)
-        try:
-            membership = await self._store.join(
-                WORK_GROUP, self._incarnation, WORK_TOPIC, ttl_s, self._generation
-            )
-        except PomeloshiftError as exc:
-            self._events.info("join_failed", code=exc.code.value, why=exc.message)
-            await sleep(self._reactor, STORE_RETRY_S)
-            return
-        if self._is_leaving_work:
-            return
-        self._generation = membership.generation
-        self._work.set_owned(membership.partitions)
+    def _own_state(self) -> PeerState:
+        work = {
+            engine_id: Work(engine.online, engine.batch)
+            for engine_id, engine in self._fleet.engines.items()
+            if engine.own > 0
+        }
+        return PeerState(
+            work,
+            self._work.queue.claims(),
+            self._is_draining,
+            self._log.follower.is_reachable and self._log.follower.is_synced,
+        )
+
+    def _share_work(self) -> None:
+        """Spreads the jobs over the entries that can run them and keep results."""
+        states = self._peers.loads.states
+        states[self._settings.ip] = self._own_state()
+        staying = {name for name, state in states.items() if not state.is_leaving}
+        able = {name for name in staying if states[name].can_store}
+        members = {name: self._peers.zone_of(name) for name in able or staying}
+        self._work.set_members(members)
 
 
 def _has_batch_route(routes: tuple[Route, ...]) -> bool:
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -7,7 +7,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
-from ..direct import Fleet, PeerLoads, Work
+from ..direct import Fleet, PeerLoads, PeerState, Work
 from ..platform import KeyedRecord
 from ._events import EventLog
 from ._timing import PEER_BEAT_S, PEER_LOST_BEAT_S, PEER_SEND_GAP_S
@@ -22,13 +22,18 @@
     name: str
     ip: str
     port: int
+    zone: str
 
 
 class _Beat(msgspec.Struct, array_like=True):
-    """An entry's work at each engine: online requests and batch items."""
+    """The state of an entry; ``work`` holds online requests and batch items."""
 
     name: str
+    ip: str
     work: dict[str, tuple[int, int]]
+    claims: list[int]
+    is_leaving: bool
+    can_store: bool
 
 
 _ADDRESS_DECODER = msgspec.msgpack.Decoder(PeerAddress)
@@ -51,6 +56,8 @@
     def __init__(
         self,
         name: str,
+        ip: str,
+        zone: str,
         fleet: Fleet,
         reactor: Any,
         clock: Any,
@@ -58,19 +65,24 @@
     ) -> None:
         self.loads = PeerLoads()
         self.on_news: Callable[[], None] = lambda: None
+        self.own_state: Callable[[], PeerState] = lambda: PeerState({})
         self._name = name
+        self._ip = ip
+        self._zone = zone
         self._fleet = fleet
         self._reactor = reactor
         self._clock = clock
         self._events = events
         self._peers: dict[str, _Peer] = {}
-        self._last_work: dict[str, tuple[int, int]] = {}
+        self._last_state = PeerState({})
         self._port: Any = None
 
-    def listen(self, ip: str, port: int) -> PeerAddress:
+    def listen(self, port: int) -> PeerAddress:
         """Listens for datagrams and returns the address to publish."""
-        self._port = self._reactor.listenUDP(port, self, interface=ip)
-        return PeerAddress(self._name, ip, int(self._port.getHost().port))
+        self._port = self._reactor.listenUDP(port, self, interface=self._ip)
+        return PeerAddress(
+            self._name, self._ip, int(self._port.getHost().port), self._zone
+        )
 
     def stop(self) -> None:
         """Stops to listen."""
@@ -87,9 +99,17 @@
         except msgspec.DecodeError as exc:
             self._events.warn("peer_ignored", peer=record.key, why=exc)
             return
-        if address.name != self._name:
+        # A record of this instance may be that of the process before this one.
+        if address.ip != self._ip:
             self._peers[record.key] = _Peer(address)
 
+    def zone_of(self, ip: str) -> str:
+        """Returns the zone of an entry, empty if it has not published it."""
+        if ip == self._ip:
+            return self._zone
+        peer = self._peers.get(ip)
+        return peer.address.zone if peer is not None else ""
+
     def tick(self) -> None:
         """Sends what has changed; drops the counts of entries that fell silent."""
         now = self._clock.monotonic()
@@ -98,10 +118,10 @@
             self._events.info("peer_silent", peer=name)
         if silent:
             self._apply()
-        work = self._own_work()
-        has_changed = work != self._last_work
-        self._last_work = work
-        data = msgspec.msgpack.encode(_Beat(self._name, work))
+        state = self.own_state()
+        has_changed = state != self._last_state
+        self._last_state = state
+        data = self._encode(state)
         for peer in self._peers.values():
             if now - peer.sent_at >= self._gap(peer, has_changed, now):
                 peer.sent_at = now
@@ -114,12 +134,15 @@
         except msgspec.DecodeError as exc:
             self._events.warn("datagram_ignored", peer=addr[0], why=exc)
             return
+        if beat.ip == self._ip:
+            return
         now = self._clock.monotonic()
-        peer = self._peers.get(addr[0])
+        peer = self._peers.get(beat.ip)
         if peer is not None:
             peer.heard_at = now
         work = {engine: Work(*counts) for engine, counts in beat.work.items()}
-        self.loads.note(beat.name, work, now)
+        state = PeerState(work, frozenset(beat.claims), beat.is_leaving, beat.can_store)
+        self.loads.note(beat.ip, state, now)
         self._apply()
         self.on_news()
 
@@ -127,12 +150,16 @@
         for engine_id, engine in self._fleet.engines.items():
             engine.peers = self.loads.total(engine_id)
 
-    def _own_work(self) -> dict[str, tuple[int, int]]:
-        return {
-            engine_id: (engine.online, engine.batch)
-            for engine_id, engine in self._fleet.engines.items()
-            if engine.own > 0
-        }
+    def _encode(self, state: PeerState) -> bytes:
+        beat = _Beat(
+            self._name,
+            self._ip,
+            {engine: (w.online, w.batch) for engine, w in state.work.items()},
+            list(state.claims),
+            state.is_leaving,
+            state.can_store,
+        )
+        return msgspec.msgpack.encode(beat)
 
     @staticmethod
     def _gap(peer: _Peer, has_changed: bool, now: float) -> float:
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -45,17 +45,26 @@
 BATCH_STALL_S = 2.5
 # How long an item waits after a run that failed.
 ITEM_RETRY_S = 0.3
+# An item that was stopped is kept this long by the entry that ran it, which goes on
+# with it for free; after that its progress is kept for others.
+HOLD_STOPPED_S = 1.5
+# After a record is kept, by when all entries have read it: a long poll's answer, the
+# pause between reads and the way across regions, several times over.
+FOLD_LAG_S = 0.6
+# How long an item waits whose body the store did not deliver.
+STORE_PAUSE_S = 1.0
 # An item's usual run before any was measured.
 ITEM_RUN_S = 4.0
-# Membership of the group that shares the batch work.
-MEMBER_TTL_S = 1.5
-JOIN_S = 0.5
+# Between two looks at which entries share the batch work.
+MEMBERS_TICK_S = 0.2
 
 # After SIGTERM: callers are sent elsewhere after two missed readiness checks, one a
 # second; what is left at the end of the grace is closed this long before it.
-LEAVE_ROTATION_S = 3.2
+LEAVE_ROTATION_S = 2.6
 CLOSE_MARGIN_S = 0.7
 DRAIN_TICK_S = 0.1
+# Items that still run this long before the end hand their progress over.
+HAND_OVER_S = 1.0
 
 # Connections kept for the platform's readiness checks and for metrics.
 SIDE_CONNECTIONS = 64
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -64,6 +64,11 @@
         """Whether the partition has been read once."""
         return self._offset is not None
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the store answered the last read."""
+        return self._is_reachable
+
     def start(self) -> None:
         """Begins to follow."""
         self._loop = spawn(self._run())
--- a/src/pomeloshift/http1/_listener.py
+++ b/src/pomeloshift/http1/_listener.py
@@ -67,9 +67,14 @@
         for connection in [c for c in self._connections if c.is_idle]:
             connection.close()
 
+    async def stop_accepting(self) -> None:
+        """Closes the port; open connections go on."""
+        port, self._port = self._port, None
+        if port is not None:
+            await maybeDeferred(port.stopListening)
+
     async def stop(self) -> None:
         """Closes the port and all connections."""
-        if self._port is not None:
-            await maybeDeferred(self._port.stopListening)
+        await self.stop_accepting()
         for connection in list(self._connections):
             connection.abort()
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -6,7 +6,7 @@
 from ._item_outcome import AfterRun, ItemPolicy
 from ._job import Job, KeptProgress
 from ._job_book import JobBook
-from ._ownership import partition_of
+from ._ownership import Ownership, claim_of
 from ._progress import Progress
 from ._records import (
     ItemFailed,
@@ -37,13 +37,14 @@
     "JobSubmitted",
     "KeptProgress",
     "NewItem",
+    "Ownership",
     "Progress",
     "Result",
     "WorkItem",
     "WorkQueue",
     "base_key",
+    "claim_of",
     "decode_record",
     "encode_record",
-    "partition_of",
     "split",
 ]
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -33,6 +33,7 @@
     keys: list[str] = attrs.field(factory=list)
     failures: dict[int, int] = attrs.field(factory=dict)
     progress: dict[int, KeptProgress] = attrs.field(factory=dict)
+    events_done: dict[int, int] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
 
@@ -61,6 +62,7 @@
         known = self.progress.get(index)
         if index in self.pending and (known is None or known.event_id < event_id):
             self.progress[index] = KeptProgress(event_id, text)
+            self.events_done[index] = max(event_id, self.events_done.get(index, 0))
 
     def blobs(self) -> list[BlobRef]:
         """Returns all blobs that the job's records refer to."""
--- a/src/pomeloshift/jobs/_ownership.py
+++ b/src/pomeloshift/jobs/_ownership.py
@@ -1,11 +1,56 @@
-"""Which entry runs which jobs."""
+"""Which entry fills which engine's places with batch items.
 
+Each entry works this out for itself from the entries that it hears. Two that differ
+for a moment put too many items on an engine, and then give places back.
+"""
+
+import attrs
 import xxhash
 
 
-def partition_of(job_id: str, partitions: int) -> int:
-    """Returns the share of the work that a job belongs to.
+@attrs.define
+class Ownership:
+    """Spreads engines, or anything with a name, over entries.
+
+    Few names move when an entry comes or goes. Entries in the zone of what is to be
+    owned go before others.
 
-    partition_of("7c41e09b52d6a3f8", 8)  # 0 to 7, the same at every entry
+        ownership = Ownership("10.1.0.10")
+        ownership.set_members({"10.1.0.10": "a", "10.2.0.7": "b"})
+        ownership.owns("i-7f3a91c2", zone="a")
     """
-    return int(xxhash.xxh64_intdigest(job_id.encode()) % partitions)
+
+    name: str
+    _zones: dict[str, str] = attrs.field(factory=dict)
+    _owned: dict[tuple[str, str], bool] = attrs.field(factory=dict)
+
+    def set_members(self, zones: dict[str, str]) -> bool:
+        """Takes the entries and their zones; returns whether they changed."""
+        if zones == self._zones:
+            return False
+        self._zones = dict(zones)
+        self._owned.clear()
+        return True
+
+    def owns(self, name: str, zone: str = "") -> bool:
+        """Whether this entry is the one for ``name``."""
+        owned = self._owned.get((name, zone))
+        if owned is None:
+            owned = self._owner(name, zone) == self.name
+            self._owned[name, zone] = owned
+        return owned
+
+    def _owner(self, name: str, zone: str) -> str | None:
+        near = [entry for entry, its_zone in self._zones.items() if its_zone == zone]
+        return max(
+            near or self._zones, key=lambda entry: _weight(name, entry), default=None
+        )
+
+
+def _weight(name: str, entry: str) -> int:
+    return int(xxhash.xxh3_64_intdigest(f"{name}\0{entry}".encode()))
+
+
+def claim_of(job_id: str, index: int) -> int:
+    """Returns a short name of an item, by which entries tell what they run."""
+    return int(xxhash.xxh3_64_intdigest(f"{job_id}\0{index}".encode())) >> 16
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -5,11 +5,19 @@
 begun goes before fresh ones of its job, since little of it is left.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from ._job import Job
 from ._job_book import JobBook
-from ._ownership import partition_of
+from ._ownership import claim_of
+
+Key = tuple[str, int]
+
+# Items due this close together are equally urgent, so that entries that choose at the
+# same moment choose different ones.
+SAME_DUE_S = 2.0
 
 
 @attrs.frozen
@@ -19,57 +27,75 @@
     job: Job
     index: int
     due: float
+    is_late: bool = False
+
+    @property
+    def key(self) -> Key:
+        """The job's id and the item's position in it."""
+        return self.job.id, self.index
 
 
 @attrs.define
 class WorkQueue:
-    """Orders the items of the jobs that this entry owns."""
+    """Orders the items of all jobs that no other entry runs.
 
-    partitions: int
-    owned: frozenset[int] = frozenset()
-    running: set[tuple[str, int]] = attrs.field(factory=set)
-    _not_before: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    ``is_claimed`` tells whether another entry runs an item; ``salt`` differs between
+    entries, so that they rarely choose the same item at once. Items in ``held`` were
+    stopped here, and are kept for this entry until the time given.
+    """
 
-    def owns(self, job: Job) -> bool:
-        """Whether this entry runs a job's items."""
-        return partition_of(job.id, self.partitions) in self.owned
+    salt: int
+    is_claimed: Callable[[int], bool]
+    running: set[Key] = attrs.field(factory=set)
+    held: dict[Key, float] = attrs.field(factory=dict)
+    _not_before: dict[Key, float] = attrs.field(factory=dict)
 
-    def defer(self, job: Job, index: int, until: float) -> None:
+    def defer(self, key: Key, until: float) -> None:
         """Keeps an item from being run before ``until``."""
-        self._not_before[job.id, index] = until
+        self._not_before[key] = until
+
+    def claims(self) -> frozenset[int]:
+        """Returns the items that this entry keeps, as others are told of them."""
+        return frozenset(claim_of(*key) for key in self.running | self.held.keys())
 
     def pending(
-        self, book: JobBook, deadlines: dict[str, float], now: float, run_s: float
+        self,
+        book: JobBook,
+        deadlines: dict[str, float],
+        now: float,
+        event_s: float,
+        run_s: float,
     ) -> list[WorkItem]:
         """Returns the items to run, the most urgent first.
 
         ``deadlines`` holds, for each queue, how long after a job's acceptance its
-        results are due; ``run_s`` is how long an item usually runs.
+        results are due; ``run_s`` is how long an item usually runs, and ``event_s``
+        what each event of its progress saves.
         """
-        jobs = [job for job in book.jobs.values() if job.is_open and self.owns(job)]
         items = []
-        for job in jobs:
+        for job in book.jobs.values():
+            if not job.is_open:
+                continue
             due = job.accepted_at + deadlines.get(job.queue, 0.0)
             for index in job.pending:
                 if self._is_ready((job.id, index), now):
-                    items.append(WorkItem(job, index, due))
-        items.sort(key=lambda w: self._rank(w, now, run_s))
+                    events = job.events_done.get(index, 0)
+                    rest_s = max(0.0, run_s - event_s * events)
+                    items.append(WorkItem(job, index, due, now + rest_s > due))
+        items.sort(key=self._rank)
         return items
 
-    def _is_ready(self, key: tuple[str, int], now: float) -> bool:
+    def _is_ready(self, key: Key, now: float) -> bool:
         if key in self.running:
             return False
         until = self._not_before.get(key)
-        if until is None:
-            return True
-        if until > now:
-            return False
-        del self._not_before[key]
-        return True
-
-    @staticmethod
-    def _rank(work: WorkItem, now: float, run_s: float) -> tuple[bool, float, int, int]:
-        progress = work.job.progress.get(work.index)
-        events = progress.event_id if progress else 0
-        is_late = now + run_s > work.due
-        return is_late, work.due, -events, work.index
+        if until is not None:
+            if until > now:
+                return False
+            del self._not_before[key]
+        return not self.is_claimed(claim_of(*key))
+
+    def _rank(self, work: WorkItem) -> tuple[bool, int, int, int]:
+        events = work.job.events_done.get(work.index, 0)
+        spread = claim_of(*work.key) ^ self.salt
+        return work.is_late, round(work.due / SAME_DUE_S), -events, spread
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -34,7 +34,7 @@
     load_platform_settings,
     parse_platform_settings,
 )
-from ._store import KeyedRecord, Membership, NewestPage, Page, StoreClient
+from ._store import KeyedRecord, NewestPage, Page, StoreClient
 
 __all__ = [
     "CONFIG_KEY",
@@ -48,7 +48,6 @@
     "JobRead",
     "KeyedRecord",
     "MalformedError",
-    "Membership",
     "NewestPage",
     "Page",
     "PlatformSettings",
--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -23,7 +23,6 @@
     call_bytes: int
     partitions: int
     retention_s: float
-    min_member_ttl_s: float
 
 
 @attrs.frozen
@@ -149,7 +148,6 @@
         call_bytes=reader.get("platform.callBytes", int, 2097152),
         partitions=reader.get("platform.parts", int, 8),
         retention_s=reader.get("platform.retentionS", NUMBER, 20),
-        min_member_ttl_s=reader.get("platform.ttlMinMs", NUMBER, 1000) / 1000,
     )
 
 
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -69,14 +69,6 @@
     end: int
 
 
-@attrs.frozen
-class Membership:
-    """A group's generation and the partitions that belong to this member."""
-
-    generation: int
-    partitions: frozenset[int]
-
-
 class _Newest(msgspec.Struct, rename="camel"):
     items: list["_NewestItem"]
     end: int
@@ -183,32 +175,6 @@
             raise MalformedError(f"the newest records of {topic}: {exc}") from exc
         return NewestPage(records, wire.has_more, wire.end)
 
-    async def join(
-        self, group: str, member: str, topic: str, ttl_s: float, generation: int
-    ) -> Membership:
-        """Joins a group, or stays in it, and returns this member's partitions."""
-        body = {
-            "group": group,
-            "member": member,
-            "topics": [topic],
-            "ttlMs": round(ttl_s * 1000),
-            "generation": generation,
-        }
-        answer = await self._post("/api/log-join", body)
-        _check(answer)
-        data = decode_json(answer.body, "a join's answer")
-        parts = frozenset(int(row[1]) for row in data["parts"])
-        return Membership(int(data["generation"]), parts)
-
-    async def leave(self, group: str, member: str) -> None:
-        """Leaves a group, so that its partitions go to others at once."""
-        _check(await self._post("/api/log-leave", {"group": group, "member": member}))
-
-    async def _post(self, path: str, body: dict[str, Any]) -> Answer:
-        return await self._call(
-            b"POST", path, {}, msgspec.json.encode(body), CALL_TIMEOUT_S
-        )
-
     def _take(self, bucket: TokenBucket) -> None:
         wait_s = bucket.take(self._clock.monotonic())
         if wait_s > 0:
