Test the gateway over stand-ins of the platform's store and engines

Found with them: a job was unknown for up to 0.4 s at the entry that had just accepted it, since its own record was not read yet; before a 404 the log is now read to its end. A stream broken twice was cut by the test's own engine, which the test now allows for.

--- a/src/pomeloshift/cli/_commands.py
+++ b/src/pomeloshift/cli/_commands.py
@@ -33,6 +33,17 @@
 
         sys.exit(run_entry(settings))
 
+    def gateway(self, settings: str = "") -> None:
+        """Runs a gateway, the entry of a deployment on the users' platform.
+
+        Args:
+            settings: path of the settings file that the platform writes; without it
+                the one that POMELOSHIFT_CONFIG names.
+        """
+        from ..gateway import run_gateway
+
+        sys.exit(run_gateway(settings))
+
     def sidecar(self, settings: str) -> None:
         """Runs the sidecar of a backend server.
 
--- a/src/pomeloshift/gateway/_batch_front.py
+++ b/src/pomeloshift/gateway/_batch_front.py
@@ -203,9 +203,10 @@
     async def _read(self, exchange: Exchange, req: FrontRequest, call: JobRead) -> None:
         job = self.log.book.jobs.get(call.job_id)
         until = self.clock.monotonic() + min(req.wait_s, MAX_HOLD_S)
-        if job is None or len(job.results) <= call.position:
+        if job is None:
+            job = await self._find(call.job_id)
+        elif len(job.results) <= call.position:
             await self._require_fresh()
-            job = self.log.book.jobs.get(call.job_id)
         while job is not None and self._may_come(job, call.position):
             remaining_s = until - self.clock.monotonic()
             if remaining_s <= 0:
@@ -276,12 +277,15 @@
         """Returns a job; makes sure that the log does not hold it before None."""
         job = self.log.book.jobs.get(job_id)
         if job is None:
-            await self._require_fresh()
+            await self.log.follower.catch_up()
             job = self.log.book.jobs.get(job_id)
         return job
 
     async def _require_fresh(self) -> None:
-        """Makes sure that the whole log is folded; raises an error of the store."""
+        """Makes sure that the log is folded, but for what came a moment ago.
+
+        Raises an error of the store.
+        """
         if self.log.age() > RESULTS_FRESH_S:
             await self.log.follower.catch_up()
 
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -19,8 +19,14 @@
     Work,
 )
 from ..errors import PomeloshiftError
-from ..http1 import Client, ClientLimits, ConnectionPool, Exchange, HttpListener
-from ..http1._pool_config import PoolConfig
+from ..http1 import (
+    Client,
+    ClientLimits,
+    ConnectionPool,
+    Exchange,
+    HttpListener,
+    PoolConfig,
+)
 from ..jobs import Ownership, WorkQueue
 from ..net._loops import Loops, spawn
 from ..platform import (
@@ -85,6 +91,8 @@
         self._config = ConfigHolder()
         self._fleet = Fleet()
         self._loops = Loops(reactor)
+        self.front_address = ""
+        self.ready_address = ""
         self._is_draining = False
         self._is_closed = False
         # A process's name in the store; a restart is another producer and member.
@@ -208,12 +216,8 @@
 
     async def start(self) -> None:
         """Listens and begins to follow the store."""
-        for listener, address in (
-            (self._front, self._settings.front_address),
-            (self._ready, self._settings.ready_address),
-        ):
-            host, _, port = address.rpartition(":")
-            listener.listen(host, int(port))
+        self.front_address = _listen(self._front, self._settings.front_address)
+        self.ready_address = _listen(self._ready, self._settings.ready_address)
         self._pool.start()
         self._config_follower.start()
         self._engine_follower.start()
@@ -228,7 +232,7 @@
             "started",
             instance=self._incarnation,
             zone=self._settings.zone,
-            front=self._settings.front_address,
+            front=self.front_address,
         )
 
     async def drain(self) -> None:
@@ -460,6 +464,12 @@
         self._work.set_members(members)
 
 
+def _listen(listener: HttpListener, address: str) -> str:
+    """Listens on an address and returns it with the port that was taken."""
+    host, _, port = address.rpartition(":")
+    return f"{host}:{listener.listen(host, int(port))}"
+
+
 def _has_batch_route(routes: tuple[Route, ...]) -> bool:
     return any(route.kind is RouteKind.BATCH for route in routes)
 
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -249,7 +249,7 @@
             )
             raise
         except Exception:
-            if not request.exchange.is_answered:
+            if not request.exchange.is_over:
                 request.exchange.abort()
             raise
         finally:
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -6,6 +6,7 @@
 from ._listener import HttpListener
 from ._mailbox import Mailbox
 from ._messages import Answer, AnswerHead, Chunk, End, Headers, Lost, RequestHead
+from ._pool_config import PoolConfig
 from ._server_connection import ClientLimits, Exchange
 
 __all__ = [
@@ -25,5 +26,6 @@
     "HttpListener",
     "Lost",
     "Mailbox",
+    "PoolConfig",
     "RequestHead",
 ]
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -28,6 +28,7 @@
 class Exchange:
     """One request and the answer to it.
 
+    ``is_over`` is set once the answer is whole or the connection is gone.
     ``on_gone`` is called if the caller closes its connection before the answer is
     whole; ``on_pause`` with True when the caller does not read and with False when it
     reads again.
@@ -39,7 +40,7 @@
         self.head = head
         self.body = body
         self.arrived = arrived
-        self.is_answered = False
+        self.is_over = False
         self.has_started = False
         self.on_gone: Callable[[], None] = _do_nothing
         self.on_pause: Callable[[bool], None] = _ignore
@@ -64,12 +65,12 @@
 
     def finish(self) -> None:
         """Marks the answer as whole."""
-        self.is_answered = True
+        self.is_over = True
         self._conn.end_answer()
 
     def abort(self) -> None:
         """Closes the connection so that the answer cannot look complete."""
-        self.is_answered = True
+        self.is_over = True
         self._conn.abort()
 
 
@@ -110,7 +111,8 @@
         self._listener.remove(self)
         self._disarm()
         exchange, self._exchange = self._exchange, None
-        if exchange is not None and not exchange.is_answered:
+        if exchange is not None and not exchange.is_over:
+            exchange.is_over = True
             exchange.on_gone()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
--- /dev/null
+++ b/tests/test_gateway_batch.py
@@ -0,0 +1,225 @@
+import msgspec
+import pytest
+
+from _gateway import Deployment, config, job, route, text
+from pomeloshift.standins.platform import Behaviour
+
+BODIES = [b"one", b"two", b"x" * 10_000]  # the last one takes several records
+
+
+@pytest.fixture
+def play(reactor, run_async):
+    """Runs a scenario, a coroutine function that takes a deployment."""
+
+    def play(scenario):
+        async def run():
+            deployment = Deployment(reactor)
+            try:
+                return await scenario(deployment)
+            finally:
+                await deployment.stop()
+
+        return run_async(run())
+
+    return play
+
+
+def test_job_is_run_and_read_at_any_gateway(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        first = await deployment.add_gateway()
+        second = await deployment.add_gateway()
+        accepted = await deployment.submit(first, "job1", BODIES)
+        rows = await deployment.results(second, "job1", 3)
+        again = await deployment.results(first, "job1", 3)
+        return accepted.status, rows, again, engine.seen
+
+    status, rows, again, seen = play(scenario)
+    assert status == 202
+    assert rows == again
+    assert {row["id"]: row["state"] for row in rows} == {
+        f"item{n}": "completed" for n in range(3)
+    }
+    assert {row["text"] for row in rows} == {text(4)}
+    assert {s.id: s.body for s in seen} == dict(
+        zip(["item0", "item1", "item2"], BODIES, strict=True)
+    )
+    assert all(s.headers["host"] == "app.example" for s in seen)
+
+
+def test_repeated_submission_is_accepted_once(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        statuses = []
+        for gateway in [*gateways, *gateways]:
+            answer = await deployment.submit(gateway, "job1", BODIES)
+            statuses.append(answer.status)
+        await deployment.results(gateways[0], "job1", 3)
+        await deployment.results(gateways[1], "job1", 3)
+        answer = await deployment.call(gateways[1], "GET", "/api/lots/job1?after=1")
+        return statuses, msgspec.json.decode(answer.body)
+
+    statuses, page = play(scenario)
+    assert statuses == [202] * 4
+    assert (page["total"], page["nextToken"], len(page["results"])) == (3, 3, 2)
+
+
+def test_lost_answers_of_the_store_do_not_double_a_job(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        deployment.store.answers_to_lose = 2
+        answer = await deployment.submit(gateway, "job1", BODIES)
+        await deployment.results(gateway, "job1", 3)
+        newest = deployment.store.state.partition("keyed.jobs", 0).newest()
+        return answer.status, sum(key.startswith("job1/") for key in newest)
+
+    # One record accepts the job, three settle its items.
+    assert play(scenario) == (202, 4)
+
+
+def test_broken_item_goes_on_behind_its_last_event(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=7, break_after=3)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        rows = await deployment.results(gateway, "job1", 1)
+        return rows, [seen.headers.get("last-event-id") for seen in engine.seen]
+
+    rows, resumed_from = play(scenario)
+    assert rows[0]["text"] == text(7)
+    assert resumed_from == [None, "3", "6"]
+
+
+@pytest.mark.parametrize(("status", "runs"), [(422, 1), (500, 2)])
+def test_item_that_fails_becomes_a_dead_letter(play, status, runs):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(status=status)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        rows = await deployment.results(gateway, "job1", 1)
+        return rows, len(engine.seen)
+
+    rows, seen = play(scenario)
+    assert rows == [{"id": "item0", "state": "dead_letter", "text": ""}]
+    assert seen == runs
+
+
+def test_new_gateway_knows_all_jobs_after_a_loss_of_history(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        first = await deployment.add_gateway()
+        await deployment.submit(first, "job1", BODIES)
+        rows = await deployment.results(first, "job1", 3)
+        for topic in ("keyed.jobs", "keyed.blobs"):
+            deployment.store.state.partition(topic, 0).forget_history()
+        second = await deployment.add_gateway()
+        return rows, await deployment.results(second, "job1", 3)
+
+    rows, again = play(scenario)
+    assert rows == again
+
+
+def test_body_is_read_and_a_job_ended(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", BODIES)
+        body = await deployment.call(gateway, "GET", "/api/items/job1?id=item2")
+        ends = [
+            await deployment.call(gateway, "DELETE", "/api/lots/job1") for _ in range(2)
+        ]
+        deployment.add_engine()
+        return body.body, [end.status for end in ends]
+
+    assert play(scenario) == (BODIES[2], [200, 200])
+
+
+def test_unknown_job_is_not_found_only_if_that_is_sure(play, monkeypatch):
+    from pomeloshift.gateway import _batch_front
+
+    monkeypatch.setattr(_batch_front, "RESULTS_FRESH_S", -1.0)
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        sure = await deployment.call(gateway, "GET", "/api/lots/job9?after=0")
+        deployment.store.is_busy = True
+        unsure = await deployment.call(gateway, "GET", "/api/lots/job9?after=0")
+        return sure.status, unsure.status
+
+    assert play(scenario) == (404, 503)
+
+
+def test_job_that_does_not_fit_is_refused_and_never_runs(play):
+    async def scenario(deployment):
+        deployment.publish(config(2, [route("jobs", cap=100)]))
+        gateway = await deployment.add_gateway()
+        first = await deployment.submit(gateway, "job1", [b"a"], tokens=60)
+        second = await deployment.submit(gateway, "job2", [b"a"], tokens=60)
+        engine = deployment.add_engine()
+        await deployment.results(gateway, "job1", 1)
+        third = await deployment.submit(gateway, "job2", [b"a"], tokens=60)
+        return [first.status, second.status, third.status, len(engine.seen)]
+
+    statuses = play(scenario)
+    assert statuses[:3] == [202, 429, 202]
+    assert statuses[3] >= 1
+
+
+def test_submission_is_refused_as_not_run_while_the_store_refuses(play, monkeypatch):
+    from pomeloshift.gateway import _batch_front
+
+    monkeypatch.setattr(_batch_front, "SUBMIT_WAIT_S", 0.3)
+    monkeypatch.setattr(_batch_front, "RESULTS_FRESH_S", 60.0)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        deployment.store.is_busy = True
+        refused = await deployment.submit(gateway, "job1", BODIES)
+        deployment.store.is_busy = False
+        accepted = await deployment.submit(gateway, "job2", BODIES)
+        await deployment.results(gateway, "job2", 3)
+        unknown = await deployment.call(gateway, "GET", "/api/lots/job1?after=0")
+        return refused.status, accepted.status, unknown.status, len(engine.seen)
+
+    assert play(scenario) == (503, 202, 404, 3)
+
+
+def test_submission_without_an_answer_of_the_store_promises_nothing(play, monkeypatch):
+    from pomeloshift.gateway import _batch_front
+
+    monkeypatch.setattr(_batch_front, "SUBMIT_WAIT_S", 0.3)
+    monkeypatch.setattr(_batch_front, "RESULTS_FRESH_S", 60.0)
+
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        # The bodies are kept; the record of the job stays without an answer.
+        front = gateway._batch
+        put = front.blobs.put
+
+        async def put_then_silence(*args):
+            refs = await put(*args)
+            deployment.store.is_silent = True
+            return refs
+
+        front.blobs.put = put_then_silence
+        return await deployment.submit(gateway, "job1", BODIES)
+
+    assert play(scenario).status == 504
+
+
+def test_malformed_job_is_rejected(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        bad = job([b"a"]).replace(b"YQ==", b"%%%%")
+        answers = [
+            await deployment.call(gateway, "POST", "/jobs/new", body)
+            for body in (b"{", bad)
+        ]
+        return [answer.status for answer in answers]
+
+    assert play(scenario) == [400, 400]
--- /dev/null
+++ b/tests/test_gateway_online.py
@@ -0,0 +1,271 @@
+import pytest
+
+from _gateway import Deployment, config, events, route
+from pomeloshift.gateway import _gateway as gateway_module
+from pomeloshift.http1 import ConnectionBrokenError, Headers, RequestHead
+from pomeloshift.standins.platform import Behaviour
+
+
+@pytest.fixture
+def play(reactor, run_async):
+    """Runs a scenario, a coroutine function that takes a deployment."""
+
+    def play(scenario):
+        async def run():
+            deployment = Deployment(reactor)
+            try:
+                return await scenario(deployment)
+            finally:
+                await deployment.stop()
+
+        return run_async(run())
+
+    return play
+
+
+def test_stream_is_passed_on_whole(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        answer = await deployment.call(
+            gateway, "POST", "/once/a?b=c", b"prompt", "id1", X_Deadline_Ms=5000
+        )
+        return answer, engine.seen[0]
+
+    answer, seen = play(scenario)
+    assert answer.status == 200
+    assert answer.body == events(1, 4)
+    assert answer.headers.text(b"x-response-stamp") == "stand-in.1"
+    assert answer.headers.text(b"x-request-id") == "id1"
+    assert seen.path == "/once/a?b=c"
+    assert seen.body == b"prompt"
+    assert seen.headers["x-expect-instance"] == "i-0"
+    assert 0 < int(seen.headers["x-deadline-ms"]) <= 5000
+
+
+def test_resumable_stream_goes_on_at_another_engine(play):
+    async def scenario(deployment):
+        for _ in range(2):
+            deployment.add_engine().behaviour = Behaviour(events=6, break_after=4)
+        gateway = await deployment.add_gateway()
+        answer = await deployment.call(gateway, "POST", "/resumable/a")
+        sent = [seen for engine in deployment.engines for seen in engine.seen]
+        return answer, sent
+
+    answer, sent = play(scenario)
+    assert answer.body == events(1, 6)
+    assert sorted(s.headers.get("last-event-id", "") for s in sent) == ["", "4"]
+
+
+def test_stream_that_may_not_be_resumed_is_cut_and_runs_once(play):
+    async def scenario(deployment):
+        for _ in range(2):
+            deployment.add_engine().behaviour = Behaviour(events=6, break_after=3)
+        gateway = await deployment.add_gateway()
+        with pytest.raises(ConnectionBrokenError):
+            await deployment.call(gateway, "POST", "/once/a")
+        return sum(len(engine.seen) for engine in deployment.engines)
+
+    assert play(scenario) == 1
+
+
+def test_request_goes_from_a_full_engine_to_another(play):
+    async def scenario(deployment):
+        full = deployment.add_engine()
+        full.behaviour = Behaviour(is_full=True)
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        answers = [
+            await deployment.call(gateway, "POST", "/once/a", request_id=f"r{n}")
+            for n in range(6)
+        ]
+        return [answer.status for answer in answers]
+
+    assert play(scenario) == [200] * 6
+
+
+def test_request_is_refused_as_not_run_when_all_engines_are_full(play):
+    async def scenario(deployment):
+        for _ in range(2):
+            deployment.add_engine().behaviour = Behaviour(is_full=True)
+        gateway = await deployment.add_gateway()
+        return await deployment.call(gateway, "POST", "/once/a")
+
+    answer = play(scenario)
+    assert answer.status == 503
+    assert 0 < float(answer.headers.text(b"retry-after")) <= 1.5
+    assert answer.headers.get(b"x-response-stamp") is None
+
+
+def test_request_without_engines_is_refused_at_once(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        return await deployment.call(gateway, "POST", "/once/a")
+
+    assert play(scenario).status == 503
+
+
+def test_request_that_may_have_run_is_never_called_not_run(play):
+    async def scenario(deployment):
+        engines = [deployment.add_engine() for _ in range(2)]
+        for engine in engines:
+            engine.behaviour = Behaviour(is_silent=True)
+        deployment.publish(config(2, [route("unsafe", timeoutMs=200)]))
+        gateway = await deployment.add_gateway()
+        answer = await deployment.call(gateway, "POST", "/unsafe/a")
+        return answer.status, sum(len(engine.seen) for engine in engines)
+
+    assert play(scenario) == (504, 1)
+
+
+def test_answer_without_the_engines_mark_is_no_success(play):
+    async def scenario(deployment):
+        deployment.add_engine().behaviour = Behaviour(has_stamp=False)
+        gateway = await deployment.add_gateway()
+        return await deployment.call(gateway, "POST", "/unsafe/a")
+
+    assert play(scenario).status == 502
+
+
+def test_failure_of_an_engine_is_passed_on_unchanged(play):
+    async def scenario(deployment):
+        deployment.add_engine().behaviour = Behaviour(status=500)
+        gateway = await deployment.add_gateway()
+        return await deployment.call(gateway, "POST", "/unsafe/a")
+
+    answer = play(scenario)
+    assert answer.status == 500
+    assert answer.body == b"failed"
+    assert answer.headers.get(b"x-response-stamp") is not None
+
+
+def test_another_engine_at_the_address_does_not_run_the_request(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        deployment.store.state.put(
+            "keyed.servers", "i-gone", engine.entry(engine.address, "other")
+        )
+        gateway = await deployment.add_gateway()
+        deployment.publish(config(2, [route("once", service="other")]))
+        while gateway._config.current.version < 2:
+            await deployment.pause(0.01)
+        answer = await deployment.call(gateway, "POST", "/once/a")
+        return answer.status, len(engine.seen)
+
+    assert play(scenario) == (503, 0)
+
+
+def test_engine_stops_when_the_caller_leaves(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=10_000, event_gap_s=0.01)
+        gateway = await deployment.add_gateway()
+        head = RequestHead(b"POST", b"/once/a", Headers([(b"Host", b"app.example")]))
+        call = await deployment.pool.send(gateway.front_address, head, b"")
+        await call.next(20.0)
+        call.abort()
+        while engine.aborted == 0:
+            await deployment.pause(0.01)
+        return engine.running
+
+    assert play(scenario) == 0
+
+
+def test_path_without_a_route_is_not_found(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        return await deployment.call(gateway, "GET", "/unknown/a")
+
+    assert play(scenario).status == 404
+
+
+def test_unknown_path_is_refused_while_the_configuration_may_be_old(play, monkeypatch):
+    monkeypatch.setattr(gateway_module, "CONFIG_FRESH_S", -1.0)
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        deployment.store.is_busy = True
+        return await deployment.call(gateway, "GET", "/unknown/a")
+
+    assert play(scenario).status == 503
+
+
+def test_new_route_is_served_and_an_older_version_ignored(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        deployment.publish(config(7, [route("added", kind="idempotent")]))
+        deployment.publish(config(5))
+        while gateway._config_follower._offset < 3:
+            await deployment.pause(0.01)
+        new = await deployment.call(gateway, "POST", "/added/a")
+        old = await deployment.call(gateway, "POST", "/once/a")
+        return new.status, old.status
+
+    assert play(scenario) == (200, 404)
+
+
+def test_online_requests_go_on_without_the_store(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        deployment.store.is_silent = True
+        return await deployment.call(gateway, "POST", "/once/a")
+
+    assert play(scenario).status == 200
+
+
+def test_draining_engine_gets_no_new_requests(play):
+    async def scenario(deployment):
+        leaving, staying = deployment.add_engine(), deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        deployment.register(leaving, state="draining")
+        while not gateway._fleet.engines["i-0"].entry.is_draining:
+            await deployment.pause(0.01)
+        for n in range(5):
+            await deployment.call(gateway, "POST", "/once/a", request_id=f"r{n}")
+        return len(leaving.seen), len(staying.seen)
+
+    assert play(scenario) == (0, 5)
+
+
+def test_stopping_gateway_refuses_late_requests_as_not_run(play, monkeypatch):
+    monkeypatch.setattr(gateway_module, "LEAVE_ROTATION_S", 0.05)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=60, event_gap_s=0.01)
+        gateway = await deployment.add_gateway()
+        head = RequestHead(
+            b"POST",
+            b"/once/a",
+            Headers([(b"Host", b"app.example"), (b"X-Request-Id", b"early")]),
+        )
+        early = await deployment.pool.send(gateway.front_address, head, b"")
+        await early.next(20.0)
+        # A request whose body is not whole yet when the gateway closes.
+        late = await deployment.pool._connect(gateway.front_address)
+        late.transport.write(
+            b"POST /once/a HTTP/1.1\r\nHost: app.example\r\nContent-Length: 2\r\n\r\n"
+        )
+        await deployment.pause(0.05)
+        from twisted.internet.defer import Deferred
+
+        draining = Deferred.fromCoroutine(gateway.drain())
+        while not gateway._is_closed:
+            await deployment.pause(0.01)
+        received = []
+        late.dataReceived = received.append
+        late.transport.write(b"ab")
+        while not received:
+            await deployment.pause(0.01)
+        await draining
+        kinds = []
+        while (event := early.next_ready()) is not None:
+            kinds.append(type(event).__name__)
+        return received[0], kinds[-1], len(engine.seen)
+
+    refusal, last, seen = play(scenario)
+    assert refusal.startswith(b"HTTP/1.1 503")
+    assert last == "End"
+    assert seen == 1
--- /dev/null
+++ b/tests/test_jobs_cores.py
@@ -0,0 +1,325 @@
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pomeloshift.direct import Engine, EngineEntry, PeerLoads, PeerState, Work
+from pomeloshift.gateway._batch_places import PEAK_S, BatchPlaces
+from pomeloshift.jobs import (
+    AfterRun,
+    Assembler,
+    BlobRef,
+    ItemFailed,
+    ItemPolicy,
+    ItemProgress,
+    ItemSettled,
+    JobBook,
+    JobEnded,
+    JobSubmitted,
+    Ownership,
+    WorkQueue,
+    claim_of,
+    encode_record,
+    split,
+)
+
+RECORD_BYTES = 400  # less than one record of a job, so that it is cut
+
+
+def ref(number):
+    return BlobRef(f"blob{number}", number, 10, 1)
+
+
+def submitted(job_id="j1", items=3, tokens=10, at=100.0):
+    rows = [(f"{job_id}-{n}", f"/p/{n}", [], ref(n), tokens) for n in range(items)]
+    return JobSubmitted(job_id, "h/p/", "h", "/p/new", at, rows)
+
+
+class Log:
+    """Records with keys of their own, as entries append them."""
+
+    def __init__(self):
+        self.rows = []
+
+    def add(self, record):
+        key = f"{record.job_id}/w/{len(self.rows)}"
+        self.rows += split(key, encode_record(record), RECORD_BYTES)
+
+    def fold(self, rows=None, now=1.0, wall=100.0):
+        book = JobBook()
+        for offset, (key, value) in enumerate(self.rows if rows is None else rows):
+            book.apply(offset, key, value, now, wall)
+        return book
+
+
+@pytest.fixture
+def log():
+    return Log()
+
+
+def test_fragments_are_put_together_in_any_order():
+    data = bytes(range(256)) * 9
+    rows = split("k", data, RECORD_BYTES)
+    assert len(rows) > 10
+    Random(1).shuffle(rows)
+    assembler = Assembler()
+    found = [assembler.add(key, value) for key, value in rows]
+    assert found[:-1] == [None] * (len(rows) - 1)
+    assert found[-1] == data
+
+
+def test_first_result_of_an_item_counts(log):
+    log.add(submitted())
+    log.add(ItemSettled("j1", 2, True, ref(20)))
+    log.add(ItemSettled("j1", 0, True, ref(21)))
+    log.add(ItemSettled("j1", 2, True, ref(22)))
+    job = log.fold().jobs["j1"]
+    assert [(r.item_id, r.text.offset) for r in job.results] == [
+        ("j1-2", 20),
+        ("j1-0", 21),
+    ]
+    assert job.pending == {1}
+
+
+def test_repeated_submission_changes_nothing(log):
+    log.add(submitted())
+    log.add(ItemSettled("j1", 0, True, ref(20)))
+    log.add(submitted(items=5))
+    job = log.fold().jobs["j1"]
+    assert len(job.items) == 3
+    assert len(job.results) == 1
+
+
+def test_records_before_their_job_and_unreadable_ones_are_passed_over(log):
+    log.add(ItemSettled("j9", 0, True, ref(1)))
+    log.rows.append(("x#0", b"\x00\x00\x00\x01not a record"))
+    log.rows.append(("y#0", b""))
+    log.add(submitted())
+    book = log.fold()
+    assert set(book.jobs) == {"j1"}
+    assert book.unreadable == 1
+
+
+@given(st.integers(0, 2**32))
+def test_reading_on_and_reading_anew_give_the_same(seed):
+    random, log = Random(seed), Log()
+    log.add(submitted("j1"))
+    log.add(submitted("j2"))
+    for _ in range(12):
+        job_id, index = random.choice(["j1", "j2"]), random.randrange(3)
+        record = random.choice(
+            [
+                ItemSettled(job_id, index, True, ref(random.randrange(99))),
+                ItemSettled(job_id, index, False, None),
+                ItemFailed(job_id, index),
+                ItemProgress(job_id, index, random.randrange(9), ref(1)),
+                JobEnded(job_id),
+                submitted(job_id, items=4),
+            ]
+        )
+        log.add(record)
+    follower = JobBook()
+    doubled = []
+    for offset, row in enumerate(log.rows):
+        doubled.append((offset, row))
+        doubled += random.sample(doubled, min(2, len(doubled)))
+    for offset, (key, value) in doubled:
+        follower.apply(offset, key, value, 1.0, 100.0)
+    anew = log.fold()
+    for job_id in ("j1", "j2"):
+        assert follower.jobs[job_id].results == anew.jobs[job_id].results
+        assert follower.jobs[job_id].pending == anew.jobs[job_id].pending
+        assert follower.jobs[job_id].failures == anew.jobs[job_id].failures
+
+
+def test_removing_a_jobs_keys_forgets_it_and_its_late_records(log):
+    log.add(submitted())
+    log.add(ItemSettled("j1", 0, True, ref(20)))
+    keys = log.fold().jobs["j1"].keys
+    log.rows += [(key, None) for key in keys]
+    log.add(ItemSettled("j1", 1, True, ref(21)))
+    assert log.fold().jobs == {}
+    assert set(keys) == {key for key, value in log.rows[:-1] if value is not None}
+
+
+def test_waiting_tokens_fall_as_items_end(log):
+    log.add(submitted("j1", items=3, tokens=10))
+    log.add(submitted("j2", items=2, tokens=5))
+    assert log.fold().waiting_tokens("h/p/") == 40
+    log.add(ItemSettled("j1", 0, False, None))
+    log.add(JobEnded("j2"))
+    assert log.fold().waiting_tokens("h/p/") == 20
+    assert log.fold().waiting_tokens("other") == 0
+
+
+def test_age_of_a_job_survives_a_restart_but_not_a_clock_set_back(log):
+    log.add(submitted(at=100.0))
+    assert log.fold(now=50.0, wall=107.0).jobs["j1"].accepted_at == 43.0
+    assert log.fold(now=50.0, wall=90.0).jobs["j1"].accepted_at == 50.0
+
+
+def test_furthest_progress_counts(log):
+    log.add(submitted())
+    for event_id in (4, 9, 2):
+        log.add(ItemProgress("j1", 1, event_id, ref(event_id)))
+    log.add(ItemProgress("j1", 0, 5, ref(5)))
+    log.add(ItemSettled("j1", 0, True, ref(20)))
+    job = log.fold().jobs["j1"]
+    assert job.progress[1].event_id == 9
+    assert 0 not in job.progress
+
+
+# Order of work
+
+
+@pytest.fixture
+def claimed():
+    """The claims of other entries."""
+    return set()
+
+
+@pytest.fixture
+def queue(claimed):
+    return WorkQueue(salt=5, is_claimed=lambda claim: claim in claimed)
+
+
+def order(queue, book, now, deadline=18.0, run_s=4.0):
+    work = queue.pending(book, {"h/p/": deadline}, now, event_s=0.02, run_s=run_s)
+    return [(w.job.id, w.index) for w in work]
+
+
+def test_items_that_can_still_be_done_in_time_go_first(log, queue):
+    log.add(submitted("old", items=1, at=80.0))  # due in the past
+    log.add(submitted("due", items=1, at=92.0))
+    log.add(submitted("new", items=1, at=100.0))
+    book = log.fold(now=100.0, wall=100.0)
+    assert [job for job, _ in order(queue, book, now=100.0)] == ["due", "new", "old"]
+
+
+def test_item_with_progress_goes_before_fresh_ones(log, queue):
+    log.add(submitted("j1", items=4))
+    log.add(ItemProgress("j1", 2, 90, ref(1)))
+    assert order(queue, log.fold(), now=1.0)[0] == ("j1", 2)
+
+
+def test_running_claimed_deferred_and_ended_items_are_left_out(log, queue, claimed):
+    log.add(submitted("j1", items=4))
+    log.add(submitted("j2", items=1))
+    log.add(JobEnded("j2"))
+    book = log.fold()
+    queue.running.add(("j1", 0))
+    claimed.add(claim_of("j1", 1))
+    queue.defer(("j1", 2), until=5.0)
+    assert order(queue, book, now=1.0) == [("j1", 3)]
+    assert set(order(queue, book, now=6.0)) == {("j1", 2), ("j1", 3)}
+
+
+def test_entries_choose_different_items_first(log):
+    log.add(submitted("j1", items=40))
+    book = log.fold()
+    firsts = {
+        order(
+            WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False),
+            book,
+            1.0,
+        )[0]
+        for n in range(6)
+    }
+    assert len(firsts) >= 4
+
+
+@pytest.mark.parametrize(
+    ("status", "failures", "after"),
+    [
+        (422, 0, AfterRun.DEAD_LETTER),
+        (500, 0, AfterRun.COUNT_FAILURE),
+        (500, 1, AfterRun.COUNT_FAILURE),
+        (500, 2, AfterRun.DEAD_LETTER),
+        (404, 0, AfterRun.AGAIN),
+    ],
+)
+def test_dead_letters_only_after_the_failures_allowed(status, failures, after):
+    assert ItemPolicy(max_failures=3).after(status, failures) is after
+
+
+def test_each_name_has_one_owner_in_its_zone_and_few_move():
+    zones = {f"n{n}": "ab"[n % 2] for n in range(6)}
+    names = [f"i-{n}" for n in range(60)]
+
+    def owners(zones):
+        found = {}
+        for entry in zones:
+            ownership = Ownership(entry)
+            ownership.set_members(zones)
+            for name in names:
+                if ownership.owns(name, zone="a"):
+                    assert name not in found
+                    found[name] = entry
+        return found
+
+    before = owners(zones)
+    assert set(before) == set(names)
+    assert {zones[entry] for entry in before.values()} == {"a"}
+    after = owners({n: z for n, z in zones.items() if n != "n0"})
+    assert all(after[n] == before[n] for n in names if before[n] != "n0")
+
+
+# Places of engines
+
+
+@pytest.fixture
+def engine():
+    return Engine(EngineEntry("e1", "lm", "10.0.0.1:80", "a", 8, False, 1))
+
+
+@pytest.fixture
+def places():
+    return BatchPlaces("b", PeerLoads())
+
+
+def test_batch_items_leave_what_online_requests_lately_needed(places, engine):
+    engine.peers = Work(online=5)
+    places.observe([engine], now=1.0)
+    engine.peers = Work(online=1)
+    places.observe([engine], now=1.1)
+    assert places.free(engine, now=1.1) == 3
+    places.observe([engine], now=1.2 + PEAK_S)
+    assert places.free(engine, now=1.2 + PEAK_S) == 7
+
+
+def test_items_chosen_but_not_yet_sent_take_their_places(places, engine):
+    places.observe([engine], now=1.0)
+    for _ in range(8):
+        assert places.free(engine, now=1.0) > 0
+        engine.take_place()
+    assert places.free(engine, now=1.0) == 0
+
+
+def test_holders_of_an_engines_items_together_give_back_what_is_needed(engine):
+    held = {"a": 3, "b": 3, "c": 2}
+    given = {}
+    for name, own in held.items():
+        loads = PeerLoads()
+        for other, batch in held.items():
+            if other != name:
+                loads.note(other, PeerState({"e1": Work(0, batch)}), now=1.0)
+        places = BatchPlaces(name, loads)
+        here = Engine(engine.entry)
+        here.peers = Work(online=4, batch=8 - own)
+        for _ in range(own):
+            here.take_place()
+        given[name] = places.to_yield(here, now=1.0)
+    # Twelve are there and eight places.
+    assert sum(given.values()) == 4
+    assert given == {"a": 3, "b": 1, "c": 0}
+
+
+def test_nothing_is_given_back_while_places_are_free(places, engine):
+    engine.take_place()
+    engine.peers = Work(online=7)
+    assert places.to_yield(engine, now=1.0) == 0
+    engine.peers = Work(online=8)
+    assert places.to_yield(engine, now=1.0) == 1
+    places.yielded(engine, now=1.0)
+    assert places.to_yield(engine, now=1.01) == 0
