--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -261,6 +261,7 @@
             end = await run.run()
         except CancelledError:
             self._keep_progress(key, run)
+            self.events.metrics.item_ran("stopped", self.access.now() - began)
             self.events.info(
                 "item_stopped",
                 id=item.id,
@@ -278,6 +279,7 @@
             self._runs.pop(key, None)
             self._tasks.pop(key, None)
             self.queue.running.discard(key)
+        self.events.metrics.item_ran(end.value, self.access.now() - began)
         self.events.info(
             "item_run",
             id=item.id,
--- a/src/pomeloshift/gateway/_events.py
+++ b/src/pomeloshift/gateway/_events.py
@@ -4,6 +4,8 @@
 
 from loguru import logger
 
+from ._metrics import GatewayMetrics
+
 # Lines of one kind within a second, beyond which ordinary ones are only counted.
 LINES_PER_S = 40
 
@@ -16,13 +18,15 @@
     Lines about failures are always written.
     """
 
-    def __init__(self, clock: Any) -> None:
+    def __init__(self, clock: Any, metrics: GatewayMetrics) -> None:
+        self.metrics = metrics
         self._clock = clock
         self._second = 0
         self._counts: dict[str, int] = {}
 
     def info(self, event: str, **fields: Any) -> None:
         """Writes an ordinary line, unless its kind has used up its share."""
+        self.metrics.decided(event)
         second = int(self._clock.monotonic())
         if second != self._second:
             self._report_omitted()
@@ -34,6 +38,7 @@
 
     def warn(self, event: str, **fields: Any) -> None:
         """Writes a line about a failure or a lost dependency."""
+        self.metrics.decided(event)
         self._write("WARNING", event, fields)
 
     def _report_omitted(self) -> None:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """The entry of a deployment on the users' platform."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
@@ -53,6 +54,7 @@
 from ._events import EventLog
 from ._job_log import JobLog
 from ._log_writer import LogWriter
+from ._metrics import GatewayMetrics
 from ._online import OnlineService
 from ._peer_exchange import PeerExchange
 from ._refusal import refuse
@@ -64,6 +66,7 @@
     HAND_OVER_S,
     LEAVE_ROTATION_S,
     MEMBERS_TICK_S,
+    METRICS_PORT,
     PEER_POLL_S,
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
@@ -81,18 +84,28 @@
     """
 
     def __init__(
-        self, settings: PlatformSettings, reactor: Any, clock: Any, random: Random
+        self,
+        settings: PlatformSettings,
+        reactor: Any,
+        clock: Any,
+        random: Random,
+        metrics_port: int = METRICS_PORT,
+        count_dropped_lines: Callable[[], int] = lambda: 0,
     ) -> None:
         self._settings = settings
+        self._metrics_port = metrics_port
+        self._count_dropped_lines = count_dropped_lines
         self._reactor = reactor
         self._clock = clock
         self._random = random
-        self._events = events = EventLog(clock)
-        self._config = ConfigHolder()
+        self._metrics = GatewayMetrics(settings.name)
+        self._events = events = EventLog(clock, self._metrics)
+        self.config = ConfigHolder()
         self._fleet = Fleet()
         self._loops = Loops(reactor)
         self.front_address = ""
         self.ready_address = ""
+        self.metrics_address = ""
         self._is_draining = False
         self._is_closed = False
         # A process's name in the store; a restart is another producer and member.
@@ -101,6 +114,7 @@
         self._pool = ConnectionPool(reactor, clock, PoolConfig())
         client = Client(self._pool, clock)
         self._store = StoreClient(settings.store, client, clock)
+        self._store.on_call = self._metrics.store_called
         placement = Placement(
             settings.zone, settings.regions, PlacementConfig(), random
         )
@@ -116,14 +130,14 @@
             reactor,
         )
         self._access = access
-        self._online = OnlineService(access, events)
+        self.online = OnlineService(access, events)
         self._blobs = BlobStore(
             self._store,
             self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
             self._incarnation,
             settings.store.record_bytes,
         )
-        self._log = JobLog(
+        self.job_log = JobLog(
             self._store,
             self._writer(_job_log.TOPIC, _job_log.PARTITION),
             self._incarnation,
@@ -132,9 +146,9 @@
             clock,
             events,
         )
-        self._batch = BatchFront(self._log, self._blobs, events, reactor, clock)
-        self._log.on_change = self._batch.job_changed
-        self._peers = PeerExchange(
+        self._batch = BatchFront(self.job_log, self._blobs, events, reactor, clock)
+        self.job_log.on_change = self._batch.job_changed
+        self.peers = PeerExchange(
             self._incarnation,
             settings.ip,
             settings.zone,
@@ -143,16 +157,16 @@
             clock,
             events,
         )
-        self._peers.own_state = self._own_state
+        self.peers.own_state = self._own_state
         self._peer_writer = self._writer(_peer_exchange.TOPIC, _peer_exchange.PARTITION)
-        self._work = BatchLoop(
+        self.work = BatchLoop(
             access,
-            self._log,
+            self.job_log,
             self._blobs,
-            WorkQueue(random.getrandbits(48), self._peers.loads.is_claimed),
+            WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed),
             Ownership(settings.ip),
-            self._config,
-            BatchPlaces(settings.ip, self._peers.loads),
+            self.config,
+            BatchPlaces(settings.ip, self.peers.loads),
             events,
             settings.status_s,
         )
@@ -161,7 +175,7 @@
             TopicHandlers(
                 self._take_configs,
                 self._take_config,
-                self._config.confirm,
+                self.config.confirm,
                 lambda is_reachable: None,
             ),
         )
@@ -174,7 +188,7 @@
                 self._note_engines_reachable,
             ),
         )
-        self._peers.on_news = self._work.yield_places
+        self.peers.on_news = self.work.yield_places
         self._peer_follower = TopicFollower(
             _peer_exchange.TOPIC,
             _peer_exchange.PARTITION,
@@ -184,7 +198,7 @@
             events,
             TopicHandlers(
                 self._take_peers,
-                self._peers.take_record,
+                self.peers.take_record,
                 lambda now: None,
                 lambda is_reachable: None,
             ),
@@ -193,6 +207,9 @@
         max_front = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
         self._front = HttpListener(reactor, clock, self._handle, max_front)
         self._ready = HttpListener(reactor, clock, self._answer_ready, SIDE_CONNECTIONS)
+        self._scrapes = HttpListener(
+            reactor, clock, self._answer_scrape, SIDE_CONNECTIONS
+        )
 
     def _writer(self, topic: str, partition: int) -> LogWriter:
         return LogWriter(
@@ -207,7 +224,7 @@
 
     @property
     def _has_unwritten(self) -> bool:
-        return self._log.writer.has_unwritten or self._blobs.writer.has_unwritten
+        return self.job_log.writer.has_unwritten or self._blobs.writer.has_unwritten
 
     def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
         return TopicFollower(
@@ -218,16 +235,19 @@
         """Listens and begins to follow the store."""
         self.front_address = _listen(self._front, self._settings.front_address)
         self.ready_address = _listen(self._ready, self._settings.ready_address)
+        self.metrics_address = _listen(
+            self._scrapes, f"{self._settings.ip}:{self._metrics_port}"
+        )
         self._pool.start()
         self._config_follower.start()
         self._engine_follower.start()
-        self._log.follower.start()
+        self.job_log.follower.start()
         self._publish_address()
         self._peer_follower.start()
-        self._loops.repeat(self._peers.tick, PEER_TICK_S)
+        self._loops.repeat(self.peers.tick, PEER_TICK_S)
         self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
         self._loops.repeat(self._share_work, MEMBERS_TICK_S)
-        self._work.start(self._loops)
+        self.work.start(self._loops)
         self._events.info(
             "started",
             instance=self._incarnation,
@@ -240,8 +260,8 @@
         began = self._clock.monotonic()
         self._is_draining = True
         self._front.is_closing = True
-        self._events.info("draining", open_requests=self._online.open_requests)
-        self._work.stop_starting()
+        self._events.info("draining", open_requests=self.online.open_requests)
+        self.work.stop_starting()
         last = began + self._settings.grace_s - CLOSE_MARGIN_S
         await sleep(self._reactor, LEAVE_ROTATION_S)
         # What still comes could not be finished in the grace: it is refused as not run.
@@ -250,14 +270,14 @@
         self._front.close_idle()
         while self._clock.monotonic() < last:
             await sleep(self._reactor, DRAIN_TICK_S)
-            is_idle = self._online.open_requests == 0 and self._work.running == 0
+            is_idle = self.online.open_requests == 0 and self.work.running == 0
             if is_idle and not self._has_unwritten:
                 break
             if self._clock.monotonic() > last - HAND_OVER_S:
-                self._work.hand_over()
+                self.work.hand_over()
         self._events.info(
             "drained",
-            open_requests=self._online.open_requests,
+            open_requests=self.online.open_requests,
             took_s=self._clock.monotonic() - began,
         )
 
@@ -269,16 +289,17 @@
         for follower in (
             self._config_follower,
             self._engine_follower,
-            self._log.follower,
+            self.job_log.follower,
             self._peer_follower,
         ):
             follower.stop()
-        self._log.writer.stop()
+        self.job_log.writer.stop()
         self._blobs.writer.stop()
         self._peer_writer.stop()
-        self._peers.stop()
+        self.peers.stop()
         await self._front.stop()
         await self._ready.stop()
+        await self._scrapes.stop()
         self._pool.stop()
         self._events.info("stopped")
 
@@ -290,7 +311,7 @@
 
     def _handle(self, exchange: Exchange) -> None:
         req = read_front_request(exchange.head)
-        config = self._config.current
+        config = self.config.current
         if config is None or self._is_closed:
             why = "stopping" if self._is_closed else "no configuration yet"
             self._refuse(exchange, req, why)
@@ -307,34 +328,34 @@
 
     async def _handle_unmatched(self, exchange: Exchange, req: FrontRequest) -> None:
         """Answers 404 only if the newest configuration has no such route either."""
-        if self._config.age(self._clock.monotonic()) > CONFIG_FRESH_S:
+        if self.config.age(self._clock.monotonic()) > CONFIG_FRESH_S:
             try:
                 await self._config_follower.catch_up()
             except PomeloshiftError as exc:
                 self._refuse(exchange, req, f"configuration not current: {exc.message}")
                 return
-        assert self._config.current is not None
-        route = self._config.current.match(req.host, req.path)
+        assert self.config.current is not None
+        route = self.config.current.match(req.host, req.path)
         if route is not None:
             self._dispatch(exchange, req, route)
             return
         call = read_batch_call(req)
         if call is not None and _has_batch_route(
-            self._config.current.routes_of(req.host)
+            self.config.current.routes_of(req.host)
         ):
             self._batch.call(exchange, req, call)
             return
         self._events.info(
-            "route_unknown", id=req.id, version=self._config.current.version
+            "route_unknown", id=req.id, version=self.config.current.version
         )
         refuse(exchange, 404)
 
     def _dispatch(self, exchange: Exchange, req: FrontRequest, route: Route) -> None:
-        assert self._config.current is not None
+        assert self.config.current is not None
         if route.kind is RouteKind.BATCH:
             self._batch.submit(exchange, req, route)
         else:
-            self._online.handle(exchange, req, route, self._config.current)
+            self.online.handle(exchange, req, route, self.config.current)
 
     def _refuse(self, exchange: Exchange, req: FrontRequest, why: str) -> None:
         retry_after_s = self._access.returns.retry_after(self._clock.monotonic())
@@ -345,11 +366,35 @@
         is_ready = (
             exchange.head.target == READY_PATH
             and not self._is_draining
-            and self._config.current is not None
+            and self.config.current is not None
             and self._engine_follower.is_synced
         )
         refuse(exchange, 200 if is_ready else 503)
 
+    # Metrics
+
+    @property
+    def lines_dropped(self) -> int:
+        """Log lines lost because their reader was slow."""
+        return self._count_dropped_lines()
+
+    def count_engines(self) -> dict[str, int]:
+        """Returns the number of engines in each state."""
+        now = self._clock.monotonic()
+        counts = {"serving": 0, "draining": 0, "avoided": 0}
+        for engine in self._fleet.engines.values():
+            if not engine.is_serving:
+                counts["draining"] += 1
+            elif self._access.placement.is_sound(engine, now):
+                counts["serving"] += 1
+            else:
+                counts["avoided"] += 1
+        return counts
+
+    def _answer_scrape(self, exchange: Exchange) -> None:
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
+        exchange.respond(200, headers, self._metrics.render(self))
+
     # Configuration
 
     def _take_configs(self, records: list[KeyedRecord], end: int) -> None:
@@ -364,7 +409,7 @@
         except MalformedError as exc:
             self._events.warn("config_ignored", offset=record.offset, why=exc.message)
             return
-        if not self._config.offer(config):
+        if not self.config.offer(config):
             return
         self._events.info(
             "config_applied",
@@ -427,7 +472,7 @@
 
     def _publish_address(self) -> None:
         port, _ = self._settings.internal_ports
-        address = self._peers.listen(port)
+        address = self.peers.listen(port)
         record = (address.ip, msgspec.msgpack.encode(address))
         self._peer_writer.append([record]).done.addErrback(
             lambda failure: self._events.warn(
@@ -437,7 +482,7 @@
 
     def _take_peers(self, records: list[KeyedRecord], end: int) -> None:
         for record in records:
-            self._peers.take_record(record)
+            self.peers.take_record(record)
 
     # Batch work
 
@@ -449,19 +494,19 @@
         }
         return PeerState(
             work,
-            self._work.queue.claims(),
+            self.work.queue.claims(),
             self._is_draining,
-            self._log.follower.is_reachable and self._log.follower.is_synced,
+            self.job_log.follower.is_reachable and self.job_log.follower.is_synced,
         )
 
     def _share_work(self) -> None:
         """Spreads the jobs over the entries that can run them and keep results."""
-        states = self._peers.loads.states
+        states = self.peers.loads.states
         states[self._settings.ip] = self._own_state()
         staying = {name for name, state in states.items() if not state.is_leaving}
         able = {name for name in staying if states[name].can_store}
-        members = {name: self._peers.zone_of(name) for name in able or staying}
-        self._work.set_members(members)
+        members = {name: self.peers.zone_of(name) for name in able or staying}
+        self.work.set_members(members)
 
 
 def _listen(listener: HttpListener, address: str) -> str:
--- /dev/null
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -0,0 +1,60 @@
+"""The metrics of a gateway."""
+
+import math
+from typing import Any
+
+from ..metrics import Metrics, collect_process
+
+
+class GatewayMetrics:
+    """Counts what happens; the gauges are read when they are asked for."""
+
+    def __init__(self, name: str) -> None:
+        self._metrics = Metrics("gateway", name)
+
+    def decided(self, event: str) -> None:
+        """Counts a log line, written or not."""
+        metrics = self._metrics
+        metrics.inc("gateway_decisions_total", event=event)
+
+    def answered(
+        self, route: str, status: int, first_event_s: float, took_s: float
+    ) -> None:
+        """Counts the answer to an online request; 0 s stands for no event."""
+        metrics = self._metrics
+        metrics.inc("gateway_answers_total", route=route, status=str(status))
+        metrics.observe("gateway_request_seconds", took_s, route=route)
+        if first_event_s > 0:
+            metrics.observe("gateway_first_event_seconds", first_event_s, route=route)
+
+    def item_ran(self, end: str, took_s: float) -> None:
+        """Counts a run of a batch item."""
+        metrics = self._metrics
+        metrics.observe("gateway_item_run_seconds", took_s, end=end)
+
+    def store_called(self, call: str, outcome: str, took_s: float) -> None:
+        """Counts a call to the store."""
+        metrics = self._metrics
+        metrics.observe(
+            "gateway_store_call_seconds", took_s, call=call, outcome=outcome
+        )
+
+    def render(self, gateway: Any) -> bytes:
+        """Returns the body of the answer to a scrape."""
+        metrics = self._metrics
+        config = gateway.config.current
+        metrics.set("gateway_config_version", config.version if config else 0)
+        metrics.set("gateway_open_requests", gateway.online.open_requests)
+        metrics.set("gateway_peers", len(gateway.peers.loads.states))
+        metrics.set("gateway_items_running", gateway.work.running)
+        jobs = gateway.job_log.book.jobs.values()
+        waiting = sum(len(job.pending) for job in jobs if job.is_open)
+        metrics.set("gateway_items_waiting", waiting)
+        age_s = gateway.job_log.age()
+        metrics.set("gateway_job_log_age_seconds", age_s if age_s < math.inf else -1)
+        for state, count in gateway.count_engines().items():
+            metrics.set("gateway_engines", count, state=state)
+        metrics.advance("gateway_log_lines_dropped_total", gateway.lines_dropped)
+        collect_process(metrics)
+        body, _ = metrics.render()
+        return body
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -170,6 +170,10 @@
 
     def _note_answered(self, engine: Engine, status: int) -> None:
         self._is_done = True
+        took_s = self.access.now() - self.exchange.arrived
+        self.events.metrics.answered(
+            self.route.name, status, self.relay.first_event_s, took_s
+        )
         if self.relay.run_s > 0:
             self.access.placement.note_hold(engine.entry.service, self.relay.run_s)
         self.events.info(
@@ -181,13 +185,15 @@
             status=status,
             runs=self.plan.runs,
             first_s=self.relay.first_event_s,
-            took_s=self.access.now() - self.exchange.arrived,
+            took_s=took_s,
         )
 
     def _give_up(self) -> None:
         self._is_done = True
         now = self.access.now()
         status = self.plan.failure_status(now)
+        took_s = now - self.exchange.arrived
+        self.events.metrics.answered(self.route.name, status, 0.0, took_s)
         self.events.warn(
             "request_failed",
             id=self.req.id,
@@ -198,7 +204,7 @@
             refused_by=len(self.plan.refused_by),
             failed_at=",".join(sorted(self.plan.failed_at)),
             is_started=self.relay.has_begun,
-            took_s=now - self.exchange.arrived,
+            took_s=took_s,
         )
         if self.relay.has_begun:
             self.exchange.abort()
--- a/src/pomeloshift/gateway/_run.py
+++ b/src/pomeloshift/gateway/_run.py
@@ -26,7 +26,13 @@
         from ._gateway import Gateway
 
         random = Random(SystemRandom().getrandbits(64))
-        return Gateway(settings, reactor, SystemClock(), random)
+        return Gateway(
+            settings,
+            reactor,
+            SystemClock(),
+            random,
+            count_dropped_lines=lambda: stream.dropped,
+        )
 
     stream: Any = NonBlockingStream(sys.stdout.fileno())
     return run_process(
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -79,3 +79,6 @@
 PEER_LOST_BEAT_S = 2.0
 # Long poll of the entries' addresses, which change with restarts only.
 PEER_POLL_S = 10.0
+
+# Where metrics are served; deploy/system.toml names the same port.
+METRICS_PORT = 9464
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -7,6 +7,8 @@
 HISTOGRAM = MetricKind.HISTOGRAM
 ENTRY = ("entry",)
 SIDECAR = ("sidecar",)
+GATEWAY = ("gateway",)
+ALL = ("entry", "sidecar", "gateway")
 
 FIRST_TOKEN_BUCKETS_S = (0.05, 0.1, 0.2, 0.35, 0.5, 0.7, 1.0, 1.5, 2.5, 5.0, 10.0)
 BETWEEN_TOKENS_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.04, 0.06, 0.1, 0.2, 0.5, 1.0)
@@ -151,10 +153,116 @@
         "resident_bytes",
         GAUGE,
         "Resident memory of the process.",
+        (),
+        ALL,
     ),
     MetricSpec(
         "cpu_seconds_total",
         COUNTER,
         "Processor time of the process.",
+        (),
+        ALL,
+    ),
+    MetricSpec(
+        "gateway_decisions_total",
+        COUNTER,
+        "Log lines by event, also those that were left out to bound the log.",
+        ("event",),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_answers_total",
+        COUNTER,
+        "Answers to online requests.",
+        ("route", "status"),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_first_event_seconds",
+        HISTOGRAM,
+        "Time from the arrival of a request to the first event of its answer.",
+        ("route",),
+        GATEWAY,
+        buckets=FIRST_TOKEN_BUCKETS_S,
+    ),
+    MetricSpec(
+        "gateway_request_seconds",
+        HISTOGRAM,
+        "Time from the arrival of a request to the end of its answer.",
+        ("route",),
+        GATEWAY,
+        buckets=FIRST_TOKEN_BUCKETS_S,
+    ),
+    MetricSpec(
+        "gateway_item_run_seconds",
+        HISTOGRAM,
+        "Time that a batch item was at an engine.",
+        ("end",),
+        GATEWAY,
+        buckets=FIRST_TOKEN_BUCKETS_S,
+    ),
+    MetricSpec(
+        "gateway_store_call_seconds",
+        HISTOGRAM,
+        "Time until the store answered; a long poll waits for news.",
+        ("call", "outcome"),
+        GATEWAY,
+        buckets=LOG_BUCKETS_S,
+    ),
+    MetricSpec(
+        "gateway_open_requests",
+        GAUGE,
+        "Online requests that have not ended.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_config_version",
+        GAUGE,
+        "Version of the configuration in force here, 0 before the first one.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_engines",
+        GAUGE,
+        "Engines in this process's view: serving, draining or avoided.",
+        ("state",),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_peers",
+        GAUGE,
+        "Other gateways that are heard.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_items_running",
+        GAUGE,
+        "Batch items that this process has at engines.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_items_waiting",
+        GAUGE,
+        "Items of all jobs that have no result yet.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_job_log_age_seconds",
+        GAUGE,
+        "Time since the whole job log was known to be read.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_log_lines_dropped_total",
+        COUNTER,
+        "Log lines lost because their reader was slow.",
+        (),
+        GATEWAY,
     ),
 )
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import struct
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import urlencode
 
@@ -88,6 +89,8 @@
     """Calls the store; each method fails with one of the errors of this package."""
 
     def __init__(self, settings: StoreSettings, client: Client, clock: Any) -> None:
+        # Told of each call: its name, its outcome and its seconds.
+        self.on_call: Callable[[str, str, float], None] = lambda *args: None
         self._settings = settings
         self._client = client
         self._clock = clock
@@ -196,14 +199,22 @@
         if body:
             fields.append((b"Content-Type", b"application/octet-stream"))
         head = RequestHead(method, target.encode(), Headers(fields))
+        began = self._clock.monotonic()
+        outcome = "silent"
         try:
-            return await self._client.call(
+            answer = await self._client.call(
                 self._settings.address, head, body, timeout_s
             )
+            outcome = str(answer.status)
+            return answer
         except ConnectError as exc:
+            outcome = "unreachable"
             raise StoreUnreachableError(exc.message) from exc
         except (CallTimeoutError, ConnectionBrokenError) as exc:
             raise StoreSilentError(f"{path}: {exc.message}") from exc
+        finally:
+            name = path.rpartition("/")[2]
+            self.on_call(name, outcome, self._clock.monotonic() - began)
 
 
 def _check(answer: Answer) -> None:
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -126,7 +126,9 @@
             ready_address=f"{ip}:0",
             internal_ports=(0, 0),
         )
-        gateway = Gateway(settings, self.reactor, self.clock, Random(len(ip)))
+        gateway = Gateway(
+            settings, self.reactor, self.clock, Random(len(ip)), metrics_port=0
+        )
         await gateway.start()
         self.gateways.append(gateway)
         await self.until_ready(gateway)
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -147,7 +147,7 @@
         )
         gateway = await deployment.add_gateway()
         deployment.publish(config(2, [route("once", service="other")]))
-        while gateway._config.current.version < 2:
+        while gateway.config.current.version < 2:
             await deployment.pause(0.01)
         answer = await deployment.call(gateway, "POST", "/once/a")
         return answer.status, len(engine.seen)
