--- a/src/pomeloshift/cli/_commands.py
+++ b/src/pomeloshift/cli/_commands.py
@@ -44,6 +44,20 @@
 
         sys.exit(run_gateway(settings))
 
+    def explain(self, wanted: str, *files: str) -> None:
+        """Prints what processes logged about a request, a job or an item.
+
+        The line that settled the matter comes first. The exit code is 1 if no line
+        is about it.
+
+        Args:
+            wanted: the id of a request, a job or an item.
+            files: logs of gateways.
+        """
+        from ._explain import explain_id
+
+        sys.exit(explain_id(str(wanted), files))
+
     def sidecar(self, settings: str) -> None:
         """Runs the sidecar of a backend server.
 
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -204,6 +204,7 @@
         self.events.info(
             "item_yielded",
             id=run.work.job.items[run.work.index].id,
+            job=run.work.job.id,
             engine=run.engine.entry.id,
             why=why,
             occupancy=run.engine.occupancy(now),
@@ -265,6 +266,7 @@
             self.events.info(
                 "item_stopped",
                 id=item.id,
+                job=run.work.job.id,
                 engine=run.engine.entry.id,
                 events=_events(run),
                 took_s=self.access.now() - began,
@@ -335,6 +337,13 @@
             (ref,) = await self.blobs.put(work.job.id, [text], KEEP_WAIT_S)
         record = ItemSettled(work.job.id, work.index, is_done, ref)
         await self.log.append_within(record, KEEP_WAIT_S)
+        self.events.info(
+            "item_settled",
+            id=work.job.items[work.index].id,
+            job=work.job.id,
+            is_done=is_done,
+            late_s=self.access.now() - work.due if work.due else 0.0,
+        )
 
     async def _keep_progress_record(self, key: Key, progress: Progress) -> None:
         (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OVER_WAIT_S)
--- a/src/pomeloshift/gateway/_batch_places.py
+++ b/src/pomeloshift/gateway/_batch_places.py
@@ -13,9 +13,10 @@
 
 from ..direct import Engine, PeerLoads
 
-# How far back the most online requests at once are looked for: about as long as one
-# holds its place.
-PEAK_S = 0.8
+# How far back the most online requests at once are looked for: about half as long as
+# one holds its place, so that a place is not handed back between two arrivals of a
+# burst and is not kept long after it.
+PEAK_S = 0.35
 # Between two times that items are taken back from one engine: the effect of the first
 # shows in the counts by then.
 YIELD_GAP_S = 0.05
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from twisted.internet.error import CannotListenError
 
 from ..direct import (
     ConfigHolder,
@@ -235,9 +236,7 @@
         """Listens and begins to follow the store."""
         self.front_address = _listen(self._front, self._settings.front_address)
         self.ready_address = _listen(self._ready, self._settings.ready_address)
-        self.metrics_address = _listen(
-            self._scrapes, f"{self._settings.ip}:{self._metrics_port}"
-        )
+        self._serve_metrics()
         self._pool.start()
         self._config_follower.start()
         self._engine_follower.start()
@@ -255,6 +254,14 @@
             front=self.front_address,
         )
 
+    def _serve_metrics(self) -> None:
+        address = f"{self._settings.ip}:{self._metrics_port}"
+        try:
+            self.metrics_address = _listen(self._scrapes, address)
+        except CannotListenError as exc:
+            # Callers are served all the same.
+            self._events.warn("metrics_not_served", address=address, why=exc)
+
     async def drain(self) -> None:
         """Leaves the rotation, hands the batch work over and ends what is open."""
         began = self._clock.monotonic()
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -100,6 +100,16 @@
             return
         self._run = run
         self.plan.sent()
+        self.events.info(
+            "attempt_sent",
+            id=self.req.id,
+            engine=engine_id,
+            run=self.plan.runs,
+            remaining_s=remaining_s,
+            occupancy=engine.occupancy(self.access.now()),
+            load_age_s=engine.load_age(self.access.now()),
+            resume_from=self.relay.resume_from,
+        )
         self.exchange.on_pause = run.pause
         self.relay.begin_run()
         try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -80,3 +80,21 @@
     from twisted.internet.task import deferLater
 
     return lambda seconds: deferLater(reactor, seconds, lambda: None)
+
+
+@pytest.fixture
+def play(reactor, run_async):
+    """Runs a scenario, a coroutine function that takes a deployment of gateways."""
+    from _gateway import Deployment
+
+    def play(scenario):
+        async def run():
+            deployment = Deployment(reactor)
+            try:
+                return await scenario(deployment)
+            finally:
+                await deployment.stop()
+
+        return run_async(run())
+
+    return play
--- /dev/null
+++ b/tests/processes/test_gateway_process.py
@@ -0,0 +1,260 @@
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+from contextlib import ExitStack
+from pathlib import Path
+
+import pytest
+
+from _gateway import Deployment, events, text
+from pomeloshift.cli._explain import explain_id
+from pomeloshift.standins.platform import Behaviour
+
+SOURCE = Path(__file__).parents[2] / "src"
+EXIT_LIMIT_S = 60.0
+TOML = """
+nodeName = "{ip}"
+ip = "{ip}"
+zone = "a"
+region = "r"
+internalPorts = [{peer}, {peer}]
+[zones]
+a = "r"
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[bounds]
+graceS = 8
+[platform]
+address = "{store}"
+writesPerS = 4000
+readsPerS = 4000
+recordBytes = 4096
+callBytes = 65536
+"""
+
+
+def free_ports(ip, count):
+    """Ports that the operating system chose and that nobody uses now."""
+    with ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in sockets:
+            sock.bind((ip, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+
+
+class GatewayProcess:
+    """A gateway as a process of its own, with the interface that tests call."""
+
+    def __init__(self, folder, store, ip):
+        front, ready, peer = free_ports(ip, 3)
+        self.front_address = f"{ip}:{front}"
+        self.ready_address = f"{ip}:{ready}"
+        self.log = folder / f"{ip}.log"
+        self._settings = folder / f"{ip}.toml"
+        self._settings.write_text(
+            TOML.format(ip=ip, front=front, ready=ready, peer=peer, store=store)
+        )
+        self.lines = queue.Queue()
+        self.start()
+
+    def start(self):
+        env = {
+            **os.environ,
+            "PYTHONPATH": str(SOURCE),
+            "POMELOSHIFT_CONFIG": str(self._settings),
+        }
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "pomeloshift", "gateway"],
+            stdout=subprocess.PIPE,
+            text=True,
+            env=env,
+        )
+        self._reader = threading.Thread(target=self._read, daemon=True)
+        self._reader.start()
+
+    def _read(self):
+        with self.log.open("a") as log:
+            for line in self.process.stdout:
+                log.write(line)
+                log.flush()
+        self.process.stdout.close()
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def wait(self):
+        code = self.process.wait(EXIT_LIMIT_S)
+        self._reader.join()
+        return code
+
+    def kill(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.wait()
+
+
+@pytest.fixture
+def play_processes(reactor, run_async, tmp_path):
+    """Runs a scenario with a deployment and a function that starts gateways."""
+
+    def play(scenario):
+        started = []
+
+        async def run():
+            deployment = Deployment(reactor)
+
+            async def add():
+                # Addresses that no gateway within a test process uses.
+                ip = f"127.0.1.{len(started) + 1}"
+                process = GatewayProcess(tmp_path, deployment.store_address, ip)
+                started.append(process)
+                await until_ready(deployment, process)
+                return process
+
+            try:
+                return await scenario(deployment, add)
+            finally:
+                for process in started:
+                    process.kill()
+                await deployment.stop()
+
+        return run_async(run())
+
+    return play
+
+
+async def until_ready(deployment, process):
+    from pomeloshift.errors import PomeloshiftError
+
+    while True:
+        assert process.process.poll() is None, process.log.read_text()
+        try:
+            await deployment.until_ready(process)
+            return
+        except PomeloshiftError:
+            await deployment.pause(0.05)
+
+
+async def until_exit(deployment, process):
+    while process.process.poll() is None:
+        await deployment.pause(0.05)
+    return process.wait()
+
+
+def test_whole_path_and_shutdown(play_processes):
+    async def scenario(deployment, add):
+        deployment.add_engine()
+        first, second = await add(), await add()
+        stream = await deployment.call(first, "POST", "/once/a", b"x", "id1")
+        accepted = await deployment.submit(first, "job1", [b"a", b"b"])
+        rows = await deployment.results(second, "job1", 2)
+        second.signal(signal.SIGHUP)
+        again = await deployment.call(second, "POST", "/once/a", b"x", "id2")
+        second.signal(signal.SIGTERM)
+        code = await until_exit(deployment, second)
+        return stream.body, accepted.status, rows, again.status, code, second.log
+
+    stream, accepted, rows, again, code, log = play_processes(scenario)
+    assert stream == events(1, 4)
+    assert (accepted, again, code) == (202, 200, 0)
+    assert {row["text"] for row in rows} == {text(4)}
+    lines = log.read_text()
+    for event in ("started", "config_applied", "reloaded", "draining", "stopped"):
+        assert f"event={event} " in lines
+
+
+def test_jobs_outlive_the_loss_of_all_gateways(play_processes):
+    async def scenario(deployment, add):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=400, event_gap_s=0.01)
+        gateways = [await add(), await add()]
+        accepted = await deployment.submit(gateways[0], "job1", [b"a", b"b", b"c"])
+        while engine.running == 0:
+            await deployment.pause(0.02)
+        for gateway in gateways:
+            gateway.kill()
+        engine.behaviour = Behaviour()
+        for gateway in gateways:
+            gateway.start()
+            await until_ready(deployment, gateway)
+        rows = [await deployment.results(gateway, "job1", 3) for gateway in gateways]
+        return accepted.status, rows
+
+    accepted, (rows, others) = play_processes(scenario)
+    assert accepted == 202
+    assert rows == others
+    assert sorted(row["id"] for row in rows) == ["item0", "item1", "item2"]
+    assert {row["text"] for row in rows} == {text(4)}
+
+
+def test_failures_are_explained_by_their_ids(play_processes, capsys):
+    """The three walks of docs/OPERATIONS.md."""
+
+    async def scenario(deployment, add):
+        engine = deployment.add_engine()
+        gateway = await add()
+        engine.behaviour = Behaviour(events=6, break_after=3)
+        with pytest.raises(Exception, match="reset|closed"):
+            await deployment.call(gateway, "POST", "/once/a", request_id="cut1")
+        engine.behaviour = Behaviour(is_full=True)
+        refused = await deployment.call(gateway, "POST", "/once/a", request_id="full1")
+        engine.behaviour = Behaviour(status=422)
+        await deployment.submit(gateway, "job1", [b"a"])
+        rows = await deployment.results(gateway, "job1", 1)
+        gateway.signal(signal.SIGTERM)
+        await until_exit(deployment, gateway)
+        return refused.status, rows[0]["state"], gateway.log
+
+    status, state, log = play_processes(scenario)
+    assert (status, state) == (503, "dead_letter")
+
+    def explained(wanted):
+        assert explain_id(wanted, (str(log),)) == 0
+        return capsys.readouterr().out.splitlines()
+
+    cut = explained("cut1")
+    assert "decisive" in cut[0] and "event=request_failed" in cut[0]
+    assert "is_started=True" in cut[0]
+    assert any("event=engine_failed" in line and "why=reset" in line for line in cut)
+    full = explained("full1")
+    assert "event=request_failed" in full[0] and "status=503 runs=0" in full[0]
+    assert any("event=attempt_refused" in line for line in full)
+    dead = explained("item0")
+    assert "event=item_settled" in dead[0] and "is_done=False" in dead[0]
+    assert any("event=item_run" in line and "status=422" in line for line in dead)
+    assert any("event=job_accepted" in line for line in dead)
+    assert explain_id("nobody", (str(log),)) == 1
+
+
+def test_fault_of_the_settings_ends_the_start(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text('ip = "127.0.0.1"\n')
+    done = subprocess.run(
+        [sys.executable, "-m", "pomeloshift", "gateway", "--settings", str(path)],
+        capture_output=True,
+        text=True,
+        env={**os.environ, "PYTHONPATH": str(SOURCE)},
+    )
+    assert done.returncode == 1
+    assert "listen.front: is missing [missing_key]" in done.stderr
+
+
+def test_metrics_are_served(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        await deployment.call(gateway, "POST", "/once/a")
+        gateway.front_address = gateway.metrics_address
+        return await deployment.call(gateway, "GET", "/metrics")
+
+    text = play(scenario).body.decode()
+    assert 'pomeloshift_gateway_answers_total{instance="edge-127.0.0.1"' in text
+    assert (
+        'pomeloshift_gateway_engines{instance="edge-127.0.0.1",state="serving"} 1'
+        in text
+    )
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,77 @@
+import pathlib
+import re
+
+import pytest
+
+import pomeloshift
+from pomeloshift.explain import explain, parse_line
+from pomeloshift.gateway._event_catalogue import EVENTS
+
+ROOT = pathlib.Path(__file__).parent.parent
+USE = re.compile(r"events\s*\.(?:info|warn)\(\s*\"(\w+)\"")
+DECISIVE = frozenset(spec.name for spec in EVENTS if spec.is_decisive)
+NOT_BY_NAME = {"lines_omitted"}  # written by the event log itself
+
+
+def lines(source, *texts):
+    return [parse_line(text, source, n) for n, text in enumerate(texts, 1)]
+
+
+@pytest.fixture
+def log():
+    # The clock of b is two seconds behind, and is set back in the middle.
+    a = lines(
+        "a",
+        "time=2026-01-01T00:00:05.000 level=INFO event=job_accepted id=j1 items=2",
+        "time=2026-01-01T00:00:06.000 level=INFO event=item_run id=i1 job=j1 end=cut",
+        "time=2026-01-01T00:00:06.100 level=INFO event=item_run id=i2 job=j1 end=done",
+    )
+    b = lines(
+        "b",
+        "time=2026-01-01T00:00:06.500 level=INFO event=item_run id=i1 job=j1 end=other",
+        "time=2026-01-01T00:00:04.000 level=INFO event=item_settled id=i1 job=j1 "
+        'is_done=False why="two words"',
+    )
+    return [*a, *b]
+
+
+def test_code_page_and_catalogue_name_the_same_events():
+    package = pathlib.Path(pomeloshift.__file__).parent / "gateway"
+    source = "".join(path.read_text() for path in package.rglob("*.py"))
+    names = [spec.name for spec in EVENTS]
+    assert len(set(names)) == len(names)
+    assert set(USE.findall(source)) | NOT_BY_NAME == set(names)
+    page = (ROOT / "docs/OPERATIONS.md").read_text()
+    listed = re.findall(r"^\| `(\w+)` \| (.*?) \| (.*?) \|$", page, re.MULTILINE)
+    assert listed == [
+        (spec.name, "yes" if spec.is_decisive else "", spec.meaning) for spec in EVENTS
+    ]
+
+
+def test_lines_about_an_item_come_in_order_with_its_job(log):
+    found = explain("i1", log, DECISIVE)
+    assert [(line.source, line.event) for line in found.lines] == [
+        ("a", "job_accepted"),
+        ("a", "item_run"),
+        ("b", "item_run"),
+        ("b", "item_settled"),
+    ]
+    assert found.decisive.event == "item_settled"
+    assert found.decisive.fields["why"] == "two words"
+
+
+def test_lines_about_a_job_include_its_items(log):
+    assert len(explain("j1", log, DECISIVE).lines) == 5
+
+
+def test_unknown_id_has_no_lines(log):
+    found = explain("x", log, DECISIVE)
+    assert found.lines == ()
+    assert found.decisive is None
+
+
+@pytest.mark.parametrize(
+    "text", ["", "Traceback (most recent call last):", "time=1 a=b"]
+)
+def test_other_lines_are_passed_over(text):
+    assert parse_line(text, "a", 1) is None
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -1,29 +1,12 @@
 import msgspec
 import pytest
 
-from _gateway import Deployment, config, job, route, text
+from _gateway import config, job, route, text
 from pomeloshift.standins.platform import Behaviour
 
 BODIES = [b"one", b"two", b"x" * 10_000]  # the last one takes several records
 
 
-@pytest.fixture
-def play(reactor, run_async):
-    """Runs a scenario, a coroutine function that takes a deployment."""
-
-    def play(scenario):
-        async def run():
-            deployment = Deployment(reactor)
-            try:
-                return await scenario(deployment)
-            finally:
-                await deployment.stop()
-
-        return run_async(run())
-
-    return play
-
-
 def test_job_is_run_and_read_at_any_gateway(play):
     async def scenario(deployment):
         engine = deployment.add_engine()
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -1,28 +1,11 @@
 import pytest
 
-from _gateway import Deployment, config, events, route
+from _gateway import config, events, route
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.http1 import ConnectionBrokenError, Headers, RequestHead
 from pomeloshift.standins.platform import Behaviour
 
 
-@pytest.fixture
-def play(reactor, run_async):
-    """Runs a scenario, a coroutine function that takes a deployment."""
-
-    def play(scenario):
-        async def run():
-            deployment = Deployment(reactor)
-            try:
-                return await scenario(deployment)
-            finally:
-                await deployment.stop()
-
-        return run_async(run())
-
-    return play
-
-
 def test_stream_is_passed_on_whole(play):
     async def scenario(deployment):
         engine = deployment.add_engine()
