Leave rotation and refuse jobs at once where only this entry lost the store

An entry now tells its own cut from an outage by what it hears from others, answers 503 to the readiness check, owns no engines' batch work and refuses jobs without calling the store.

--- a/src/pomeloshift/direct/__init__.py
+++ b/src/pomeloshift/direct/__init__.py
@@ -7,6 +7,7 @@
 from ._engine_load import EngineLoad
 from ._event_stream import EventSplitter, StreamEvent
 from ._fleet import LAPSE_GRACE_S, Fleet
+from ._isolation import is_cut_off
 from ._peer_loads import NO_WORK, PeerLoads, PeerState, Work
 from ._placement import Placement, PlacementConfig
 from ._retry_after import ReturnTimes
@@ -37,4 +38,5 @@
     "Step",
     "StreamEvent",
     "Work",
+    "is_cut_off",
 ]
--- a/src/pomeloshift/gateway/_batch_front.py
+++ b/src/pomeloshift/gateway/_batch_front.py
@@ -33,8 +33,9 @@
 
 # Text of results in one answer; the rest is read with the next call.
 PAGE_BYTES = 900_000
-# A caller whose job was refused finds this entry's view of the store renewed by then.
-RETRY_AFTER_S = 0.3
+# A caller that was refused comes back to another entry, which may reach the store; the
+# pause is a few round trips, so that the job can still be accepted in time.
+RETRY_AFTER_S = 0.05
 
 
 # An append without an answer takes effect within some seconds or never.
@@ -121,6 +122,8 @@
         if req.id in self.log.book.jobs:
             self._accepted(exchange, req, "known", len(items))
             return
+        if not self.log.follower.is_reachable:
+            raise LogAwayError("the store did not answer the last read")
         await self._require_fresh()
         if req.id in self.log.book.jobs:
             self._accepted(exchange, req, "known", len(items))
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -19,6 +19,7 @@
     Route,
     RouteKind,
     Work,
+    is_cut_off,
 )
 from ..errors import PomeloshiftError
 from ..http1 import (
@@ -375,6 +376,7 @@
             and not self._is_draining
             and self.config.current is not None
             and self._engine_follower.is_synced
+            and not self._is_cut_off
         )
         refuse(exchange, 200 if is_ready else 503)
 
@@ -503,13 +505,24 @@
             work,
             self.work.queue.claims(),
             self._is_draining,
-            self.job_log.follower.is_reachable and self.job_log.follower.is_synced,
+            self._can_store,
         )
 
+    @property
+    def _can_store(self) -> bool:
+        follower = self.job_log.follower
+        return follower.is_reachable and follower.is_synced
+
+    @property
+    def _is_cut_off(self) -> bool:
+        states = self.peers.loads.states.values()
+        return is_cut_off(self._can_store, states, self.peers.knows_others)
+
     def _share_work(self) -> None:
-        """Spreads the jobs over the entries that can run them and keep results."""
+        """Spreads the engines over the entries that can run items and keep results."""
         states = self.peers.loads.states
-        states[self._settings.ip] = self._own_state()
+        if not self._is_cut_off:
+            states[self._settings.ip] = self._own_state()
         staying = {name for name, state in states.items() if not state.is_leaving}
         able = {name for name in staying if states[name].can_store}
         members = {name: self.peers.zone_of(name) for name in able or staying}
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -103,6 +103,11 @@
         if address.ip != self._ip:
             self._peers[record.key] = _Peer(address)
 
+    @property
+    def knows_others(self) -> bool:
+        """Whether other entries have published their addresses."""
+        return bool(self._peers)
+
     def zone_of(self, ip: str) -> str:
         """Returns the zone of an entry, empty if it has not published it."""
         if ip == self._ip:
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -8,7 +8,12 @@
 
 from ..errors import PomeloshiftError
 from ..net._loops import spawn
-from ..platform import HistoryLostError, KeyedRecord, StoreClient
+from ..platform import (
+    HistoryLostError,
+    KeyedRecord,
+    StoreClient,
+    StoreUnreachableError,
+)
 from ._events import EventLog
 from ._sleep import sleep
 from ._timing import POLL_S, STORE_RETRY_MAX_S, STORE_RETRY_S
@@ -82,8 +87,11 @@
     async def catch_up(self) -> None:
         """Folds all records up to the partition's end as it is now.
 
-        Raises an error of the store if that cannot be made sure.
+        Raises an error of the store if that cannot be made sure, at once while the
+        store does not answer.
         """
+        if not self._is_reachable:
+            raise StoreUnreachableError("the store did not answer the last read")
         if self._offset is None:
             await self._take_snapshot()
             return
--- a/tests/test_direct_cores.py
+++ b/tests/test_direct_cores.py
@@ -24,6 +24,7 @@
     Split,
     Step,
     Work,
+    is_cut_off,
 )
 
 
@@ -281,6 +282,23 @@
     assert not loads.is_claimed(7)
 
 
+@pytest.mark.parametrize(
+    ("can_store", "others_can", "knows_others", "cut_off"),
+    [
+        (True, [], True, False),
+        (False, [True, False], True, True),
+        (False, [False, False], True, False),  # the store is away for all
+        (False, [], True, True),
+        (False, [], False, False),  # the only entry
+    ],
+)
+def test_entry_tells_its_own_cut_from_an_outage(
+    can_store, others_can, knows_others, cut_off
+):
+    heard = [PeerState({}, can_store=can) for can in others_can]
+    assert is_cut_off(can_store, heard, knows_others) is cut_off
+
+
 # Refusals
 
 
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -2,6 +2,8 @@
 import pytest
 
 from _gateway import config, job, route, text
+from pomeloshift.http1 import Headers, RequestHead
+from pomeloshift.platform import StoreUnreachableError
 from pomeloshift.standins.platform import Behaviour
 
 BODIES = [b"one", b"two", b"x" * 10_000]  # the last one takes several records
@@ -206,3 +208,28 @@
         return [answer.status for answer in answers]
 
     assert play(scenario) == [400, 400]
+
+
+def test_gateway_that_alone_lost_the_store_leaves_rotation_and_refuses_jobs(play):
+    async def scenario(deployment):
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        while not (first.peers.loads.states and second.peers.loads.states):
+            await deployment.pause(0.01)
+
+        async def fail(*args, **kwargs):
+            raise StoreUnreachableError("cut off")
+
+        second._store.read = second._store.append = fail
+        while second.job_log.follower.is_reachable:
+            await deployment.pause(0.02)
+        jobs = [await deployment.submit(g, "job1", [b"a"]) for g in (second, first)]
+        head = RequestHead(b"GET", b"/api/ready", Headers([(b"Host", b"x")]))
+        ready = [
+            (await deployment.client.call(g.ready_address, head, b"", 20.0)).status
+            for g in (first, second)
+        ]
+        second._share_work()
+        owned = any(second.work.ownership.owns(f"i-{n}") for n in range(20))
+        return [job.status for job in jobs], ready, owned
+
+    assert play(scenario) == ([503, 202], [200, 503], False)
