--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -9,6 +9,7 @@
 from ..errors import PomeloshiftError
 from ..jobs import (
     AfterRun,
+    BatchPlaces,
     ItemFailed,
     ItemPolicy,
     ItemProgress,
@@ -21,7 +22,6 @@
 )
 from ..net._loops import Loops, spawn
 from ._batch_front import queue_name
-from ._batch_places import BatchPlaces
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -30,7 +30,7 @@
     HttpListener,
     PoolConfig,
 )
-from ..jobs import Ownership, WorkQueue
+from ..jobs import BatchPlaces, Ownership, WorkQueue
 from ..net._loops import Loops, spawn
 from ..platform import (
     CONFIG_KEY,
@@ -50,7 +50,6 @@
 from . import _blob_store, _job_log, _peer_exchange
 from ._batch_front import BatchFront
 from ._batch_loop import BatchLoop
-from ._batch_places import BatchPlaces
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Batch jobs whose state is folded from the platform's log."""
 
+from ._batch_places import PEAK_S, BatchPlaces
 from ._blob_ref import BlobRef
 from ._fragments import Assembler, base_key, split
 from ._item import Item, ItemState, NewItem, Result
@@ -21,8 +22,10 @@
 from ._work_queue import WorkItem, WorkQueue
 
 __all__ = [
+    "PEAK_S",
     "AfterRun",
     "Assembler",
+    "BatchPlaces",
     "BlobRef",
     "Item",
     "ItemFailed",
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -5,10 +5,11 @@
 from hypothesis import strategies as st
 
 from pomeloshift.direct import Engine, EngineEntry, PeerLoads, PeerState, Work
-from pomeloshift.gateway._batch_places import PEAK_S, BatchPlaces
 from pomeloshift.jobs import (
+    PEAK_S,
     AfterRun,
     Assembler,
+    BatchPlaces,
     BlobRef,
     ItemFailed,
     ItemPolicy,
