Reach the store through another entry where it turns this one away

An entry that the store serves now passes calls on unchanged; producer and number make it the same call on any way.

--- a/src/pomeloshift/direct/__init__.py
+++ b/src/pomeloshift/direct/__init__.py
@@ -13,8 +13,10 @@
 from ._retry_after import ReturnTimes
 from ._route import Route, RouteKind, Split
 from ._serving_config import FrontLimits, Service, ServingConfig
+from ._store_path import STRAIGHT, StorePath
 
 __all__ = [
+    "STRAIGHT",
     "LAPSE_GRACE_S",
     "NO_WORK",
     "AttemptPlan",
@@ -36,6 +38,7 @@
     "ServingConfig",
     "Split",
     "Step",
+    "StorePath",
     "StreamEvent",
     "Work",
     "is_cut_off",
--- a/src/pomeloshift/direct/_peer_loads.py
+++ b/src/pomeloshift/direct/_peer_loads.py
@@ -27,13 +27,15 @@
     """The state of one entry.
 
     ``claims`` are the batch items that it runs, is about to go on with or is about to
-    list. ``can_store`` says whether the store answers it.
+    list. ``can_store`` says whether it reaches the store, ``is_relay`` whether it does
+    so straight and can pass calls on.
     """
 
     work: dict[str, Work]
     claims: frozenset[int] = frozenset()
     is_leaving: bool = False
     can_store: bool = True
+    is_relay: bool = False
 
 
 @attrs.frozen
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -25,6 +25,7 @@
     EventSpec("lines_omitted", "Ordinary lines of a kind were left out in a second."),
     EventSpec("store_lost", "The store stopped answering for a topic."),
     EventSpec("store_regained", "The store answers again for a topic."),
+    EventSpec("store_path_changed", "Calls go straight to the store, or by a relay."),
     EventSpec("history_lost", "The store dropped records that were not read yet."),
     EventSpec("topic_read", "A topic was read from its newest records."),
     EventSpec("append_repeated", "An append got no answer or was refused for now."),
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from twisted.internet.error import CannotListenError
 
 from ..direct import (
+    STRAIGHT,
     ConfigHolder,
     EngineEntry,
     Fleet,
@@ -18,6 +19,7 @@
     ReturnTimes,
     Route,
     RouteKind,
+    StorePath,
     Work,
     is_cut_off,
 )
@@ -60,6 +62,7 @@
 from ._peer_exchange import PeerExchange
 from ._refusal import refuse
 from ._sleep import sleep
+from ._store_relay import StoreRelay
 from ._timing import (
     CLOSE_MARGIN_S,
     CONFIG_FRESH_S,
@@ -72,6 +75,7 @@
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
+    STRAIGHT_PROBE_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
@@ -116,6 +120,10 @@
         client = Client(self._pool, clock)
         self._store = StoreClient(settings.store, client, clock)
         self._store.on_call = self._metrics.store_called
+        self._store_path = StorePath(random)
+        self._store.choose_address = self._choose_store_address
+        self._store.on_address = self._note_store_address
+        self._relay = StoreRelay(settings.store.address, client, reactor, clock)
         placement = Placement(
             settings.zone, settings.regions, PlacementConfig(), random
         )
@@ -246,6 +254,7 @@
         self._loops.repeat(self.peers.tick, PEER_TICK_S)
         self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
         self._loops.repeat(self._share_work, MEMBERS_TICK_S)
+        self._loops.repeat(self._probe_store, STRAIGHT_PROBE_S)
         self.work.start(self._loops)
         self._events.info(
             "started",
@@ -303,6 +312,7 @@
         self.job_log.writer.stop()
         self._blobs.writer.stop()
         self._peer_writer.stop()
+        await self._relay.stop()
         self.peers.stop()
         await self._front.stop()
         await self._ready.stop()
@@ -480,7 +490,8 @@
 
     def _publish_address(self) -> None:
         port, _ = self._settings.internal_ports
-        address = self.peers.listen(port)
+        relay_port = self._relay.listen(self._settings.ip, port)
+        address = self.peers.listen(port, relay_port)
         record = (address.ip, msgspec.msgpack.encode(address))
         self._peer_writer.append([record]).done.addErrback(
             lambda failure: self._events.warn(
@@ -505,8 +516,33 @@
             self.work.queue.claims(),
             self._is_draining,
             self._can_store,
+            self._can_store and self._store_path.is_straight,
         )
 
+    def _choose_store_address(self) -> str:
+        self._store_path.set_relays(self.peers.relays())
+        way = self._store_path.choose(self._clock.monotonic())
+        return self._settings.store.address if way == STRAIGHT else way
+
+    def _note_store_address(self, address: str, has_worked: bool) -> None:
+        way = STRAIGHT if address == self._settings.store.address else address
+        was_straight = self._store_path.is_straight
+        if has_worked:
+            self._store_path.worked(way)
+        else:
+            self._store_path.failed(way, self._clock.monotonic())
+        if self._store_path.is_straight != was_straight:
+            self._events.warn(
+                "store_path_changed",
+                is_straight=self._store_path.is_straight,
+                relays=len(self.peers.relays()),
+            )
+
+    async def _probe_store(self) -> None:
+        """Finds out when the store answers this gateway itself again."""
+        if not self._store_path.is_straight and await self._store.answers_straight():
+            self._note_store_address(self._settings.store.address, True)
+
     @property
     def _can_store(self) -> bool:
         follower = self.job_log.follower
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -23,6 +23,7 @@
     ip: str
     port: int
     zone: str
+    relay_port: int
 
 
 class _Beat(msgspec.Struct, array_like=True):
@@ -34,6 +35,7 @@
     claims: list[int]
     is_leaving: bool
     can_store: bool
+    is_relay: bool
 
 
 _ADDRESS_DECODER = msgspec.msgpack.Decoder(PeerAddress)
@@ -77,11 +79,15 @@
         self._last_state = PeerState({})
         self._port: Any = None
 
-    def listen(self, port: int) -> PeerAddress:
+    def listen(self, port: int, relay_port: int) -> PeerAddress:
         """Listens for datagrams and returns the address to publish."""
         self._port = self._reactor.listenUDP(port, self, interface=self._ip)
         return PeerAddress(
-            self._name, self._ip, int(self._port.getHost().port), self._zone
+            self._name,
+            self._ip,
+            int(self._port.getHost().port),
+            self._zone,
+            relay_port,
         )
 
     def stop(self) -> None:
@@ -115,6 +121,14 @@
         peer = self._peers.get(ip)
         return peer.address.zone if peer is not None else ""
 
+    def relays(self) -> frozenset[str]:
+        """Returns the addresses of the entries that pass calls on to the store."""
+        return frozenset(
+            f"{ip}:{self._peers[ip].address.relay_port}"
+            for ip, state in self.loads.states.items()
+            if state.is_relay and not state.is_leaving and ip in self._peers
+        )
+
     def tick(self) -> None:
         """Sends what has changed; drops the counts of entries that fell silent."""
         now = self._clock.monotonic()
@@ -146,7 +160,13 @@
         if peer is not None:
             peer.heard_at = now
         work = {engine: Work(*counts) for engine, counts in beat.work.items()}
-        state = PeerState(work, frozenset(beat.claims), beat.is_leaving, beat.can_store)
+        state = PeerState(
+            work,
+            frozenset(beat.claims),
+            beat.is_leaving,
+            beat.can_store,
+            beat.is_relay,
+        )
         self.loads.note(beat.ip, state, now)
         self._apply()
         self.on_news()
@@ -163,6 +183,7 @@
             list(state.claims),
             state.is_leaving,
             state.can_store,
+            state.is_relay,
         )
         return msgspec.msgpack.encode(beat)
 
--- /dev/null
+++ b/src/pomeloshift/gateway/_store_relay.py
@@ -0,0 +1,50 @@
+"""Passes calls of other gateways on to the store."""
+
+from typing import Any
+
+from twisted.internet.defer import CancelledError
+
+from ..errors import PomeloshiftError, Ran
+from ..http1 import Client, Exchange, Headers, HttpListener, RequestHead
+from ..net._loops import spawn
+from ._timing import RELAY_CONNECTIONS, RELAY_TIMEOUT_S
+
+
+class StoreRelay:
+    """Serves gateways that the store turns away; it passes calls on unchanged."""
+
+    def __init__(self, store: str, client: Client, reactor: Any, clock: Any) -> None:
+        self._store = store
+        self._client = client
+        self._listener = HttpListener(reactor, clock, self._handle, RELAY_CONNECTIONS)
+
+    def listen(self, host: str, port: int) -> int:
+        """Listens and returns the port."""
+        return self._listener.listen(host, port)
+
+    async def stop(self) -> None:
+        """Closes the port and all connections."""
+        await self._listener.stop()
+
+    def _handle(self, exchange: Exchange) -> None:
+        task = spawn(self._relay(exchange))
+        exchange.on_gone = task.cancel
+
+    async def _relay(self, exchange: Exchange) -> None:
+        head = exchange.head
+        fields = [(b"Host", self._store.encode())]
+        onward = RequestHead(head.method, head.target, Headers(fields))
+        try:
+            answer = await self._client.call(
+                self._store, onward, exchange.body, RELAY_TIMEOUT_S
+            )
+        except CancelledError:
+            raise
+        except PomeloshiftError as exc:
+            if exc.ran is Ran.NO:
+                exchange.respond(503, [], b"")
+            else:
+                # The caller must not take this for an answer of the store.
+                exchange.abort()
+            return
+        exchange.respond(answer.status, [], answer.body)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -82,3 +82,9 @@
 
 # Where metrics are served; deploy/system.toml names the same port.
 METRICS_PORT = 9464
+
+# Calls that are passed on for other gateways: a long poll and an answer's time.
+RELAY_TIMEOUT_S = 3.0
+RELAY_CONNECTIONS = 256
+# While the store turns this gateway away, the straight way is tried this often.
+STRAIGHT_PROBE_S = 1.0
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -9,6 +9,7 @@
 import attrs
 import msgspec
 
+from ..errors import PomeloshiftError
 from ..http1 import (
     Answer,
     CallTimeoutError,
@@ -29,6 +30,7 @@
     StoreSilentError,
     StoreUnreachableError,
 )
+from ._names import CONFIG_TOPIC
 from ._settings import StoreSettings
 
 # The store answers in some milliseconds; a second without an answer is taken for a
@@ -39,6 +41,11 @@
 RATE_SHARE = 0.05
 BURST_S = 0.5
 
+# Statuses with which the store refuses a call for the moment, or an instance.
+TURNED_AWAY = (429, 503)
+# The cheapest read: at most a kilobyte from a topic's start.
+PROBE_TARGET = f"/api/log-read?topic={CONFIG_TOPIC}&part=0&from=0&maxKb=1".encode()
+
 LENGTH = struct.Struct(">I")
 OFFSET = struct.Struct(">Q")
 
@@ -91,6 +98,10 @@
     def __init__(self, settings: StoreSettings, client: Client, clock: Any) -> None:
         # Told of each call: its name, its outcome and its seconds.
         self.on_call: Callable[[str, str, float], None] = lambda *args: None
+        # Returns the address to call: the store's own or one that passes calls on.
+        self.choose_address: Callable[[], str] = lambda: settings.address
+        # Told of an address that did not answer or turned the call away, or did answer.
+        self.on_address: Callable[[str, bool], None] = lambda address, worked: None
         self._settings = settings
         self._client = client
         self._clock = clock
@@ -178,6 +189,17 @@
             raise MalformedError(f"the newest records of {topic}: {exc}") from exc
         return NewestPage(records, wire.has_more, wire.end)
 
+    async def answers_straight(self) -> bool:
+        """Whether the store itself answers this instance now."""
+        head = RequestHead(b"GET", PROBE_TARGET, Headers([(b"Host", b"store")]))
+        address = self._settings.address
+        try:
+            answer = await self._client.call(address, head, b"", CALL_TIMEOUT_S)
+        except PomeloshiftError:
+            # Logged where the state changes; here it only means "not yet".
+            return False
+        return answer.status not in TURNED_AWAY
+
     def _take(self, bucket: TokenBucket) -> None:
         wait_s = bucket.take(self._clock.monotonic())
         if wait_s > 0:
@@ -201,16 +223,18 @@
         head = RequestHead(method, target.encode(), Headers(fields))
         began = self._clock.monotonic()
         outcome = "silent"
+        address = self.choose_address()
         try:
-            answer = await self._client.call(
-                self._settings.address, head, body, timeout_s
-            )
+            answer = await self._client.call(address, head, body, timeout_s)
             outcome = str(answer.status)
+            self.on_address(address, answer.status not in TURNED_AWAY)
             return answer
         except ConnectError as exc:
             outcome = "unreachable"
+            self.on_address(address, False)
             raise StoreUnreachableError(exc.message) from exc
         except (CallTimeoutError, ConnectionBrokenError) as exc:
+            self.on_address(address, False)
             raise StoreSilentError(f"{path}: {exc.message}") from exc
         finally:
             name = path.rpartition("/")[2]
@@ -221,7 +245,7 @@
     """Raises the error that a status stands for."""
     if answer.status == 200:
         return
-    if answer.status in (429, 503):
+    if answer.status in TURNED_AWAY:
         raise StoreRefusedError(f"the store answered {answer.status}")
     if answer.status == 507:
         raise StoreFullError("the store is full")
--- a/tests/test_direct_cores.py
+++ b/tests/test_direct_cores.py
@@ -6,6 +6,7 @@
 
 from pomeloshift.direct import (
     LAPSE_GRACE_S,
+    STRAIGHT,
     AttemptPlan,
     ConfigHolder,
     Engine,
@@ -23,6 +24,7 @@
     ServingConfig,
     Split,
     Step,
+    StorePath,
     Work,
     is_cut_off,
 )
@@ -299,6 +301,23 @@
     assert is_cut_off(can_store, heard, knows_others) is cut_off
 
 
+def test_calls_go_through_an_entry_that_the_store_serves():
+    path = StorePath(Random(1))
+    path.set_relays(frozenset({"a:1", "b:1"}))
+    assert path.choose(1.0) == STRAIGHT
+    path.failed(STRAIGHT, 1.0)
+    first = path.choose(1.1)
+    assert first in ("a:1", "b:1")
+    assert path.choose(1.2) == first
+    path.failed(first, 1.2)
+    assert path.choose(1.3) not in (first, STRAIGHT)
+    path.set_relays(frozenset())
+    assert path.choose(1.4) == STRAIGHT
+    path.worked(STRAIGHT)
+    path.set_relays(frozenset({"a:1"}))
+    assert path.choose(9.0) == STRAIGHT
+
+
 # Refusals
 
 
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -2,7 +2,7 @@
 import pytest
 
 from _gateway import config, job, route, text
-from pomeloshift.http1 import Headers, RequestHead
+from pomeloshift.http1 import ConnectError, Headers, RequestHead
 from pomeloshift.platform import StoreUnreachableError
 from pomeloshift.standins.platform import Behaviour
 
@@ -233,3 +233,33 @@
         return [job.status for job in jobs], ready, owned
 
     assert play(scenario) == ([503, 202], [200, 503], False)
+
+
+def test_gateway_that_the_store_turns_away_works_through_another(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        while not second.peers.relays():
+            await deployment.pause(0.01)
+        client = second._store._client
+        call = client.call
+
+        async def turned_away(address, *args):
+            if address == deployment.store_address:
+                raise ConnectError("turned away")
+            return await call(address, *args)
+
+        client.call = turned_away
+        while second._store_path.is_straight:
+            await deployment.pause(0.02)
+        while not second.job_log.follower.is_reachable:
+            await deployment.pause(0.02)
+        accepted = await deployment.submit(second, "job1", BODIES)
+        rows = await deployment.results(second, "job1", 3)
+        others = await deployment.results(first, "job1", 3)
+        del client.call
+        while not second._store_path.is_straight:
+            await deployment.pause(0.02)
+        return accepted.status, rows == others, len(rows)
+
+    assert play(scenario) == (202, True, 3)
