--- /dev/null
+++ b/src/pomeloshift/gateway/_front.py
@@ -0,0 +1,85 @@
+"""Finds out what each request of a caller asks for."""
+
+from typing import Any
+
+import attrs
+
+from ..direct import ConfigHolder, Route, RouteKind, ServingConfig
+from ..errors import PomeloshiftError
+from ..http1 import Exchange
+from ..net._loops import spawn
+from ..platform import FrontRequest, read_batch_call, read_front_request
+from ._batch_front import BatchFront
+from ._engine_access import EngineAccess
+from ._events import EventLog
+from ._online import OnlineService
+from ._refusal import refuse
+from ._timing import CONFIG_FRESH_S
+from ._topic_follower import TopicFollower
+
+
+@attrs.define
+class Front:
+    """Hands requests to the services for online requests and batch jobs.
+
+    Once ``is_closed`` is set it refuses all of them as not run.
+    """
+
+    config: ConfigHolder
+    config_follower: TopicFollower
+    online: OnlineService
+    batch: BatchFront
+    access: EngineAccess
+    events: EventLog
+    clock: Any
+    is_closed: bool = False
+
+    def handle(self, exchange: Exchange) -> None:
+        """Handles a request under the configuration in force."""
+        req = read_front_request(exchange.head)
+        config = self.config.current
+        if config is None or self.is_closed:
+            why = "stopping" if self.is_closed else "no configuration yet"
+            self._refuse(exchange, req, why)
+        elif not self._dispatch(exchange, req, config):
+            spawn(self._handle_unmatched(exchange, req))
+
+    async def _handle_unmatched(self, exchange: Exchange, req: FrontRequest) -> None:
+        """Answers 404 only if the newest configuration has no such route either."""
+        if self.config.age(self.clock.monotonic()) > CONFIG_FRESH_S:
+            try:
+                await self.config_follower.catch_up()
+            except PomeloshiftError as exc:
+                self._refuse(exchange, req, f"configuration not current: {exc.message}")
+                return
+        config = self.config.current
+        assert config is not None
+        if not self._dispatch(exchange, req, config):
+            self.events.info("route_unknown", id=req.id, version=config.version)
+            refuse(exchange, 404)
+
+    def _dispatch(
+        self, exchange: Exchange, req: FrontRequest, config: ServingConfig
+    ) -> bool:
+        """Hands a request on; returns False if no route fits."""
+        call = read_batch_call(req)
+        if call is not None and _has_batch_route(config.routes_of(req.host)):
+            self.batch.call(exchange, req, call)
+            return True
+        route = config.match(req.host, req.path)
+        if route is None:
+            return False
+        if route.kind is RouteKind.BATCH:
+            self.batch.submit(exchange, req, route)
+        else:
+            self.online.handle(exchange, req, route, config)
+        return True
+
+    def _refuse(self, exchange: Exchange, req: FrontRequest, why: str) -> None:
+        retry_after_s = self.access.returns.retry_after(self.clock.monotonic())
+        self.events.warn("request_refused", id=req.id, why=why)
+        refuse(exchange, 503, retry_after_s)
+
+
+def _has_batch_route(routes: tuple[Route, ...]) -> bool:
+    return any(route.kind is RouteKind.BATCH for route in routes)
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -8,53 +8,44 @@
 from twisted.internet.error import CannotListenError
 
 from ..direct import (
-    STRAIGHT,
     ConfigHolder,
-    EngineEntry,
     Fleet,
-    FrontLimits,
     PeerState,
     Placement,
     PlacementConfig,
     ReturnTimes,
-    Route,
-    RouteKind,
     StorePath,
     Work,
     is_cut_off,
 )
-from ..errors import PomeloshiftError
 from ..http1 import (
     Client,
-    ClientLimits,
     ConnectionPool,
     Exchange,
     HttpListener,
     PoolConfig,
 )
 from ..jobs import BatchPlaces, Ownership, WorkQueue
-from ..net._loops import Loops, spawn
+from ..net._loops import Loops
 from ..platform import (
     CONFIG_KEY,
     CONFIG_TOPIC,
     ENGINES_TOPIC,
     READY_PATH,
-    FrontRequest,
     KeyedRecord,
     MalformedError,
     PlatformSettings,
     StoreClient,
     decode_config,
-    decode_engine,
-    read_batch_call,
-    read_front_request,
 )
 from . import _blob_store, _job_log, _peer_exchange
 from ._batch_front import BatchFront
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
+from ._engine_list import EngineList
 from ._events import EventLog
+from ._front import Front
 from ._job_log import JobLog
 from ._log_writer import LogWriter
 from ._metrics import GatewayMetrics
@@ -62,10 +53,10 @@
 from ._peer_exchange import PeerExchange
 from ._refusal import refuse
 from ._sleep import sleep
+from ._store_link import StoreLink
 from ._store_relay import StoreRelay
 from ._timing import (
     CLOSE_MARGIN_S,
-    CONFIG_FRESH_S,
     DRAIN_TICK_S,
     HAND_OVER_S,
     LEAVE_ROTATION_S,
@@ -102,7 +93,6 @@
         self._count_dropped_lines = count_dropped_lines
         self._reactor = reactor
         self._clock = clock
-        self._random = random
         self._metrics = GatewayMetrics(settings.name)
         self._events = events = EventLog(clock, self._metrics)
         self.config = ConfigHolder()
@@ -112,7 +102,6 @@
         self.ready_address = ""
         self.metrics_address = ""
         self._is_draining = False
-        self._is_closed = False
         # A process's name in the store; a restart is another producer and member.
         self._incarnation = f"{settings.name}.{random.getrandbits(48):012x}"
 
@@ -120,9 +109,6 @@
         client = Client(self._pool, clock)
         self._store = StoreClient(settings.store, client, clock)
         self._store.on_call = self._metrics.store_called
-        self._store_path = StorePath(random)
-        self._store.choose_address = self._choose_store_address
-        self._store.on_address = self._note_store_address
         self._relay = StoreRelay(settings.store.address, client, reactor, clock)
         placement = Placement(
             settings.zone, settings.regions, PlacementConfig(), random
@@ -167,6 +153,15 @@
             events,
         )
         self.peers.own_state = self._own_state
+        self._store_link = StoreLink(
+            self._store,
+            settings.store.address,
+            StorePath(random),
+            self.peers.relays,
+            events,
+            clock,
+        )
+        self._store_link.attach()
         self._peer_writer = self._writer(_peer_exchange.TOPIC, _peer_exchange.PARTITION)
         self.work = BatchLoop(
             access,
@@ -188,14 +183,9 @@
                 lambda is_reachable: None,
             ),
         )
+        self._engine_list = EngineList(self._fleet, events, clock)
         self._engine_follower = self._follow(
-            ENGINES_TOPIC,
-            TopicHandlers(
-                self._take_engines,
-                self._take_engine,
-                lambda now: None,
-                self._note_engines_reachable,
-            ),
+            ENGINES_TOPIC, self._engine_list.handlers()
         )
         self.peers.on_news = self.work.yield_places
         self._peer_follower = TopicFollower(
@@ -214,7 +204,16 @@
             poll_s=PEER_POLL_S,
         )
         max_front = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
-        self._front = HttpListener(reactor, clock, self._handle, max_front)
+        self._front = Front(
+            self.config,
+            self._config_follower,
+            self.online,
+            self._batch,
+            access,
+            events,
+            clock,
+        )
+        self._callers = HttpListener(reactor, clock, self._front.handle, max_front)
         self._ready = HttpListener(reactor, clock, self._answer_ready, SIDE_CONNECTIONS)
         self._scrapes = HttpListener(
             reactor, clock, self._answer_scrape, SIDE_CONNECTIONS
@@ -242,7 +241,7 @@
 
     async def start(self) -> None:
         """Listens and begins to follow the store."""
-        self.front_address = _listen(self._front, self._settings.front_address)
+        self.front_address = _listen(self._callers, self._settings.front_address)
         self.ready_address = _listen(self._ready, self._settings.ready_address)
         self._serve_metrics()
         self._pool.start()
@@ -252,9 +251,9 @@
         self._publish_address()
         self._peer_follower.start()
         self._loops.repeat(self.peers.tick, PEER_TICK_S)
-        self._loops.repeat(self._settle_fleet, SETTLE_TICK_S)
+        self._loops.repeat(self._engine_list.settle, SETTLE_TICK_S)
         self._loops.repeat(self._share_work, MEMBERS_TICK_S)
-        self._loops.repeat(self._probe_store, STRAIGHT_PROBE_S)
+        self._loops.repeat(self._store_link.probe, STRAIGHT_PROBE_S)
         self.work.start(self._loops)
         self._events.info(
             "started",
@@ -275,15 +274,15 @@
         """Leaves the rotation, hands the batch work over and ends what is open."""
         began = self._clock.monotonic()
         self._is_draining = True
-        self._front.is_closing = True
+        self._callers.is_closing = True
         self._events.info("draining", open_requests=self.online.open_requests)
         self.work.stop_starting()
         last = began + self._settings.grace_s - CLOSE_MARGIN_S
         await sleep(self._reactor, LEAVE_ROTATION_S)
         # What still comes could not be finished in the grace: it is refused as not run.
-        self._is_closed = True
-        await self._front.stop_accepting()
-        self._front.close_idle()
+        self._front.is_closed = True
+        await self._callers.stop_accepting()
+        self._callers.close_idle()
         while self._clock.monotonic() < last:
             await sleep(self._reactor, DRAIN_TICK_S)
             is_idle = self.online.open_requests == 0 and self.work.running == 0
@@ -299,7 +298,7 @@
 
     async def stop(self) -> None:
         """Closes everything."""
-        self._front.close_idle()
+        self._callers.close_idle()
         await sleep(self._reactor, DRAIN_TICK_S)
         self._loops.stop()
         for follower in (
@@ -314,7 +313,7 @@
         self._peer_writer.stop()
         await self._relay.stop()
         self.peers.stop()
-        await self._front.stop()
+        await self._callers.stop()
         await self._ready.stop()
         await self._scrapes.stop()
         self._pool.stop()
@@ -324,60 +323,7 @@
         """Notes a change of the settings file, whose fields hold for a lifetime."""
         self._events.info("reloaded", instance=self._incarnation)
 
-    # Requests
-
-    def _handle(self, exchange: Exchange) -> None:
-        req = read_front_request(exchange.head)
-        config = self.config.current
-        if config is None or self._is_closed:
-            why = "stopping" if self._is_closed else "no configuration yet"
-            self._refuse(exchange, req, why)
-            return
-        call = read_batch_call(req)
-        if call is not None and _has_batch_route(config.routes_of(req.host)):
-            self._batch.call(exchange, req, call)
-            return
-        route = config.match(req.host, req.path)
-        if route is None:
-            spawn(self._handle_unmatched(exchange, req))
-            return
-        self._dispatch(exchange, req, route)
-
-    async def _handle_unmatched(self, exchange: Exchange, req: FrontRequest) -> None:
-        """Answers 404 only if the newest configuration has no such route either."""
-        if self.config.age(self._clock.monotonic()) > CONFIG_FRESH_S:
-            try:
-                await self._config_follower.catch_up()
-            except PomeloshiftError as exc:
-                self._refuse(exchange, req, f"configuration not current: {exc.message}")
-                return
-        assert self.config.current is not None
-        route = self.config.current.match(req.host, req.path)
-        if route is not None:
-            self._dispatch(exchange, req, route)
-            return
-        call = read_batch_call(req)
-        if call is not None and _has_batch_route(
-            self.config.current.routes_of(req.host)
-        ):
-            self._batch.call(exchange, req, call)
-            return
-        self._events.info(
-            "route_unknown", id=req.id, version=self.config.current.version
-        )
-        refuse(exchange, 404)
-
-    def _dispatch(self, exchange: Exchange, req: FrontRequest, route: Route) -> None:
-        assert self.config.current is not None
-        if route.kind is RouteKind.BATCH:
-            self._batch.submit(exchange, req, route)
-        else:
-            self.online.handle(exchange, req, route, self.config.current)
-
-    def _refuse(self, exchange: Exchange, req: FrontRequest, why: str) -> None:
-        retry_after_s = self._access.returns.retry_after(self._clock.monotonic())
-        self._events.warn("request_refused", id=req.id, why=why)
-        refuse(exchange, 503, retry_after_s)
+    # Readiness and metrics
 
     def _answer_ready(self, exchange: Exchange) -> None:
         is_ready = (
@@ -389,8 +335,6 @@
         )
         refuse(exchange, 200 if is_ready else 503)
 
-    # Metrics
-
     @property
     def lines_dropped(self) -> int:
         """Log lines lost because their reader was slow."""
@@ -435,56 +379,7 @@
             offset=record.offset,
             routes=len(config.routes),
         )
-        self._front.limits = _to_client_limits(config.limits)
-
-    # Engines
-
-    def _take_engines(self, records: list[KeyedRecord], end: int) -> None:
-        entries = [e for e in map(self._decode_engine, records) if e is not None]
-        self._fleet.replace(entries, self._clock.monotonic())
-        self._events.info("engines_read", count=len(entries), offset=end)
-
-    def _take_engine(self, record: KeyedRecord) -> None:
-        if record.value is None:
-            now = self._clock.monotonic()
-            is_dropped = self._fleet.remove(record.key, now)
-            self._events.info(
-                "engine_removed",
-                engine=record.key,
-                offset=record.offset,
-                is_used=not is_dropped,
-            )
-            return
-        entry = self._decode_engine(record)
-        if entry is not None and self._fleet.put(entry):
-            self._events.info(
-                "engine_changed",
-                engine=entry.id,
-                address=entry.address,
-                service=entry.service,
-                is_draining=entry.is_draining,
-                incarnation=entry.incarnation,
-                offset=record.offset,
-            )
-
-    def _decode_engine(self, record: KeyedRecord) -> EngineEntry | None:
-        if record.value is None:
-            return None
-        try:
-            return decode_engine(record.key, record.value)
-        except MalformedError as exc:
-            self._events.warn("engine_ignored", engine=record.key, why=exc.message)
-            return None
-
-    def _note_engines_reachable(self, is_reachable: bool) -> None:
-        if is_reachable:
-            self._fleet.store_regained(self._clock.monotonic())
-        else:
-            self._fleet.store_lost()
-
-    def _settle_fleet(self) -> None:
-        for engine_id in self._fleet.settle(self._clock.monotonic()):
-            self._events.info("engine_gone", engine=engine_id)
+        self._callers.limits = config.limits
 
     # Other entries
 
@@ -503,8 +398,6 @@
         for record in records:
             self.peers.take_record(record)
 
-    # Batch work
-
     def _own_state(self) -> PeerState:
         work = {
             engine_id: Work(engine.online, engine.batch)
@@ -516,33 +409,9 @@
             self.work.queue.claims(),
             self._is_draining,
             self._can_store,
-            self._can_store and self._store_path.is_straight,
+            self._can_store and self._store_link.path.is_straight,
         )
 
-    def _choose_store_address(self) -> str:
-        self._store_path.set_relays(self.peers.relays())
-        way = self._store_path.choose(self._clock.monotonic())
-        return self._settings.store.address if way == STRAIGHT else way
-
-    def _note_store_address(self, address: str, has_worked: bool) -> None:
-        way = STRAIGHT if address == self._settings.store.address else address
-        was_straight = self._store_path.is_straight
-        if has_worked:
-            self._store_path.worked(way)
-        else:
-            self._store_path.failed(way, self._clock.monotonic())
-        if self._store_path.is_straight != was_straight:
-            self._events.warn(
-                "store_path_changed",
-                is_straight=self._store_path.is_straight,
-                relays=len(self.peers.relays()),
-            )
-
-    async def _probe_store(self) -> None:
-        """Finds out when the store answers this gateway itself again."""
-        if not self._store_path.is_straight and await self._store.answers_straight():
-            self._note_store_address(self._settings.store.address, True)
-
     @property
     def _can_store(self) -> bool:
         follower = self.job_log.follower
@@ -568,16 +437,3 @@
     """Listens on an address and returns it with the port that was taken."""
     host, _, port = address.rpartition(":")
     return f"{host}:{listener.listen(host, int(port))}"
-
-
-def _has_batch_route(routes: tuple[Route, ...]) -> bool:
-    return any(route.kind is RouteKind.BATCH for route in routes)
-
-
-def _to_client_limits(limits: FrontLimits) -> ClientLimits:
-    return ClientLimits(
-        limits.max_header_bytes,
-        limits.max_body_bytes,
-        limits.header_timeout_s,
-        limits.idle_timeout_s,
-    )
--- /dev/null
+++ b/src/pomeloshift/gateway/_store_link.py
@@ -0,0 +1,54 @@
+"""Keeps the store within reach, if need be through another gateway."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from ..direct import STRAIGHT, StorePath
+from ..platform import StoreClient
+from ._events import EventLog
+
+
+@attrs.define
+class StoreLink:
+    """Tells the store's client which address to call.
+
+    ``relays`` returns the addresses of the gateways that the store serves.
+    """
+
+    store: StoreClient
+    address: str
+    path: StorePath
+    relays: Callable[[], frozenset[str]]
+    events: EventLog
+    clock: Any
+
+    def attach(self) -> None:
+        """Lets the client ask for addresses and tell what became of its calls."""
+        self.store.choose_address = self._choose
+        self.store.on_address = self._note
+
+    async def probe(self) -> None:
+        """Finds out when the store answers this gateway itself again."""
+        if not self.path.is_straight and await self.store.answers_straight():
+            self._note(self.address, True)
+
+    def _choose(self) -> str:
+        self.path.set_relays(self.relays())
+        way = self.path.choose(self.clock.monotonic())
+        return self.address if way == STRAIGHT else way
+
+    def _note(self, address: str, has_worked: bool) -> None:
+        way = STRAIGHT if address == self.address else address
+        was_straight = self.path.is_straight
+        if has_worked:
+            self.path.worked(way)
+        else:
+            self.path.failed(way, self.clock.monotonic())
+        if self.path.is_straight != was_straight:
+            self.events.warn(
+                "store_path_changed",
+                is_straight=self.path.is_straight,
+                relays=len(self.relays()),
+            )
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -7,7 +7,7 @@
 from ._mailbox import Mailbox
 from ._messages import Answer, AnswerHead, Chunk, End, Headers, Lost, RequestHead
 from ._pool_config import PoolConfig
-from ._server_connection import ClientLimits, Exchange
+from ._server_connection import Exchange
 
 __all__ = [
     "Answer",
@@ -16,7 +16,6 @@
     "CallTimeoutError",
     "Chunk",
     "Client",
-    "ClientLimits",
     "ConnectError",
     "ConnectionBrokenError",
     "ConnectionPool",
--- a/src/pomeloshift/http1/_listener.py
+++ b/src/pomeloshift/http1/_listener.py
@@ -6,7 +6,8 @@
 from twisted.internet.defer import maybeDeferred
 from twisted.internet.protocol import Factory
 
-from ._server_connection import ClientLimits, Exchange, ServerConnection
+from ..direct import FrontLimits
+from ._server_connection import Exchange, ServerConnection
 
 # Connections that wait for `accept`; the system's own limit is usually lower.
 LISTEN_BACKLOG = 1024
@@ -30,7 +31,7 @@
         self.reactor = reactor
         self.clock = clock
         self.handle = handle
-        self.limits = ClientLimits()
+        self.limits = FrontLimits()
         self.is_closing = False
         self._max_connections = max_connections
         self._connections: set[ServerConnection] = set()
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 from typing import Any
 
-import attrs
 import h11
 from twisted.internet.protocol import Protocol
 
+from ..direct import FrontLimits
 from ._messages import HeaderList, Headers, RequestHead
 
 # Unread bytes behind a request that is being served, after which the caller is taken
@@ -15,16 +15,6 @@
 READ_SLACK_BYTES = 4096  # the request line comes on top of the headers
 
 
-@attrs.frozen
-class ClientLimits:
-    """What a caller may send and how long it may take."""
-
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 4194304
-    header_timeout_s: float = 3.0
-    idle_timeout_s: float = 15.0
-
-
 class Exchange:
     """One request and the answer to it.
 
@@ -87,7 +77,7 @@
 
     def __init__(self, listener: Any) -> None:
         self._listener = listener
-        self._limits: ClientLimits = listener.limits
+        self._limits: FrontLimits = listener.limits
         # The limit leaves room for the request line, which h11 counts with the headers.
         size = self._limits.max_header_bytes + READ_SLACK_BYTES
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -250,7 +250,7 @@
             return await call(address, *args)
 
         client.call = turned_away
-        while second._store_path.is_straight:
+        while second._store_link.path.is_straight:
             await deployment.pause(0.02)
         while not second.job_log.follower.is_reachable:
             await deployment.pause(0.02)
@@ -258,7 +258,7 @@
         rows = await deployment.results(second, "job1", 3)
         others = await deployment.results(first, "job1", 3)
         del client.call
-        while not second._store_path.is_straight:
+        while not second._store_link.path.is_straight:
             await deployment.pause(0.02)
         return accepted.status, rows == others, len(rows)
 
