--- a/src/pomeloshift/direct/_attempt_plan.py
+++ b/src/pomeloshift/direct/_attempt_plan.py
@@ -9,7 +9,6 @@
     """What to do next with a request."""
 
     TRY = "try"
-    WAIT = "wait"
     REFUSE = "refuse"
     FAIL = "fail"
 
@@ -62,10 +61,6 @@
         """The engines that this request is not sent to again."""
         return frozenset(self.refused_by | self.failed_at)
 
-    def forgive_refusals(self) -> None:
-        """Lets the request go again to engines that were full."""
-        self.refused_by.clear()
-
     def next_step(self, now: float) -> Step:
         """Returns whether the request may be tried again."""
         if now >= self.deadline:
--- a/src/pomeloshift/direct/_engine.py
+++ b/src/pomeloshift/direct/_engine.py
@@ -24,9 +24,7 @@
     batch: int = 0
     is_gone: bool = False
     avoided_until: float = float("-inf")
-    failures: int = 0
     last_byte_at: float = float("-inf")
-    rtt_s: float | None = None
     peers: Work = NO_WORK
     _load: EngineLoad | None = None
     _load_at: float = float("-inf")
@@ -83,12 +81,6 @@
         excess = self._load.running + self._load.waiting - self._known_at_load
         return max(0, excess) * (1.0 - age / LOAD_VALID_S)
 
-    def waiting(self, now: float) -> int:
-        """Returns the reported number of waiting requests, 0 if the report is old."""
-        if self._load is None or now - self._load_at > LOAD_VALID_S:
-            return 0
-        return self._load.waiting
-
     def begin(self, now: float, is_batch: bool) -> int:
         """Counts a request that is sent; returns a key for `heard` and `end`.
 
--- a/src/pomeloshift/gateway/_blob_store.py
+++ b/src/pomeloshift/gateway/_blob_store.py
@@ -75,10 +75,6 @@
         self._remember(ref.key, blob)
         return blob
 
-    def has(self, ref: BlobRef) -> bool:
-        """Whether a blob is in memory."""
-        return ref.key in self._cache
-
     async def _read(self, ref: BlobRef) -> bytes:
         """Reads a blob at its offset."""
         max_kb = math.ceil(ref.size / 1024) + READ_SLACK_KB
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -107,7 +107,6 @@
 
     def note_failed(self, engine: Engine, why: str, request_id: str) -> None:
         """Avoids an engine that could not be reached or broke off."""
-        engine.failures += 1
         engine.avoided_until = max(engine.avoided_until, self.now() + AVOID_FAILED_S)
         self.events.warn(
             "engine_failed", engine=engine.entry.id, id=request_id, why=why
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -263,14 +263,9 @@
             for connection in list(connections):
                 connection._close()
 
-    async def send(
-        self, address: str, head: RequestHead, body: bytes, is_fresh: bool = False
-    ) -> Call:
-        """Sends a request; raises `ConnectError` if nothing was sent.
-
-        With ``is_fresh`` the request takes a new connection.
-        """
-        connection = None if is_fresh else self._take_idle(address)
+    async def send(self, address: str, head: RequestHead, body: bytes) -> Call:
+        """Sends a request; raises `ConnectError` if nothing was sent."""
+        connection = self._take_idle(address)
         if connection is None:
             connection = await self._connect(address)
         return connection.send(head, body)
--- a/src/pomeloshift/http1/_listener.py
+++ b/src/pomeloshift/http1/_listener.py
@@ -58,11 +58,6 @@
         """Drops a connection that has closed."""
         self._connections.discard(connection)
 
-    @property
-    def open_connections(self) -> int:
-        """The number of connections from callers."""
-        return len(self._connections)
-
     def close_idle(self) -> None:
         """Closes the connections on which no request is under way."""
         for connection in [c for c in self._connections if c.is_idle]:
--- a/src/pomeloshift/standins/platform/_store_state.py
+++ b/src/pomeloshift/standins/platform/_store_state.py
@@ -2,8 +2,6 @@
 
 import attrs
 
-KEYED_PREFIX = "keyed."
-
 
 @attrs.frozen
 class Appended:
