Deal batch items to engines instead of letting all entries choose the same ones

Ruled out: the spread by salt, which helps only where there are more items than places.

Each item now falls to an engine by its claim, whose entry takes it at once; others wait for 0.15 to 0.3 s. Tests: each item of a small job is chosen by one entry; an item whose entry does not take it is taken by the others by turns.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -16,6 +16,7 @@
     ItemSettled,
     Ownership,
     Progress,
+    Share,
     WorkItem,
     WorkQueue,
     claim_of,
@@ -132,7 +133,12 @@
             return
         deadlines = {name: route.job_deadline_s for name, route in routes.items()}
         pending = self.queue.pending(
-            self.log.book, deadlines, now, self._event_s, self._run_s
+            self.log.book,
+            deadlines,
+            now,
+            self._event_s,
+            self._run_s,
+            self._shares(routes),
         )
         if pending:
             self._probe(sound, now)
@@ -154,6 +160,25 @@
             if not open_engines:
                 break
 
+    def _shares(self, routes: dict[str, Route]) -> dict[str, Share]:
+        """Deals each queue's items to the engines that may run them."""
+        shares = {}
+        for name, route in routes.items():
+            engines = [
+                engine.entry
+                for service in route.services
+                for engine in self.access.fleet.of(service)
+            ]
+            engines.sort(key=lambda entry: entry.id)
+            own = (
+                position
+                for position, entry in enumerate(engines)
+                if self.ownership.owns(entry.id, entry.zone)
+            )
+            if engines:
+                shares[name] = Share(len(engines), frozenset(own))
+        return shares
+
     def _pick_service(self, route: Route | None) -> str | None:
         if route is None:
             return None
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -19,6 +19,7 @@
     decode_record,
     encode_record,
 )
+from ._share import Share
 from ._work_queue import WorkItem, WorkQueue
 
 __all__ = [
@@ -43,6 +44,7 @@
     "Ownership",
     "Progress",
     "Result",
+    "Share",
     "WorkItem",
     "WorkQueue",
     "base_key",
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -12,22 +12,32 @@
 from ._job import Job
 from ._job_book import JobBook
 from ._ownership import claim_of
+from ._share import WHOLE, Share
 
 Key = tuple[str, int]
 
 # Items due this close together are equally urgent, so that entries that choose at the
 # same moment choose different ones.
 SAME_DUE_S = 2.0
+# How long an item that nobody runs is left to the entry that it was dealt to: a look
+# at the batch work and the time until the others hear of it.
+TURN_S = 0.15
+# After that, the others' turns are spread over as long again, so that they differ.
+SALT_BITS = 48
 
 
 @attrs.frozen
 class WorkItem:
-    """An item to run and when it is due (monotonic seconds)."""
+    """An item to run and when it is due (monotonic seconds).
+
+    ``is_own`` says that it was dealt to an engine of this entry.
+    """
 
     job: Job
     index: int
     due: float
     is_late: bool = False
+    is_own: bool = True
 
     @property
     def key(self) -> Key:
@@ -49,6 +59,7 @@
     running: set[Key] = attrs.field(factory=set)
     held: dict[Key, float] = attrs.field(factory=dict)
     _not_before: dict[Key, float] = attrs.field(factory=dict)
+    _ready_since: dict[Key, float] = attrs.field(factory=dict)
 
     def defer(self, key: Key, until: float) -> None:
         """Keeps an item from being run before ``until``."""
@@ -65,26 +76,41 @@
         now: float,
         event_s: float,
         run_s: float,
+        shares: dict[str, Share] | None = None,
     ) -> list[WorkItem]:
         """Returns the items to run, the most urgent first.
 
         ``deadlines`` holds, for each queue, how long after a job's acceptance its
         results are due; ``run_s`` is how long an item usually runs, and ``event_s``
-        what each event of its progress saves.
+        what each event of its progress saves. Outside this entry's ``shares``, by
+        queue, items are returned once nobody has run them for a while.
         """
         items = []
+        ready_since: dict[Key, float] = {}
         for job in book.jobs.values():
             if not job.is_open:
                 continue
             due = job.accepted_at + deadlines.get(job.queue, 0.0)
+            share = (shares or {}).get(job.queue, WHOLE)
             for index in job.pending:
-                if self._is_ready((job.id, index), now):
-                    events = job.events_done.get(index, 0)
-                    rest_s = max(0.0, run_s - event_s * events)
-                    items.append(WorkItem(job, index, due, now + rest_s > due))
+                key = (job.id, index)
+                if not self._is_ready(key, now):
+                    continue
+                ready_since[key] = self._ready_since.get(key, now)
+                is_own = share.holds(claim_of(*key))
+                if not is_own and now - ready_since[key] < self._turn_s(key):
+                    continue
+                events = job.events_done.get(index, 0)
+                rest_s = max(0.0, run_s - event_s * events)
+                is_late = now + rest_s > due
+                items.append(WorkItem(job, index, due, is_late, is_own))
+        self._ready_since = ready_since
         items.sort(key=self._rank)
         return items
 
+    def _turn_s(self, key: Key) -> float:
+        return TURN_S * (1 + self._spread(key) / 2**SALT_BITS)
+
     def _is_ready(self, key: Key, now: float) -> bool:
         if key in self.running:
             return False
@@ -95,7 +121,11 @@
             del self._not_before[key]
         return not self.is_claimed(claim_of(*key))
 
-    def _rank(self, work: WorkItem) -> tuple[bool, int, int, int]:
+    def _rank(self, work: WorkItem) -> tuple[bool, int, int, bool, int]:
         events = work.job.events_done.get(work.index, 0)
-        spread = claim_of(*work.key) ^ self.salt
-        return work.is_late, round(work.due / SAME_DUE_S), -events, spread
+        due = round(work.due / SAME_DUE_S)
+        spread = self._spread(work.key)
+        return work.is_late, due, -events, not work.is_own, spread
+
+    def _spread(self, key: Key) -> int:
+        return claim_of(*key) ^ self.salt
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -19,6 +19,7 @@
     JobEnded,
     JobSubmitted,
     Ownership,
+    Share,
     WorkQueue,
     claim_of,
     encode_record,
@@ -216,6 +217,43 @@
     assert set(order(queue, book, now=6.0)) == {("j1", 2), ("j1", 3)}
 
 
+def test_each_item_of_a_small_job_is_chosen_by_one_entry_at_once(log):
+    """Each engine's entry sees the job at the same moment, before it hears others."""
+    log.add(submitted("j1", items=7))
+    book = log.fold()
+    deadlines = {"h/p/": 18.0}
+    queues = [
+        WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
+        for n in range(6)
+    ]
+    shares = [{"h/p/": Share(6, frozenset({n}))} for n in range(6)]
+    chosen = [
+        work.key
+        for queue, share in zip(queues, shares, strict=True)
+        for work in queue.pending(book, deadlines, 1.0, 0.02, 4.0, share)
+    ]
+    assert sorted(chosen) == [("j1", n) for n in range(7)]
+
+
+def test_item_whose_entry_does_not_take_it_is_taken_by_others_by_turns(log):
+    log.add(submitted("j1", items=1))
+    book = log.fold()
+    other = {"h/p/": Share(2, frozenset({1 - claim_of("j1", 0) % 2}))}
+    queues = [
+        WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
+        for n in range(5)
+    ]
+    first = {}
+    for tick in range(20):
+        now = 1.0 + tick * 0.025
+        for number, queue in enumerate(queues):
+            if queue.pending(book, {"h/p/": 18.0}, now, 0.02, 4.0, other):
+                first.setdefault(number, tick)
+    assert len(first) == 5
+    assert min(first.values()) >= 6
+    assert len(set(first.values())) >= 3
+
+
 def test_entries_choose_different_items_first(log):
     log.add(submitted("j1", items=40))
     book = log.fold()
