Let an item that breaks its runs without an event wait longer each time

An item whose run broke off was begun again at once, at the next engine: one that crashes engines would have gone through the fleet within a second. It waits 0.3 s, then twice as long after each break without progress, up to 10 s. What is kept of items that others settled is dropped (it stayed before). The test failed before (no such growth).

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -327,9 +327,11 @@
             self._judge(run, route)
         else:
             self._keep_progress(key, run)
-            delay_s = ITEM_RETRY_S if end is RunEnd.NOT_RUN else 0.0
-            until = self.access.now() + delay_s
-            self.queue.defer(key, until)
+            now = self.access.now()
+            if end is RunEnd.NOT_RUN:
+                self.queue.defer(key, now + ITEM_RETRY_S)
+            else:
+                self.queue.broke(key, _events(run) > begun_at_event, now)
 
     def _note_run(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -24,6 +24,10 @@
 TURN_S = 0.15
 # After that, the others' turns are spread over as long again, so that they differ.
 SALT_BITS = 48
+# An item whose run broke without an event waits this long, and twice as long after
+# each further one: it may be what breaks engines.
+BREAK_PAUSE_S = 0.3
+MAX_BREAK_PAUSE_S = 10.0
 
 
 @attrs.frozen
@@ -59,12 +63,22 @@
     running: set[Key] = attrs.field(factory=set)
     held: dict[Key, float] = attrs.field(factory=dict)
     _not_before: dict[Key, float] = attrs.field(factory=dict)
+    _breaks: dict[Key, int] = attrs.field(factory=dict)
     _ready_since: dict[Key, float] = attrs.field(factory=dict)
 
     def defer(self, key: Key, until: float) -> None:
         """Keeps an item from being run before ``until``."""
         self._not_before[key] = until
 
+    def broke(self, key: Key, has_progressed: bool, now: float) -> None:
+        """Notes that a run of an item broke off; the item waits if it got nowhere."""
+        if has_progressed:
+            self._breaks.pop(key, None)
+            return
+        breaks = self._breaks.get(key, 0)
+        self._breaks[key] = breaks + 1
+        self.defer(key, now + min(BREAK_PAUSE_S * 2**breaks, MAX_BREAK_PAUSE_S))
+
     def claims(self) -> frozenset[int]:
         """Returns the items that this entry keeps, as others are told of them."""
         return frozenset(claim_of(*key) for key in self.running | self.held.keys())
@@ -105,9 +119,18 @@
                 is_late = now + rest_s > due
                 items.append(WorkItem(job, index, due, is_late, is_own))
         self._ready_since = ready_since
+        self._forget_closed(book)
         items.sort(key=self._rank)
         return items
 
+    def _forget_closed(self, book: JobBook) -> None:
+        """Drops what is kept of items that no longer wait, whoever settled them."""
+        for kept in (self._breaks, self._not_before):
+            for key in list(kept):
+                job = book.jobs.get(key[0])
+                if job is None or key[1] not in job.pending:
+                    del kept[key]
+
     def _turn_s(self, key: Key) -> float:
         return TURN_S * (1 + self._spread(key) / 2**SALT_BITS)
 
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -217,6 +217,24 @@
     assert set(order(queue, book, now=6.0)) == {("j1", 2), ("j1", 3)}
 
 
+def test_item_that_breaks_its_runs_waits_longer_each_time(log, queue):
+    log.add(submitted("j1", items=1))
+    book, key = log.fold(), ("j1", 0)
+    waits = []
+    for attempt in range(8):
+        began = 100.0 * attempt
+        queue.broke(key, has_progressed=False, now=began)
+        after = (step / 10 for step in range(200))
+        waits.append(next(s for s in after if order(queue, book, now=began + s)))
+    assert waits == sorted(waits)
+    assert 0.2 < waits[0] < 0.4
+    assert 9.9 < waits[-1] < 10.1
+    queue.broke(key, has_progressed=True, now=1000.0)
+    assert order(queue, book, now=1000.0) == [key]
+    queue.broke(key, has_progressed=False, now=1001.0)
+    assert order(queue, book, now=1001.4) == [key]
+
+
 def test_each_item_of_a_small_job_is_chosen_by_one_entry_at_once(log):
     """Each engine's entry sees the job at the same moment, before it hears others."""
     log.add(submitted("j1", items=7))
