Split membership and the directory of entries from the gateway's shell

No change in behaviour: gateway/_members.py tells other entries of this one and spreads the engines, gateway/_peer_directory.py publishes and follows addresses.

--- a/src/pomeloshift/direct/_engine.py
+++ b/src/pomeloshift/direct/_engine.py
@@ -37,6 +37,11 @@
         """Requests of this entry that are at the engine."""
         return self.online + self.batch
 
+    @property
+    def own_work(self) -> Work:
+        """The same by kind."""
+        return Work(self.online, self.batch)
+
     @property
     def slots(self) -> int:
         """Requests that the engine runs at once."""
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -4,20 +4,16 @@
 from random import Random
 from typing import Any
 
-import msgspec
 from twisted.internet.error import CannotListenError
 
 from ..direct import (
     Admission,
     ConfigHolder,
     Fleet,
-    PeerState,
     Placement,
     PlacementConfig,
     ReturnTimes,
     StorePath,
-    Work,
-    is_cut_off,
 )
 from ..http1 import (
     Client,
@@ -39,7 +35,7 @@
     StoreClient,
     decode_config,
 )
-from . import _blob_store, _job_log, _peer_exchange
+from . import _blob_store, _job_log, _peer_directory
 from ._batch_front import BatchFront
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
@@ -49,9 +45,11 @@
 from ._front import Front
 from ._job_log import JobLog
 from ._log_writer import LogWriter
+from ._members import Members
 from ._metrics import GatewayMetrics
 from ._online import OnlineService
-from ._peer_exchange import PeerExchange
+from ._peer_directory import PeerDirectory
+from ._peer_exchange import PeerAddress, PeerExchange
 from ._refusal import refuse
 from ._sleep import sleep
 from ._store_link import StoreLink
@@ -63,7 +61,6 @@
     LEAVE_ROTATION_S,
     MEMBERS_TICK_S,
     METRICS_PORT,
-    PEER_POLL_S,
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
@@ -102,7 +99,6 @@
         self.front_address = ""
         self.ready_address = ""
         self.metrics_address = ""
-        self._is_draining = False
         # A process's name in the store; a restart is another producer and member.
         self._incarnation = f"{settings.name}.{random.getrandbits(48):012x}"
 
@@ -155,7 +151,6 @@
             clock,
             events,
         )
-        self.peers.own_state = self._own_state
         self._store_link = StoreLink(
             self._store,
             settings.store.address,
@@ -165,7 +160,6 @@
             clock,
         )
         self._store_link.attach()
-        self._peer_writer = self._writer(_peer_exchange.TOPIC, _peer_exchange.PARTITION)
         self.work = BatchLoop(
             access,
             self.job_log,
@@ -191,21 +185,23 @@
             ENGINES_TOPIC, self._engine_list.handlers()
         )
         self.peers.on_news = self.work.yield_places
-        self._peer_follower = TopicFollower(
-            _peer_exchange.TOPIC,
-            _peer_exchange.PARTITION,
+        self._directory = PeerDirectory(
             self._store,
+            self._writer(_peer_directory.TOPIC, _peer_directory.PARTITION),
+            self.peers,
+            events,
             reactor,
             clock,
-            events,
-            TopicHandlers(
-                self._take_peers,
-                self.peers.take_record,
-                lambda now: None,
-                lambda is_reachable: None,
-            ),
-            poll_s=PEER_POLL_S,
         )
+        self.members = Members(
+            settings.ip,
+            self._fleet,
+            self.peers,
+            self.work,
+            self.job_log.follower,
+            self._store_link,
+        )
+        self.members.attach()
         max_front = max(64, settings.max_descriptors - RESERVED_DESCRIPTORS)
         self._front = Front(
             self.config,
@@ -251,11 +247,10 @@
         self._config_follower.start()
         self._engine_follower.start()
         self.job_log.follower.start()
-        self._publish_address()
-        self._peer_follower.start()
+        self._directory.start(self._listen_to_peers())
         self._loops.repeat(self.peers.tick, PEER_TICK_S)
         self._loops.repeat(self._engine_list.settle, SETTLE_TICK_S)
-        self._loops.repeat(self._share_work, MEMBERS_TICK_S)
+        self._loops.repeat(self.members.share_work, MEMBERS_TICK_S)
         self._loops.repeat(self._store_link.probe, STRAIGHT_PROBE_S)
         self.work.start(self._loops)
         self._events.info(
@@ -273,10 +268,15 @@
             # Callers are served all the same.
             self._events.warn("metrics_not_served", address=address, why=exc)
 
+    def _listen_to_peers(self) -> PeerAddress:
+        port, _ = self._settings.internal_ports
+        relay_port = self._relay.listen(self._settings.ip, port)
+        return self.peers.listen(port, relay_port)
+
     async def drain(self) -> None:
         """Leaves the rotation, hands the batch work over and ends what is open."""
         began = self._clock.monotonic()
-        self._is_draining = True
+        self.members.is_draining = True
         self._callers.is_closing = True
         self._events.info("draining", open_requests=self.online.open_requests)
         self.work.stop_starting()
@@ -308,12 +308,11 @@
             self._config_follower,
             self._engine_follower,
             self.job_log.follower,
-            self._peer_follower,
         ):
             follower.stop()
         self.job_log.writer.stop()
         self._blobs.writer.stop()
-        self._peer_writer.stop()
+        self._directory.stop()
         await self._relay.stop()
         self.peers.stop()
         await self._callers.stop()
@@ -331,10 +330,10 @@
     def _answer_ready(self, exchange: Exchange) -> None:
         is_ready = (
             exchange.head.target == READY_PATH
-            and not self._is_draining
+            and not self.members.is_draining
             and self.config.current is not None
             and self._engine_follower.is_synced
-            and not self._is_cut_off
+            and not self.members.is_cut_off
         )
         refuse(exchange, 200 if is_ready else 503)
 
@@ -384,57 +383,6 @@
         )
         self._callers.limits = config.limits
 
-    # Other entries
-
-    def _publish_address(self) -> None:
-        port, _ = self._settings.internal_ports
-        relay_port = self._relay.listen(self._settings.ip, port)
-        address = self.peers.listen(port, relay_port)
-        record = (address.ip, msgspec.msgpack.encode(address))
-        self._peer_writer.append([record]).done.addErrback(
-            lambda failure: self._events.warn(
-                "address_not_published", why=failure.getErrorMessage()
-            )
-        )
-
-    def _take_peers(self, records: list[KeyedRecord], end: int) -> None:
-        for record in records:
-            self.peers.take_record(record)
-
-    def _own_state(self) -> PeerState:
-        work = {
-            engine_id: Work(engine.online, engine.batch)
-            for engine_id, engine in self._fleet.engines.items()
-            if engine.own > 0
-        }
-        return PeerState(
-            work,
-            self.work.queue.claims(),
-            self._is_draining,
-            self._can_store,
-            self._can_store and self._store_link.path.is_straight,
-        )
-
-    @property
-    def _can_store(self) -> bool:
-        follower = self.job_log.follower
-        return follower.is_reachable and follower.is_synced
-
-    @property
-    def _is_cut_off(self) -> bool:
-        states = self.peers.loads.states.values()
-        return is_cut_off(self._can_store, states, self.peers.knows_others)
-
-    def _share_work(self) -> None:
-        """Spreads the engines over the entries that can run items and keep results."""
-        states = self.peers.loads.states
-        if not self._is_cut_off:
-            states[self._settings.ip] = self._own_state()
-        staying = {name for name, state in states.items() if not state.is_leaving}
-        able = {name for name in staying if states[name].can_store}
-        members = {name: self.peers.zone_of(name) for name in able or staying}
-        self.work.set_members(members)
-
 
 def _listen(listener: HttpListener, address: str) -> str:
     """Listens on an address and returns it with the port that was taken."""
--- /dev/null
+++ b/src/pomeloshift/gateway/_peer_directory.py
@@ -0,0 +1,65 @@
+"""The addresses at which entries hear each other, kept in the store."""
+
+from typing import Any
+
+import msgspec
+
+from ..platform import KeyedRecord, StoreClient
+from ._events import EventLog
+from ._log_writer import LogWriter
+from ._peer_exchange import PeerAddress, PeerExchange
+from ._timing import PEER_POLL_S
+from ._topic_follower import TopicFollower, TopicHandlers
+
+TOPIC = "keyed.peers"
+PARTITION = 0
+
+
+class PeerDirectory:
+    """Publishes this entry's address and follows those of the others."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        writer: LogWriter,
+        peers: PeerExchange,
+        events: EventLog,
+        reactor: Any,
+        clock: Any,
+    ) -> None:
+        self._writer = writer
+        self._peers = peers
+        self._events = events
+        self._follower = TopicFollower(
+            TOPIC,
+            PARTITION,
+            store,
+            reactor,
+            clock,
+            events,
+            TopicHandlers(
+                self._take_all,
+                peers.take_record,
+                lambda now: None,
+                lambda is_reachable: None,
+            ),
+            poll_s=PEER_POLL_S,
+        )
+
+    def start(self, address: PeerAddress) -> None:
+        """Publishes the address, under its IP, and begins to follow."""
+        record = (address.ip, msgspec.msgpack.encode(address))
+        self._writer.append([record]).done.addErrback(self._note_not_published)
+        self._follower.start()
+
+    def stop(self) -> None:
+        """Ends both."""
+        self._follower.stop()
+        self._writer.stop()
+
+    def _take_all(self, records: list[KeyedRecord], end: int) -> None:
+        for record in records:
+            self._peers.take_record(record)
+
+    def _note_not_published(self, failure: Any) -> None:
+        self._events.warn("address_not_published", why=failure.getErrorMessage())
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -12,9 +12,6 @@
 from ._events import EventLog
 from ._timing import PEER_BEAT_S, PEER_LOST_BEAT_S, PEER_SEND_GAP_S
 
-TOPIC = "keyed.peers"
-PARTITION = 0
-
 
 class PeerAddress(msgspec.Struct, array_like=True):
     """Where an entry listens for others."""
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -228,7 +228,7 @@
             (await deployment.client.call(g.ready_address, head, b"", 20.0)).status
             for g in (first, second)
         ]
-        second._share_work()
+        second.members.share_work()
         owned = any(second.work.ownership.owns(f"i-{n}") for n in range(20))
         return [job.status for job in jobs], ready, owned
 
