--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -12,8 +12,6 @@
     BatchPlaces,
     ItemFailed,
     ItemPolicy,
-    ItemProgress,
-    ItemSettled,
     Ownership,
     Progress,
     Share,
@@ -26,12 +24,12 @@
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
+from ._item_keeper import ItemKeeper
 from ._item_run import ItemRun, RunEnd
+from ._job_cleaner import JobCleaner
 from ._job_log import JobLog
 from ._timing import (
     BATCH_TICK_S,
-    FOLD_LAG_S,
-    HAND_OVER_WAIT_S,
     HOLD_STOPPED_S,
     ITEM_RETRY_S,
     ITEM_RUN_S,
@@ -42,10 +40,6 @@
 
 # Weight of a new measurement of how long an item runs.
 SMOOTHING = 0.1
-# A job is forgotten this long after its status may be asked for, which leaves room
-# for clocks that differ.
-FORGET_MARGIN_S = 30.0
-
 Key = tuple[str, int]
 
 
@@ -57,11 +51,12 @@
     log: JobLog
     blobs: BlobStore
     queue: WorkQueue
+    keeper: ItemKeeper
+    cleaner: JobCleaner
     ownership: Ownership
     config: ConfigHolder
     places: BatchPlaces
     events: EventLog
-    status_s: float
     _run_s: float = ITEM_RUN_S
     _event_s: float = 0.0
     _runs: dict[Key, ItemRun] = attrs.field(factory=dict)
@@ -109,8 +104,7 @@
         if self._is_stopped:
             return
         routes = self._routes()
-        self._give_up_expired(routes, now)
-        self._forget_old(now)
+        self.cleaner.tick(routes, now)
         self._release_held(now)
         self._start_items(engines, routes, now)
 
@@ -251,14 +245,7 @@
         self.queue.held.pop(key, None)
         progress = self._progress.pop(key, None)
         if progress is not None:
-            # Others see the progress before they may take the item.
-            self.queue.running.add(key)
-            done = spawn(self._keep_progress_record(key, progress))
-            done.addBoth(lambda _: self._drop_claim(key))
-
-    def _drop_claim(self, key: Key) -> None:
-        """Lets others have an item once they have read what the log says of it."""
-        self.access.call_later(FOLD_LAG_S, self.queue.running.discard, key)
+            self.keeper.hand_over(key, progress)
 
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = work.key
@@ -322,7 +309,8 @@
             assert run.progress is not None
             if begun_at_event == 0:
                 self._note_run(self.access.now() - began, run.progress.event_id)
-            self._settle(run.work, True, run.progress.text)
+            self._progress.pop(key, None)
+            self.keeper.settle(run.work, True, run.progress.text)
         elif end is RunEnd.ANSWERED:
             self._judge(run, route)
         else:
@@ -343,91 +331,30 @@
             run.status, job.failures.get(index, 0)
         )
         if after is AfterRun.DEAD_LETTER:
-            self._settle(run.work, False, b"")
+            self._progress.pop(run.work.key, None)
+            self.keeper.settle(run.work, False, b"")
             return
         if after is AfterRun.COUNT_FAILURE:
             spawn(self.log.append_within(ItemFailed(job.id, index), KEEP_WAIT_S))
         self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
 
-    def _settle(self, work: WorkItem, is_done: bool, text: bytes) -> None:
-        key = (work.job.id, work.index)
-        self._progress.pop(key, None)
-        # Until the log has it, the item counts as running.
-        self.queue.running.add(key)
-        done = spawn(self._keep_result(work, is_done, text))
-        done.addBoth(lambda _: self._drop_claim(key))
-
-    async def _keep_result(self, work: WorkItem, is_done: bool, text: bytes) -> None:
-        """Keeps an item's output, and then the record that lists it."""
-        ref = None
-        if is_done:
-            (ref,) = await self.blobs.put(work.job.id, [text], KEEP_WAIT_S)
-        record = ItemSettled(work.job.id, work.index, is_done, ref)
-        await self.log.append_within(record, KEEP_WAIT_S)
-        self.events.info(
-            "item_settled",
-            id=work.job.items[work.index].id,
-            job=work.job.id,
-            is_done=is_done,
-            late_s=self.access.now() - work.due if work.due else 0.0,
-        )
-
-    async def _keep_progress_record(self, key: Key, progress: Progress) -> None:
-        (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OVER_WAIT_S)
-        record = ItemProgress(key[0], key[1], progress.event_id, ref)
-        await self.log.append_within(record, HAND_OVER_WAIT_S)
-
     def _keep_progress(self, key: Key, run: ItemRun) -> None:
         if run.progress is not None and run.work.index in run.work.job.pending:
             self._progress[key] = run.progress
             run.work.job.events_done[run.work.index] = run.progress.event_id
 
     def _stop_ended(self) -> None:
-        for key, run in list(self._runs.items()):
-            job = self.log.book.jobs.get(key[0])
-            if job is None or job.is_ended or run.work.index not in job.pending:
+        for key in list(self._runs):
+            if self._is_over(key):
                 self._tasks[key].cancel()
-                self._progress.pop(key, None)
-        for key in list(self.queue.held):
-            job = self.log.book.jobs.get(key[0])
-            if job is None or job.is_ended or key[1] not in job.pending:
-                del self.queue.held[key]
+        for key in self.queue.held.keys() | self._progress.keys():
+            if self._is_over(key):
+                self.queue.held.pop(key, None)
                 self._progress.pop(key, None)
 
-    def _give_up_expired(self, routes: dict[str, Route], now: float) -> None:
-        """Lists items as dead letters whose time or whose route is over."""
-        for job in list(self.log.book.jobs.values()):
-            if not job.is_open or not self.ownership.owns(job.id):
-                continue
-            route = routes.get(job.queue)
-            retention_s = route.item_retention_s if route else 0.0
-            if retention_s <= 0 or now - job.accepted_at < retention_s:
-                continue
-            for index in sorted(job.pending):
-                if (job.id, index) not in self.queue.running:
-                    self.events.warn(
-                        "item_given_up", id=job.items[index].id, job=job.id
-                    )
-                    self._settle(WorkItem(job, index, 0.0), False, b"")
-
-    def _forget_old(self, now: float) -> None:
-        """Removes the records of jobs that nobody may ask for any more."""
-        for job in list(self.log.book.jobs.values()):
-            age_s = now - job.accepted_at
-            if age_s < self.status_s + FORGET_MARGIN_S or job.is_open:
-                continue
-            if self.ownership.owns(job.id):
-                self.events.info("job_forgotten", id=job.id, age_s=age_s)
-                del self.log.book.jobs[job.id]
-                self.log.remove(job.keys).addErrback(self._note_removal_failed)
-                removals = self.blobs.remove_keys(job.blobs())
-                self.blobs.writer.append(removals).done.addErrback(
-                    self._note_removal_failed
-                )
-
-    def _note_removal_failed(self, failure: Any) -> None:
-        failure.trap(PomeloshiftError)
-        self.events.warn("removal_failed", why=failure.value.message)
+    def _is_over(self, key: Key) -> bool:
+        job = self.log.book.jobs.get(key[0])
+        return job is None or job.is_ended or key[1] not in job.pending
 
 
 def _events(run: ItemRun) -> int:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -43,6 +43,8 @@
 from ._engine_list import EngineList
 from ._events import EventLog
 from ._front import Front
+from ._item_keeper import ItemKeeper
+from ._job_cleaner import JobCleaner
 from ._job_log import JobLog
 from ._log_writer import LogWriter
 from ._members import Members
@@ -160,16 +162,23 @@
             clock,
         )
         self._store_link.attach()
+        queue = WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed)
+        ownership = Ownership(settings.ip)
+        keeper = ItemKeeper(self.job_log, self._blobs, queue, access, events)
+        cleaner = JobCleaner(
+            self.job_log, self._blobs, keeper, ownership, events, settings.status_s
+        )
         self.work = BatchLoop(
             access,
             self.job_log,
             self._blobs,
-            WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed),
-            Ownership(settings.ip),
+            queue,
+            keeper,
+            cleaner,
+            ownership,
             self.config,
             BatchPlaces(settings.ip, self.peers.loads),
             events,
-            settings.status_s,
         )
         self._config_follower = self._follow(
             CONFIG_TOPIC,
--- /dev/null
+++ b/src/pomeloshift/gateway/_job_cleaner.py
@@ -0,0 +1,65 @@
+"""Ends items whose time is over and forgets old jobs."""
+
+from typing import Any
+
+import attrs
+
+from ..direct import Route
+from ..errors import PomeloshiftError
+from ..jobs import Ownership, WorkItem
+from ._blob_store import BlobStore
+from ._events import EventLog
+from ._item_keeper import ItemKeeper
+from ._job_log import JobLog
+
+# A job is forgotten this long after its status may be asked for, which leaves room
+# for clocks that differ.
+FORGET_MARGIN_S = 30.0
+
+
+@attrs.define
+class JobCleaner:
+    """Looks after the jobs that this entry owns.
+
+    ``status_s`` is how long after its submission a job may be asked for.
+    """
+
+    log: JobLog
+    blobs: BlobStore
+    keeper: ItemKeeper
+    ownership: Ownership
+    events: EventLog
+    status_s: float
+
+    def tick(self, routes: dict[str, Route], now: float) -> None:
+        """Does what is due; ``routes`` holds the route of each queue."""
+        for job in list(self.log.book.jobs.values()):
+            if not self.ownership.owns(job.id):
+                continue
+            if job.is_open:
+                self._give_up_expired(job.id, routes.get(job.queue), now)
+            elif now - job.accepted_at >= self.status_s + FORGET_MARGIN_S:
+                self._forget(job.id, now)
+
+    def _give_up_expired(self, job_id: str, route: Route | None, now: float) -> None:
+        """Lists items as dead letters whose time is over."""
+        job = self.log.book.jobs[job_id]
+        retention_s = route.item_retention_s if route else 0.0
+        if retention_s <= 0 or now - job.accepted_at < retention_s:
+            return
+        for index in sorted(job.pending):
+            if (job.id, index) not in self.keeper.queue.running:
+                self.events.warn("item_given_up", id=job.items[index].id, job=job.id)
+                self.keeper.settle(WorkItem(job, index, 0.0), False, b"")
+
+    def _forget(self, job_id: str, now: float) -> None:
+        """Removes the records of a job that nobody may ask for any more."""
+        job = self.log.book.jobs.pop(job_id)
+        self.events.info("job_forgotten", id=job.id, age_s=now - job.accepted_at)
+        self.log.remove(job.keys).addErrback(self._note_removal_failed)
+        removals = self.blobs.remove_keys(job.blobs())
+        self.blobs.writer.append(removals).done.addErrback(self._note_removal_failed)
+
+    def _note_removal_failed(self, failure: Any) -> None:
+        failure.trap(PomeloshiftError)
+        self.events.warn("removal_failed", why=failure.value.message)
