--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -21,8 +21,6 @@
     reads_per_s: float
     record_bytes: int
     call_bytes: int
-    partitions: int
-    retention_s: float
 
 
 @attrs.frozen
@@ -36,14 +34,10 @@
     regions: dict[str, str]
     front_address: str
     ready_address: str
-    control_address: str
     internal_ports: tuple[int, int]
     max_descriptors: int
-    memory_mb: int
     grace_s: float
     status_s: float
-    settle_s: float
-    quota_overrun: float
     store: StoreSettings
 
 
@@ -73,8 +67,8 @@
         self.faults.append(Fault(path, FaultCode.MISSING_KEY, "is missing"))
         return kind_default(kind)
 
-    def address(self, path: str, default: Any = None) -> str:
-        value: str = self.get(path, str, default)
+    def address(self, path: str) -> str:
+        value: str = self.get(path, str)
         host, _, port = value.rpartition(":")
         if value and not (host and port.isdigit() and 0 < int(port) < 65536):
             fault = Fault(path, FaultCode.OUT_OF_RANGE, f"{value!r} is not IP:PORT")
@@ -124,14 +118,10 @@
         regions=dict(reader.get("zones", dict, {})),
         front_address=reader.address("listen.front"),
         ready_address=reader.address("listen.ready"),
-        control_address=reader.address("listen.control", ""),
         internal_ports=_port_range(ports, reader),
         max_descriptors=reader.get("limits.maxFds", int, 1024),
-        memory_mb=reader.get("limits.memoryMb", int, 128),
         grace_s=reader.get("bounds.graceS", NUMBER, 8),
         status_s=reader.get("bounds.statusS", NUMBER, 120),
-        settle_s=reader.get("bounds.settleMs", NUMBER, 1000) / 1000,
-        quota_overrun=reader.get("bounds.quotaOverrun", NUMBER, 0.1),
         store=_read_store(reader),
     )
     if reader.faults:
@@ -146,8 +136,6 @@
         reads_per_s=reader.get("platform.readsPerS", NUMBER, 100),
         record_bytes=reader.get("platform.recordBytes", int, 262144),
         call_bytes=reader.get("platform.callBytes", int, 2097152),
-        partitions=reader.get("platform.parts", int, 8),
-        retention_s=reader.get("platform.retentionS", NUMBER, 20),
     )
 
 
