--- a/src/pomeloshift/cli/_check.py
+++ b/src/pomeloshift/cli/_check.py
@@ -2,11 +2,15 @@
 
 import sys
 
+from ..platform import check_deploy_file, load_platform_settings
 from ..questionnaire import parse_answers
 from ..settings import SettingsError, parse_json, parse_settings, read_text
 from ._kinds import QUESTIONNAIRE, UnknownKindError, class_of, guess_kind
 
 EXIT_FAULTS = 2
+# Files of the users' platform, which are TOML.
+DEPLOY = "deploy"
+GATEWAY = "gateway"
 
 
 def check(file: str, kind: str = "") -> int:
@@ -18,13 +22,14 @@
     Args:
         file: The file to check.
         kind: What the file is: questionnaire, entry, sidecar, engine, log, list,
-            weights or service. Without it the kind is told from the file's keys.
+            weights or service, or, in TOML, deploy or gateway. Without it the kind is
+            told from the file's keys.
 
     Returns 0 without faults and 2 with faults.
     """
     try:
         text = read_text(file)
-        kind = kind or guess_kind(parse_json(text, file))
+        kind = kind or _guess_kind(text, file)
         _parse(text, file, kind)
     except SettingsError as exc:
         for fault in exc.faults:
@@ -38,8 +43,19 @@
     return 0
 
 
+def _guess_kind(text: str, file: str) -> str:
+    if not file.endswith(".toml"):
+        return guess_kind(parse_json(text, file))
+    # Only the deploy file has a table of roles.
+    return DEPLOY if "[roles" in text else GATEWAY
+
+
 def _parse(text: str, file: str, kind: str) -> None:
     if kind == QUESTIONNAIRE:
         parse_answers(text, file)
+    elif kind == DEPLOY:
+        check_deploy_file(text, file)
+    elif kind == GATEWAY:
+        load_platform_settings(file)
     else:
         parse_settings(text, class_of(kind), file)
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -1,6 +1,7 @@
 """The users' platform: its names, formats and calls, and nothing that decides."""
 
 from ._configuration import decode_config
+from ._deploy_file import check_deploy_file
 from ._engine_request import (
     is_stamped,
     item_request,
@@ -66,6 +67,7 @@
     "is_stamped",
     "item_request",
     "load_in",
+    "check_deploy_file",
     "load_platform_settings",
     "parse_platform_settings",
     "proves_not_run",
--- a/tests/test_cli_check.py
+++ b/tests/test_cli_check.py
@@ -68,3 +68,79 @@
 
 def test_guess_prefers_the_questionnaire_for_its_parts():
     assert guess_kind({"regions": [], "services": []}) == "questionnaire"
+
+
+GATEWAY_FILE = """
+nodeName = "edge-a-1"
+ip = "10.1.0.1"
+zone = "a"
+region = "r"
+[listen]
+front = "10.1.0.1:8080"
+ready = "10.1.0.1:8081"
+[platform]
+address = "10.9.0.1:7000"
+"""
+
+
+def test_deploy_file_has_no_faults(capsys):
+    assert check(str(EXAMPLES.parent / "deploy" / "system.toml")) == 0
+    assert "a valid deploy file" in capsys.readouterr().out
+
+
+def test_settings_of_a_gateway_are_checked(tmp_path, capsys):
+    path = tmp_path / "node.toml"
+    path.write_text(GATEWAY_FILE + "unknown = 1\n")
+    assert check(str(path)) == 0
+    assert "a valid gateway file" in capsys.readouterr().out
+    path.write_text(GATEWAY_FILE.replace("10.9.0.1:7000", "nowhere"))
+    assert check(str(path)) == 2
+    assert "platform.address: 'nowhere' is not IP:PORT" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("text", "path", "code"),
+    [
+        ("[roles", "", "unreadable_file"),
+        ("[roles]", "roles", "missing_key"),
+        ('[roles.a]\non = "edge"', "roles.a.run", "missing_key"),
+        ('[roles.a]\nrun = "x"\non = "here"', "roles.a.on", "out_of_range"),
+        (
+            '[roles.a]\nrun = "x"\non = "edge"\nshare = 1.5',
+            "roles.a.share",
+            "out_of_range",
+        ),
+        (
+            '[roles.a]\nrun = "x"\non = "edge"\nserves = ["all"]',
+            "roles.a.serves",
+            "out_of_range",
+        ),
+        (
+            '[roles.a]\nrun = "x"\non = "edge"\nmetrics = "m/1"',
+            "roles.a.metrics",
+            "out_of_range",
+        ),
+        (
+            '[roles.a]\nrun = "x"\non = "edge"\nserves = ["edge"]\n'
+            '[roles.b]\nrun = "x"\non = "edge"\nserves = ["edge"]',
+            "roles.b.serves",
+            "duplicate",
+        ),
+    ],
+)
+def test_faults_of_a_deploy_file_name_key_and_code(text, path, code, tmp_path, capsys):
+    file = tmp_path / "system.toml"
+    file.write_text(text)
+    assert check(str(file)) == 2
+    line = next(
+        line for line in capsys.readouterr().err.splitlines() if f"[{code}]" in line
+    )
+    assert path in line
+
+
+def test_more_than_two_roles_on_a_class_are_a_fault(tmp_path, capsys):
+    file = tmp_path / "system.toml"
+    roles = (f'[roles.r{n}]\nrun = "x"\non = "side"\n' for n in range(3))
+    file.write_text("".join(roles))
+    assert check(str(file)) == 2
+    assert "puts 3 roles on side" in capsys.readouterr().err
