--- a/src/pomeloshift/direct/_admission.py
+++ b/src/pomeloshift/direct/_admission.py
@@ -73,9 +73,15 @@
         longest_s = self._longest_s.get(route.name, 0.0) * (1 - DEADLINE_DECAY)
         self._longest_s[route.name] = max(longest_s, deadline_s)
 
-    def note_refusal(self, returns_at: float) -> None:
-        """Notes when a refused caller was told to return."""
-        self._returns.append(returns_at)
+    def note_refusal(
+        self, route: Route, deadline_s: float | None, returns_at: float
+    ) -> None:
+        """Notes when a refused caller was told to return.
+
+        One that had returned before is not expected again.
+        """
+        if not self._has_returned(route, deadline_s):
+            self._returns.append(returns_at)
 
     def note_start(self, expected_wait_s: float, started_after_s: float) -> None:
         """Takes how long a request that had to wait took from its sending to its
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -237,7 +237,9 @@
             self.exchange.abort()
         elif status == 503:
             retry_after_s = self.access.returns.after_burst(self._time_left_s(now))
-            self.access.admission.note_refusal(now + retry_after_s)
+            self.access.admission.note_refusal(
+                self.route, self.req.deadline_s, now + retry_after_s
+            )
             refuse(self.exchange, 503, retry_after_s)
         else:
             refuse(self.exchange, status)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -20,10 +20,10 @@
 # same moment choose different ones.
 SAME_DUE_S = 2.0
 # How long an item that nobody runs is left to the entry that it was dealt to: a look
-# at the batch work and the time until the others hear of it.
+# at the batch work and the time until the others hear of it. The others' turns are
+# spread over as long again, so that they differ.
 TURN_S = 0.15
-# After that, the others' turns are spread over as long again, so that they differ.
-SALT_BITS = 48
+SALT_BITS = 48  # of a claim as well
 # An item whose run broke without an event waits this long, and twice as long after
 # each further one: it may be what breaks engines.
 BREAK_PAUSE_S = 0.3
--- a/tests/test_admission_load.py
+++ b/tests/test_admission_load.py
@@ -68,11 +68,11 @@
         self.admission.note_start(*measured)
 
     def _refuse(self, now, deadline_s):
+        delay_s = self.returns.after_burst(deadline_s)
+        self.admission.note_refusal(ROUTE, deadline_s, now + delay_s)
         if deadline_s < DEADLINE_S:
             self.outcomes["lost"] += 1
             return
-        delay_s = self.returns.after_burst(deadline_s)
-        self.admission.note_refusal(now + delay_s)
         self._add(now + delay_s, "arrives", deadline_s - delay_s)
 
     def _add(self, at, kind, value):
