--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -6,7 +6,15 @@
 from twisted.internet.defer import CancelledError
 
 from ..direct import AttemptPlan, Engine, Route, RouteKind, ServingConfig, Step
-from ..http1 import CallTimeoutError, ConnectError, End, Exchange, Lost
+from ..http1 import (
+    AnswerHead,
+    CallTimeoutError,
+    Chunk,
+    ConnectError,
+    End,
+    Exchange,
+    Lost,
+)
 from ..net._loops import spawn
 from ..platform import FrontRequest, is_stamped, proves_not_run, to_engine
 from ._answer_relay import AnswerRelay
@@ -130,7 +138,7 @@
 
     async def _receive(self, run: EngineRun) -> None:
         engine = run.engine
-        event = await run.next(self._patience_s())
+        event = await self._next(run)
         if isinstance(event, Lost):
             self._note_broken(engine, event.reason)
             return
@@ -156,7 +164,7 @@
             self._note_broken(engine, f"answer {head.status} to a resumed stream")
             return
         while True:
-            event = await run.next(self._patience_s())
+            event = await self._next(run)
             if isinstance(event, End):
                 if self.relay.finish():
                     self._note_answered(engine, head.status)
@@ -170,6 +178,25 @@
                 self._note_broken(engine, "events out of order")
                 return
 
+    async def _next(self, run: EngineRun) -> AnswerHead | Chunk | End | Lost:
+        """Returns the next event; an engine is given up only for another one."""
+        try:
+            return await run.next(self._patience_s())
+        except CallTimeoutError:
+            if self._has_alternative(run.engine):
+                raise
+        return await run.next(max(0.0, self.plan.deadline - self.access.now()))
+
+    def _has_alternative(self, engine: Engine) -> bool:
+        now = self.access.now()
+        excluded = self.plan.excluded | {engine.entry.id}
+        others = self.access.fleet.of(engine.entry.service)
+        return any(
+            other.entry.id not in excluded
+            and self.access.placement.is_sound(other, now)
+            for other in others
+        )
+
     def _may_try_again(self) -> bool:
         return self.plan.is_repeatable and self.plan.runs < self.plan.max_runs
 
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -16,10 +16,12 @@
     """How an engine treats its next requests.
 
     ``break_after`` events the connection is reset; ``status`` is answered instead of
-    a stream; ``is_full`` refuses without running; ``is_silent`` never answers.
+    a stream; ``is_full`` refuses without running; ``is_silent`` never answers, and
+    otherwise the answer begins after ``wait_s``.
     """
 
     events: int = 4
+    wait_s: float = 0.0
     event_gap_s: float = 0.001
     break_after: int | None = None
     status: int = 200
@@ -107,6 +109,13 @@
         fields += [(b"X-Server-Load", load), (b"Content-Type", b"text/event-stream")]
         self.running += 1
         exchange.on_gone = self._note_gone
+        self._reactor.callLater(how.wait_s, self._start, exchange, how, fields, last_id)
+
+    def _start(
+        self, exchange: Exchange, how: Behaviour, fields: list[Any], last_id: int
+    ) -> None:
+        if exchange.is_over:
+            return
         exchange.start(200, fields)
         self._send(exchange, how, last_id + 1, sent=0)
 
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -102,6 +102,32 @@
     assert play(scenario) == (504, 1)
 
 
+@pytest.mark.parametrize(("others", "runs"), [(0, 1), (1, 2)])
+def test_slow_engine_is_given_up_only_for_another_one(play, others, runs):
+    """The first event comes long after twice the objective (0.1 s)."""
+    from twisted.internet.defer import Deferred
+
+    async def scenario(deployment):
+        engines = [deployment.add_engine()]
+        engines[0].behaviour = Behaviour(wait_s=0.4)
+        deployment.publish(config(2, [route("resumable", targetLatencyMs=50)]))
+        gateway = await deployment.add_gateway()
+        call = Deferred.fromCoroutine(
+            deployment.call(gateway, "POST", "/resumable/a", X_Deadline_Ms=5000)
+        )
+        while not engines[0].seen:
+            await deployment.pause(0.01)
+        for _ in range(others):
+            engines.append(deployment.add_engine())
+        answer = await call
+        return answer, sum(len(engine.seen) for engine in engines)
+
+    answer, seen = play(scenario)
+    assert answer.status == 200
+    assert answer.body == events(1, 4)
+    assert seen == runs
+
+
 def test_answer_without_the_engines_mark_is_no_success(play):
     async def scenario(deployment):
         deployment.add_engine().behaviour = Behaviour(has_stamp=False)
