Make one of what the change said twice

A file that is not UTF-8 is now said to be unreadable, with the same code, where it was said not to be TOML. - LogWriter makes the keys of records, which the job log and the blobs each made. - The fields that name an engine and an event are written once for requests and items. - An item's claim is hashed twice for each look at the queue, not up to four times. - The time between places is worked out only for requests that would wait. - One ItemKey; JobCleaner hands jobs on instead of looking them up again. - Gone: Exchange.has_started, a function that built a tuple of exception types of which one could never be caught there.

--- a/src/pomeloshift/cli/_check.py
+++ b/src/pomeloshift/cli/_check.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from ..platform import check_deploy_file, load_platform_settings
+from ..platform import check_deploy_file, parse_platform_settings, parse_toml
 from ..questionnaire import parse_answers
 from ..settings import SettingsError, parse_json, parse_settings, read_text
 from ._kinds import QUESTIONNAIRE, UnknownKindError, class_of, guess_kind
@@ -56,6 +56,6 @@
     elif kind == DEPLOY:
         check_deploy_file(text, file)
     elif kind == GATEWAY:
-        load_platform_settings(file)
+        parse_platform_settings(parse_toml(text, file), file)
     else:
         parse_settings(text, class_of(kind), file)
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -11,6 +11,7 @@
     AfterRun,
     BatchPlaces,
     ItemFailed,
+    ItemKey,
     ItemPolicy,
     Ownership,
     Progress,
@@ -40,7 +41,6 @@
 
 # Weight of a new measurement of how long an item runs.
 SMOOTHING = 0.1
-Key = tuple[str, int]
 
 
 @attrs.define
@@ -59,9 +59,9 @@
     events: EventLog
     _run_s: float = ITEM_RUN_S
     _event_s: float = 0.0
-    _runs: dict[Key, ItemRun] = attrs.field(factory=dict)
-    _tasks: dict[Key, Deferred[Any]] = attrs.field(factory=dict)
-    _progress: dict[Key, Progress] = attrs.field(factory=dict)
+    _runs: dict[ItemKey, ItemRun] = attrs.field(factory=dict)
+    _tasks: dict[ItemKey, Deferred[Any]] = attrs.field(factory=dict)
+    _progress: dict[ItemKey, Progress] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
     _is_stopped: bool = False
 
@@ -218,7 +218,7 @@
                 self._stop(key, run, now, "chosen twice")
                 self.queue.held.pop(key, None)
 
-    def _stop(self, key: Key, run: ItemRun, now: float, why: str) -> None:
+    def _stop(self, key: ItemKey, run: ItemRun, now: float, why: str) -> None:
         """Stops an item; this entry keeps it for a while to go on with it."""
         self.events.info(
             "item_yielded",
@@ -240,7 +240,7 @@
             if until <= now:
                 self._release(key)
 
-    def _release(self, key: Key) -> None:
+    def _release(self, key: ItemKey) -> None:
         """Lets other entries go on with an item, behind the progress made here."""
         self.queue.held.pop(key, None)
         progress = self._progress.pop(key, None)
@@ -266,7 +266,7 @@
         self._runs[key] = run
         self._tasks[key] = spawn(self._run(key, run, route))
 
-    async def _run(self, key: Key, run: ItemRun, route: Route) -> None:
+    async def _run(self, key: ItemKey, run: ItemRun, route: Route) -> None:
         began = self.access.now()
         begun_at_event = _events(run)
         item = run.work.job.items[run.work.index]
@@ -338,7 +338,7 @@
             spawn(self.log.append_within(ItemFailed(job.id, index), KEEP_WAIT_S))
         self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
 
-    def _keep_progress(self, key: Key, run: ItemRun) -> None:
+    def _keep_progress(self, key: ItemKey, run: ItemRun) -> None:
         if run.progress is not None and run.work.index in run.work.job.pending:
             self._progress[key] = run.progress
             run.work.job.events_done[run.work.index] = run.progress.event_id
@@ -352,7 +352,7 @@
                 self.queue.held.pop(key, None)
                 self._progress.pop(key, None)
 
-    def _is_over(self, key: Key) -> bool:
+    def _is_over(self, key: ItemKey) -> bool:
         job = self.log.book.jobs.get(key[0])
         return job is None or job.is_ended or key[1] not in job.pending
 
--- a/src/pomeloshift/gateway/_blob_store.py
+++ b/src/pomeloshift/gateway/_blob_store.py
@@ -28,13 +28,11 @@
     """Writes and reads blobs, and keeps those that were used last."""
 
     def __init__(
-        self, store: StoreClient, writer: LogWriter, producer: str, record_bytes: int
+        self, store: StoreClient, writer: LogWriter, record_bytes: int
     ) -> None:
         self.writer = writer
         self._store = store
-        self._producer = producer
         self._record_bytes = record_bytes
-        self._next_key = 0
         self._cache: OrderedDict[str, bytes] = OrderedDict()
         self._cached_bytes = 0
 
@@ -48,8 +46,7 @@
         records: list[tuple[str, bytes | None]] = []
         places = []
         for blob in blobs:
-            self._next_key += 1
-            key = f"{owner[:100]}/{self._producer}/{self._next_key}"
+            key = self.writer.new_key(owner)
             fragments = split(key, blob, self._record_bytes)
             places.append((key, len(records), len(fragments)))
             records += fragments
--- a/src/pomeloshift/gateway/_engine_list.py
+++ b/src/pomeloshift/gateway/_engine_list.py
@@ -21,7 +21,7 @@
     def handlers(self) -> TopicHandlers:
         """Returns what a follower of the topic calls."""
         return TopicHandlers(
-            self._take_all, self._take, lambda now: None, self._note_reachable
+            self._take, snapshot=self._take_all, reachable=self._note_reachable
         )
 
     def settle(self) -> None:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -130,13 +130,11 @@
         self._blobs = BlobStore(
             self._store,
             self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
-            self._incarnation,
             settings.store.record_bytes,
         )
         self.job_log = JobLog(
             self._store,
             self._writer(_job_log.TOPIC, _job_log.PARTITION),
-            self._incarnation,
             settings.store.record_bytes,
             reactor,
             clock,
@@ -182,12 +180,7 @@
         )
         self._config_follower = self._follow(
             CONFIG_TOPIC,
-            TopicHandlers(
-                self._take_configs,
-                self._take_config,
-                self.config.confirm,
-                lambda is_reachable: None,
-            ),
+            TopicHandlers(self._take_config, confirmed=self.config.confirm),
         )
         self._engine_list = EngineList(self._fleet, events, clock)
         self._engine_follower = self._follow(
@@ -370,10 +363,6 @@
 
     # Configuration
 
-    def _take_configs(self, records: list[KeyedRecord], end: int) -> None:
-        for record in records:
-            self._take_config(record)
-
     def _take_config(self, record: KeyedRecord) -> None:
         if record.key != CONFIG_KEY or record.value is None:
             return
--- a/src/pomeloshift/gateway/_item_keeper.py
+++ b/src/pomeloshift/gateway/_item_keeper.py
@@ -3,7 +3,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from ..jobs import ItemProgress, ItemSettled, Progress, WorkItem, WorkQueue
+from ..jobs import ItemKey, ItemProgress, ItemSettled, Progress, WorkItem, WorkQueue
 from ..net._loops import spawn
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
@@ -11,8 +11,6 @@
 from ._job_log import JobLog
 from ._timing import FOLD_LAG_S, HAND_OVER_WAIT_S, KEEP_WAIT_S
 
-Key = tuple[str, int]
-
 
 @attrs.define
 class ItemKeeper:
@@ -29,12 +27,12 @@
         self.queue.running.add(work.key)
         self._claim_until(work.key, spawn(self._keep_result(work, is_done, text)))
 
-    def hand_over(self, key: Key, progress: Progress) -> None:
+    def hand_over(self, key: ItemKey, progress: Progress) -> None:
         """Keeps the progress of an item, from which another entry may go on."""
         self.queue.running.add(key)
         self._claim_until(key, spawn(self._keep_progress(key, progress)))
 
-    def _claim_until(self, key: Key, done: Deferred[None]) -> None:
+    def _claim_until(self, key: ItemKey, done: Deferred[None]) -> None:
         """Lets others have an item once they have read what the log says of it."""
         done.addBoth(
             lambda _: self.access.call_later(
@@ -57,7 +55,7 @@
             late_s=self.access.now() - work.due if work.due else 0.0,
         )
 
-    async def _keep_progress(self, key: Key, progress: Progress) -> None:
+    async def _keep_progress(self, key: ItemKey, progress: Progress) -> None:
         (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OVER_WAIT_S)
         record = ItemProgress(key[0], key[1], progress.event_id, ref)
         await self.log.append_within(record, HAND_OVER_WAIT_S)
--- a/src/pomeloshift/gateway/_job_cleaner.py
+++ b/src/pomeloshift/gateway/_job_cleaner.py
@@ -6,7 +6,7 @@
 
 from ..direct import Route
 from ..errors import PomeloshiftError
-from ..jobs import Ownership, WorkItem
+from ..jobs import Job, Ownership, WorkItem
 from ._blob_store import BlobStore
 from ._events import EventLog
 from ._item_keeper import ItemKeeper
@@ -37,13 +37,12 @@
             if not self.ownership.owns(job.id):
                 continue
             if job.is_open:
-                self._give_up_expired(job.id, routes.get(job.queue), now)
+                self._give_up_expired(job, routes.get(job.queue), now)
             elif now - job.accepted_at >= self.status_s + FORGET_MARGIN_S:
-                self._forget(job.id, now)
+                self._forget(job, now)
 
-    def _give_up_expired(self, job_id: str, route: Route | None, now: float) -> None:
+    def _give_up_expired(self, job: Job, route: Route | None, now: float) -> None:
         """Lists items as dead letters whose time is over."""
-        job = self.log.book.jobs[job_id]
         retention_s = route.item_retention_s if route else 0.0
         if retention_s <= 0 or now - job.accepted_at < retention_s:
             return
@@ -52,9 +51,9 @@
                 self.events.warn("item_given_up", id=job.items[index].id, job=job.id)
                 self.keeper.settle(WorkItem(job, index, 0.0), False, b"")
 
-    def _forget(self, job_id: str, now: float) -> None:
+    def _forget(self, job: Job, now: float) -> None:
         """Removes the records of a job that nobody may ask for any more."""
-        job = self.log.book.jobs.pop(job_id)
+        del self.log.book.jobs[job.id]
         self.events.info("job_forgotten", id=job.id, age_s=now - job.accepted_at)
         self.log.remove(job.keys).addErrback(self._note_removal_failed)
         removals = self.blobs.remove_keys(job.blobs())
--- a/src/pomeloshift/gateway/_job_log.py
+++ b/src/pomeloshift/gateway/_job_log.py
@@ -23,7 +23,6 @@
         self,
         store: StoreClient,
         writer: LogWriter,
-        producer: str,
         record_bytes: int,
         reactor: Any,
         clock: Any,
@@ -33,12 +32,10 @@
         self.writer = writer
         self.confirmed_at = float("-inf")
         self.on_change: Callable[[str], None] = lambda job_id: None
-        self._producer = producer
         self._record_bytes = record_bytes
         self._clock = clock
-        self._next_key = 0
         handlers = TopicHandlers(
-            self._take_snapshot, self._take_record, self._confirm, lambda _: None
+            self._take_record, snapshot=self._take_snapshot, confirmed=self._confirm
         )
         self.follower = TopicFollower(
             TOPIC, PARTITION, store, reactor, clock, events, handlers, JOB_READ_GAP_S
@@ -50,8 +47,7 @@
 
     def append(self, record: JobRecord) -> Append:
         """Queues a record; see `LogWriter.append`."""
-        self._next_key += 1
-        key = f"{record.job_id[:100]}/{self._producer}/{self._next_key}"
+        key = self.writer.new_key(record.job_id)
         fragments = split(key, encode_record(record), self._record_bytes)
         return self.writer.append(list(fragments))
 
--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -19,6 +19,9 @@
 from ._sleep import sleep
 from ._timing import STORE_RETRY_MAX_S, STORE_RETRY_S
 
+# Keys have at most 255 bytes, with the producer's name and a fragment's number.
+OWNER_CHARS = 100
+
 
 class LogTimeoutError(PomeloshiftError):
     """A record's append was not confirmed in time; it may still take effect."""
@@ -74,6 +77,7 @@
         self._reactor = reactor
         self._events = events
         self._sequence = 0
+        self._keys = 0
         self._queue: deque[Append] = deque()
         self._is_writing = False
         self._is_stopped = False
@@ -87,6 +91,11 @@
         """Writes nothing more."""
         self._is_stopped = True
 
+    def new_key(self, owner: str) -> str:
+        """Returns a key that no other record has, for a record of a job."""
+        self._keys += 1
+        return f"{owner[:OWNER_CHARS]}/{self._producer}/{self._keys}"
+
     def append(self, records: list[tuple[str, bytes | None]]) -> Append:
         """Queues records that are kept together."""
         size = sum(len(key) + len(value or b"") for key, value in records)
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -81,7 +81,10 @@
             return False
         wait_s = self.access.placement.expected_wait(engine, now)
         elapsed_s = now - self.exchange.arrived
-        interval_s = self.access.place_interval_s(engine.entry.service)
+        # Only a request that has to wait is weighed against those that return.
+        interval_s = 0.0
+        if wait_s > 0:
+            interval_s = self.access.place_interval_s(engine.entry.service)
         if self.access.admission.allows(
             self.route, self.req.deadline_s, elapsed_s, wait_s, interval_s, now
         ):
--- a/src/pomeloshift/gateway/_peer_directory.py
+++ b/src/pomeloshift/gateway/_peer_directory.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..platform import KeyedRecord, StoreClient
+from ..platform import StoreClient
 from ._events import EventLog
 from ._log_writer import LogWriter
 from ._peer_exchange import PeerAddress, PeerExchange
@@ -28,7 +28,6 @@
         clock: Any,
     ) -> None:
         self._writer = writer
-        self._peers = peers
         self._events = events
         self._follower = TopicFollower(
             TOPIC,
@@ -37,12 +36,7 @@
             reactor,
             clock,
             events,
-            TopicHandlers(
-                self._take_all,
-                peers.take_record,
-                lambda now: None,
-                lambda is_reachable: None,
-            ),
+            TopicHandlers(peers.take_record),
             poll_s=PEER_POLL_S,
         )
 
@@ -57,9 +51,5 @@
         self._follower.stop()
         self._writer.stop()
 
-    def _take_all(self, records: list[KeyedRecord], end: int) -> None:
-        for record in records:
-            self._peers.take_record(record)
-
     def _note_not_published(self, failure: Any) -> None:
         self._events.warn("address_not_published", why=failure.getErrorMessage())
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -19,19 +19,32 @@
 from ._timing import POLL_S, STORE_RETRY_MAX_S, STORE_RETRY_S
 
 
+def _ignore(news: Any) -> None:
+    """Stands for a handler that a topic's reader does without."""
+
+
 @attrs.frozen
 class TopicHandlers:
     """What a follower calls.
 
-    ``snapshot`` takes all newest records after a start or a loss of history,
-    ``record`` each later one, ``confirmed`` the time at which all were folded, and
-    ``reachable`` whether the store answers when that changes.
+    ``record`` takes each record, ``snapshot`` in its place all newest records after a
+    start or a loss of history, with the end of the partition. ``confirmed`` takes the
+    time at which all were folded, and ``reachable`` whether the store answers when
+    that changes.
     """
 
-    snapshot: Callable[[list[KeyedRecord], int], None]
     record: Callable[[KeyedRecord], None]
-    confirmed: Callable[[float], None]
-    reachable: Callable[[bool], None]
+    snapshot: Callable[[list[KeyedRecord], int], None] = attrs.field(kw_only=True)
+    confirmed: Callable[[float], None] = attrs.field(default=_ignore, kw_only=True)
+    reachable: Callable[[bool], None] = attrs.field(default=_ignore, kw_only=True)
+
+    @snapshot.default
+    def _each(self) -> Callable[[list[KeyedRecord], int], None]:
+        def take(records: list[KeyedRecord], end: int) -> None:
+            for record in records:
+                self.record(record)
+
+        return take
 
 
 class TopicFollower:
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -5,7 +5,16 @@
 from ._errors import CallTimeoutError, ConnectError, ConnectionBrokenError
 from ._listener import HttpListener
 from ._mailbox import Mailbox
-from ._messages import Answer, AnswerHead, Chunk, End, Headers, Lost, RequestHead
+from ._messages import (
+    Answer,
+    AnswerHead,
+    Chunk,
+    End,
+    HeaderList,
+    Headers,
+    Lost,
+    RequestHead,
+)
 from ._pool_config import PoolConfig
 from ._server_connection import Exchange
 
@@ -21,6 +30,7 @@
     "ConnectionPool",
     "End",
     "Exchange",
+    "HeaderList",
     "Headers",
     "HttpListener",
     "Lost",
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -4,7 +4,7 @@
 
 import attrs
 import h11
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
@@ -310,23 +310,12 @@
             connecting: Deferred[Any] = endpoint.connect(factory)
             self.opened += 1
             return await connecting
+        except CancelledError:
+            raise
         except Exception as exc:
-            if isinstance(exc, _CANCELLED):
-                raise
             raise ConnectError(f"{address}: {type(exc).__name__}") from exc
 
 
-def _cancelled_types() -> tuple[type[BaseException], ...]:
-    from asyncio import CancelledError as AsyncioCancelledError
-
-    from twisted.internet.defer import CancelledError
-
-    return (CancelledError, AsyncioCancelledError)
-
-
-_CANCELLED = _cancelled_types()
-
-
 @attrs.define(eq=False)
 class _Factory(Factory):
     _pool: ConnectionPool
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -31,7 +31,6 @@
         self.body = body
         self.arrived = arrived
         self.is_over = False
-        self.has_started = False
         self.on_gone: Callable[[], None] = _do_nothing
         self.on_pause: Callable[[bool], None] = _ignore
         self._conn = conn
@@ -46,7 +45,6 @@
 
     def start(self, status: int, headers: HeaderList) -> None:
         """Sends the head of an answer; without a length the body goes in chunks."""
-        self.has_started = True
         self._conn.send_head(status, headers)
 
     def write(self, data: bytes) -> None:
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -3,7 +3,7 @@
 from ._batch_places import PEAK_S, BatchPlaces
 from ._blob_ref import BlobRef
 from ._fragments import Assembler, base_key, split
-from ._item import Item, ItemState, NewItem, Result
+from ._item import Item, ItemKey, ItemState, NewItem, Result
 from ._item_outcome import AfterRun, ItemPolicy
 from ._job import Job, KeptProgress
 from ._job_book import JobBook
@@ -30,6 +30,7 @@
     "BlobRef",
     "Item",
     "ItemFailed",
+    "ItemKey",
     "ItemPolicy",
     "ItemProgress",
     "ItemSettled",
--- a/src/pomeloshift/jobs/_item.py
+++ b/src/pomeloshift/jobs/_item.py
@@ -6,6 +6,9 @@
 
 from ._blob_ref import BlobRef
 
+# A job's id and the item's position in it.
+ItemKey = tuple[str, int]
+
 
 class ItemState(Enum):
     """How an item ended."""
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -9,13 +9,12 @@
 
 import attrs
 
+from ._item import ItemKey
 from ._job import Job
 from ._job_book import JobBook
 from ._ownership import claim_of
 from ._share import WHOLE, Share
 
-Key = tuple[str, int]
-
 # Items due this close together are equally urgent, so that entries that choose at the
 # same moment choose different ones.
 SAME_DUE_S = 2.0
@@ -34,7 +33,8 @@
 class WorkItem:
     """An item to run and when it is due (monotonic seconds).
 
-    ``is_own`` says that it was dealt to an engine of this entry.
+    ``is_own`` says that it was dealt to an engine of this entry; ``spread`` orders
+    equally urgent items, otherwise at each entry.
     """
 
     job: Job
@@ -42,9 +42,10 @@
     due: float
     is_late: bool = False
     is_own: bool = True
+    spread: int = 0
 
     @property
-    def key(self) -> Key:
+    def key(self) -> ItemKey:
         """The job's id and the item's position in it."""
         return self.job.id, self.index
 
@@ -60,17 +61,17 @@
 
     salt: int
     is_claimed: Callable[[int], bool]
-    running: set[Key] = attrs.field(factory=set)
-    held: dict[Key, float] = attrs.field(factory=dict)
-    _not_before: dict[Key, float] = attrs.field(factory=dict)
-    _breaks: dict[Key, int] = attrs.field(factory=dict)
-    _ready_since: dict[Key, float] = attrs.field(factory=dict)
+    running: set[ItemKey] = attrs.field(factory=set)
+    held: dict[ItemKey, float] = attrs.field(factory=dict)
+    _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
+    _breaks: dict[ItemKey, int] = attrs.field(factory=dict)
+    _ready_since: dict[ItemKey, float] = attrs.field(factory=dict)
 
-    def defer(self, key: Key, until: float) -> None:
+    def defer(self, key: ItemKey, until: float) -> None:
         """Keeps an item from being run before ``until``."""
         self._not_before[key] = until
 
-    def broke(self, key: Key, has_progressed: bool, now: float) -> None:
+    def broke(self, key: ItemKey, has_progressed: bool, now: float) -> None:
         """Notes that a run of an item broke off; the item waits if it got nowhere."""
         if has_progressed:
             self._breaks.pop(key, None)
@@ -100,7 +101,7 @@
         queue, items are returned once nobody has run them for a while.
         """
         items = []
-        ready_since: dict[Key, float] = {}
+        ready_since: dict[ItemKey, float] = {}
         for job in book.jobs.values():
             if not job.is_open:
                 continue
@@ -111,13 +112,15 @@
                 if not self._is_ready(key, now):
                     continue
                 ready_since[key] = self._ready_since.get(key, now)
-                is_own = share.holds(claim_of(*key))
-                if not is_own and now - ready_since[key] < self._turn_s(key):
+                claim = claim_of(*key)
+                is_own = share.holds(claim)
+                spread = claim ^ self.salt
+                if not is_own and now - ready_since[key] < _turn_s(spread):
                     continue
                 events = job.events_done.get(index, 0)
                 rest_s = max(0.0, run_s - event_s * events)
                 is_late = now + rest_s > due
-                items.append(WorkItem(job, index, due, is_late, is_own))
+                items.append(WorkItem(job, index, due, is_late, is_own, spread))
         self._ready_since = ready_since
         self._forget_closed(book)
         items.sort(key=self._rank)
@@ -131,10 +134,7 @@
                 if job is None or key[1] not in job.pending:
                     del kept[key]
 
-    def _turn_s(self, key: Key) -> float:
-        return TURN_S * (1 + self._spread(key) / 2**SALT_BITS)
-
-    def _is_ready(self, key: Key, now: float) -> bool:
+    def _is_ready(self, key: ItemKey, now: float) -> bool:
         if key in self.running:
             return False
         until = self._not_before.get(key)
@@ -147,8 +147,8 @@
     def _rank(self, work: WorkItem) -> tuple[bool, int, int, bool, int]:
         events = work.job.events_done.get(work.index, 0)
         due = round(work.due / SAME_DUE_S)
-        spread = self._spread(work.key)
-        return work.is_late, due, -events, not work.is_own, spread
+        return work.is_late, due, -events, not work.is_own, work.spread
+
 
-    def _spread(self, key: Key) -> int:
-        return claim_of(*key) ^ self.salt
+def _turn_s(spread: int) -> float:
+    return TURN_S * (1 + spread / 2**SALT_BITS)
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -36,6 +36,7 @@
     parse_platform_settings,
 )
 from ._store import KeyedRecord, NewestPage, Page, StoreClient
+from ._toml import parse_toml
 
 __all__ = [
     "CONFIG_KEY",
@@ -59,6 +60,7 @@
     "StoreSettings",
     "StoreSilentError",
     "StoreUnreachableError",
+    "check_deploy_file",
     "decode_config",
     "decode_engine",
     "decode_items",
@@ -67,9 +69,9 @@
     "is_stamped",
     "item_request",
     "load_in",
-    "check_deploy_file",
     "load_platform_settings",
     "parse_platform_settings",
+    "parse_toml",
     "proves_not_run",
     "read_batch_call",
     "read_front_request",
--- a/src/pomeloshift/platform/_deploy_file.py
+++ b/src/pomeloshift/platform/_deploy_file.py
@@ -1,10 +1,10 @@
 """Checks the file by which the platform builds and places the programs."""
 
-import tomllib
 from collections.abc import Mapping
 from typing import Any
 
 from ..settings import Fault, FaultCode, SettingsError
+from ._toml import is_port, parse_toml
 
 CLASSES = ("edge", "side")
 # Who may call a role from outside.
@@ -17,12 +17,7 @@
 
     Keys that this version does not know are ignored, as the platform does.
     """
-    try:
-        data = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as exc:
-        fault = Fault("", FaultCode.UNREADABLE_FILE, f"is not TOML: {exc}")
-        raise SettingsError([fault], path) from exc
-    faults = _faults_of(data)
+    faults = _faults_of(parse_toml(text, path))
     if faults:
         raise SettingsError(faults, path)
 
@@ -60,7 +55,7 @@
         faults.append(Fault(f"{path}.serves", FaultCode.OUT_OF_RANGE, message))
     metrics = role.get("metrics", "1/")
     port = metrics.partition("/")[0] if isinstance(metrics, str) else ""
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not is_port(port):
         message = f"{metrics!r} is not PORT/PATH"
         faults.append(Fault(f"{path}.metrics", FaultCode.OUT_OF_RANGE, message))
     return faults
--- a/src/pomeloshift/platform/_engine_request.py
+++ b/src/pomeloshift/platform/_engine_request.py
@@ -1,6 +1,6 @@
 """Headers of requests to engines and of their answers."""
 
-from ..http1 import AnswerHead, Headers, RequestHead
+from ..http1 import AnswerHead, HeaderList, Headers, RequestHead
 from ._names import (
     DEADLINE_MS,
     EXPECT_ENGINE,
@@ -33,9 +33,7 @@
     ]
     remaining_ms = max(1, int(deadline_s * 1000))
     fields.append((b"X-Deadline-Ms", str(remaining_ms).encode()))
-    fields.append((b"X-Expect-Instance", engine_id.encode()))
-    if last_event_id is not None:
-        fields.append((b"Last-Event-Id", str(last_event_id).encode()))
+    fields += _aim(engine_id, last_event_id)
     return RequestHead(head.method, head.target, Headers(fields))
 
 
@@ -54,10 +52,16 @@
         for name, value in headers
         if name.lower().encode() not in (REQUEST_ID, b"host", LAST_EVENT_ID)
     ]
-    fields.append((b"X-Expect-Instance", engine_id.encode()))
+    fields += _aim(engine_id, last_event_id)
+    return RequestHead(b"POST", path.encode(), Headers(fields))
+
+
+def _aim(engine_id: str, last_event_id: int | None) -> HeaderList:
+    """Returns the fields that name the engine, and the event to go on behind."""
+    fields = [(b"X-Expect-Instance", engine_id.encode())]
     if last_event_id is not None:
         fields.append((b"Last-Event-Id", str(last_event_id).encode()))
-    return RequestHead(b"POST", path.encode(), Headers(fields))
+    return fields
 
 
 def report_request(address: str) -> RequestHead:
--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -1,15 +1,14 @@
 """The settings file that the platform writes for each process."""
 
 import os
-import pathlib
-import tomllib
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
-from ..settings import Fault, FaultCode, SettingsError
+from ..settings import Fault, FaultCode, SettingsError, read_text
 from ._names import SETTINGS_VARIABLE
+from ._toml import is_port, parse_toml
 
 
 @attrs.frozen
@@ -70,7 +69,7 @@
     def address(self, path: str) -> str:
         value: str = self.get(path, str)
         host, _, port = value.rpartition(":")
-        if value and not (host and port.isdigit() and 0 < int(port) < 65536):
+        if value and not (host and is_port(port)):
             fault = Fault(path, FaultCode.OUT_OF_RANGE, f"{value!r} is not IP:PORT")
             self.faults.append(fault)
         return value
@@ -93,15 +92,7 @@
     if not path:
         message = f"no file is given and {SETTINGS_VARIABLE} is not set"
         raise SettingsError([Fault("", FaultCode.UNREADABLE_FILE, message)])
-    try:
-        data = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except OSError as exc:
-        fault = Fault("", FaultCode.UNREADABLE_FILE, f"cannot be read: {exc}")
-        raise SettingsError([fault], path) from exc
-    except (UnicodeDecodeError, tomllib.TOMLDecodeError) as exc:
-        fault = Fault("", FaultCode.UNREADABLE_FILE, f"is not TOML: {exc}")
-        raise SettingsError([fault], path) from exc
-    return parse_platform_settings(data, path)
+    return parse_platform_settings(parse_toml(read_text(path), path), path)
 
 
 def parse_platform_settings(
