Claim an item in the job log before a run resumes it

Cause: entries learnt only from each other's heartbeats who runs an item. Two entries that do not hear each other, though both reach the store and the engines, consider each other dead after 1.6 s. Both then own all engines, and both resume the item from the progress in the job log. The same holds for up to 2 s for an entry that starts or whose partition ends, because peers that have not heard from it send only every 2 s.

Evidence: two gateways that hear no heartbeats and replay the same progress.

test_item_resumed_by_two_gateways_that_do_not_hear_each_other_runs_at_one event=item_started id=item0 job=job1 engine=i-0 (at both, 29 ms apart) E assert 2 == 1 (open streams)

Change: a run that resumes an item first appends `ItemResumed` to the job log. The later claim is in force. An entry that replays another's claim stops its run and leaves the item to the holder for 4 s, unless the holder stores progress or another process has taken its place. A run from the first event needs no claim: it may overlap another one.

Why it works: the log is the one order that all entries share, so at most one entry is the last to claim. The record is durable before the request is sent, and an entry that reaches the store replays it within one read (a read follows 60 ms after the one before), so the earlier run ends in less than 400 ms.

`item_started` now logs the event that the item is known to resume after; it was 0 for progress that another gateway had stored.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -104,6 +104,8 @@
         now = self.access.now()
         self._stop_ended()
         self._stop_duplicates(now)
+        for job_id in {key[0] for key in self._runs}:
+            self.job_changed(job_id)
         engines = self._own_engines()
         self.slots.observe(engines, now)
         self.preempt_items()
@@ -230,6 +232,21 @@
                 self._stop(key, run, now, "claimed by another gateway")
                 self.queue.reserved.pop(key, None)
 
+    def job_changed(self, job_id: str) -> None:
+        """Stops items of a job that another gateway has resumed."""
+        now = self.access.now()
+        for key, run in list(self._runs.items()):
+            if key[0] == job_id and self._is_superseded(key, run):
+                self._stop(key, run, now, "resumed by another gateway")
+                self.queue.reserved.pop(key, None)
+
+    def _is_superseded(self, key: ItemKey, run: ItemRun) -> bool:
+        job = self.log.table.jobs.get(key[0])
+        hold = job.holds.get(key[1]) if job is not None else None
+        if hold is None:
+            return False
+        return hold.supersedes(self.queue.name, run.claim_offset)
+
     def _stop(self, key: ItemKey, run: ItemRun, now: float, why: str) -> None:
         """Stops an item.
 
@@ -266,7 +283,16 @@
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = work.key
         self.queue.reserved.pop(key, None)
-        run = ItemRun(self.access, self.blobs, work, engine, self._progress.get(key))
+        progress, hold = self._progress.get(key), work.job.holds.get(work.index)
+        run = ItemRun(
+            self.access,
+            self.blobs,
+            work,
+            engine,
+            progress,
+            self.item_writer.claim,
+            hold.offset if hold is not None else -1,
+        )
         self.events.info(
             "item_started",
             id=work.job.items[work.index].id,
@@ -275,7 +301,7 @@
             occupancy=engine.occupancy(self.access.now()),
             peak=self.slots.peak(engine),
             is_late=work.is_late,
-            event_id=_events(run),
+            event_id=work.job.events_done.get(work.index, 0),
         )
         self.queue.running.add(key)
         engine.reserve_slot()
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -142,7 +142,7 @@
             events,
         )
         self._batch_api = BatchApi(self.job_log, self._blobs, events, reactor, clock)
-        self.job_log.on_change = self._batch_api.job_changed
+        self.job_log.on_change = self._job_changed
         self.peers = PeerExchange(
             self._incarnation,
             settings.ip,
@@ -161,7 +161,12 @@
             clock,
         )
         self._store_link.attach()
-        queue = WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed)
+        queue = WorkQueue(
+            random.getrandbits(48),
+            self.peers.loads.is_claimed,
+            self._incarnation,
+            lambda name: self._directory.is_synced and self.peers.has_ended(name),
+        )
         ownership = Ownership(settings.ip)
         item_writer = ItemWriter(self.job_log, self._blobs, queue, access, events)
         cleaner = JobCleaner(
@@ -232,6 +237,10 @@
             reactor, clock, self._respond_scrape, SIDE_CONNECTIONS
         )
 
+    def _job_changed(self, job_id: str) -> None:
+        self._batch_api.job_changed(job_id)
+        self.batch_loop.job_changed(job_id)
+
     def _writer(self, topic: str, partition: int) -> LogWriter:
         return LogWriter(
             topic,
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -1,5 +1,6 @@
 """Runs one batch item at an engine."""
 
+from collections.abc import Awaitable, Callable
 from enum import Enum
 from typing import Any
 
@@ -27,6 +28,8 @@
 class ItemRun:
     """One run of an item, which resumes after the item's progress.
 
+    ``claim`` records that this gateway resumes an item after an event and returns the
+    record's offset; ``claim_offset`` is that of the last claim known to this run.
     ``progress`` grows with each event; a later run resumes after it. ``status`` is the
     engine's HTTP status, and ``why`` says why a run broke off.
     """
@@ -36,6 +39,8 @@
     work: WorkItem
     engine: Engine
     progress: Progress | None
+    claim: Callable[[WorkItem, int], Awaitable[int]]
+    claim_offset: int = -1
     status: int = 0
     why: str = ""
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -43,11 +48,15 @@
     async def run(self) -> RunEnd:
         """Runs the item and returns how the run ended.
 
-        Raises an error of the store if the item's body cannot be read.
+        Raises an error of the store if the item's body cannot be read, or if a resumed
+        run cannot be claimed.
         """
         item = self.work.job.items[self.work.index]
         await self._load_progress()
         body = await self.blobs.get(item.body)
+        if self.progress is not None:
+            offset = await self.claim(self.work, self.progress.event_id)
+            self.claim_offset = max(self.claim_offset, offset)
         head = item_request(
             self.work.job.host,
             item.path,
--- a/src/pomeloshift/gateway/_item_writer.py
+++ b/src/pomeloshift/gateway/_item_writer.py
@@ -3,18 +3,31 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from ..jobs import ItemKey, ItemProgress, ItemSettled, Progress, WorkItem, WorkQueue
+from ..jobs import (
+    ItemKey,
+    ItemProgress,
+    ItemResumed,
+    ItemSettled,
+    Progress,
+    WorkItem,
+    WorkQueue,
+)
 from ..net._periodic_tasks import spawn
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._job_log import JobLog
-from ._timing import HAND_OFF_TIMEOUT_S, ITEM_RECORD_TIMEOUT_S, REPLAY_LAG_S
+from ._timing import (
+    CLAIM_TIMEOUT_S,
+    HAND_OFF_TIMEOUT_S,
+    ITEM_RECORD_TIMEOUT_S,
+    REPLAY_LAG_S,
+)
 
 
 @attrs.define
 class ItemWriter:
-    """Writes outputs and progress to the store.
+    """Writes outputs, progress and claims to the store.
 
     An item counts as running until all gateways have replayed what was written.
     """
@@ -37,6 +50,18 @@
         self.queue.running.add(key)
         self._hold_until_replayed(key, spawn(self._append_progress(key, progress)))
 
+    async def claim(self, work: WorkItem, event_id: int) -> int:
+        """Records that this process resumes an item; returns the record's offset.
+
+        Processes that still run the item stop it when they replay the record. Returns
+        -1 without a claim while the store is unavailable. Raises the errors of
+        `LogWriter.wait`.
+        """
+        if not self.log.follower.is_reachable:
+            return -1
+        record = ItemResumed(work.job.id, work.index, event_id, self.queue.name)
+        return await self.log.append_within(record, CLAIM_TIMEOUT_S)
+
     def _hold_until_replayed(self, key: ItemKey, done: Deferred[None]) -> None:
         """Counts an item as running until others have replayed its record."""
         done.addBoth(
@@ -62,5 +87,5 @@
 
     async def _append_progress(self, key: ItemKey, progress: Progress) -> None:
         (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OFF_TIMEOUT_S)
-        record = ItemProgress(key[0], key[1], progress.event_id, ref)
+        record = ItemProgress(key[0], key[1], progress.event_id, ref, self.queue.name)
         await self.log.append_within(record, HAND_OFF_TIMEOUT_S)
--- a/src/pomeloshift/gateway/_job_log.py
+++ b/src/pomeloshift/gateway/_job_log.py
@@ -54,9 +54,12 @@
         fragments = split(key, encode_record(record), self._record_bytes)
         return self.writer.append(list(fragments))
 
-    async def append_within(self, record: JobRecord, timeout_s: float) -> None:
-        """Appends a record and waits until it is durable; see `LogWriter.wait`."""
-        await self.writer.wait(self.append(record), timeout_s)
+    async def append_within(self, record: JobRecord, timeout_s: float) -> int:
+        """Appends a record and returns its offset once it is durable.
+
+        Raises the errors of `LogWriter.wait`.
+        """
+        return await self.writer.wait(self.append(record), timeout_s)
 
     def remove(self, keys: list[str]) -> Deferred[int]:
         """Removes the records with these keys; fires once the removal is durable."""
--- a/src/pomeloshift/gateway/_peer_directory.py
+++ b/src/pomeloshift/gateway/_peer_directory.py
@@ -40,6 +40,11 @@
             poll_s=PEER_POLL_S,
         )
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether the addresses of all gateways have been read."""
+        return self._follower.is_synced
+
     def start(self, address: PeerAddress) -> None:
         """Publishes the address under its IP and starts to follow the topic."""
         record = (address.ip, msgspec.msgpack.encode(address))
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -118,6 +118,12 @@
         """Whether other gateways have published their addresses."""
         return bool(self._peers)
 
+    def has_ended(self, name: str) -> bool:
+        """Returns whether another process has replaced the one with this name."""
+        return name != self._name and all(
+            peer.address.name != name for peer in self._peers.values()
+        )
+
     def zone_of(self, ip: str) -> str:
         """Returns the availability zone of a gateway, empty if it is not published."""
         if ip == self._ip:
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -52,6 +52,9 @@
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
+# How long a gateway waits for the record with which it claims an item that it resumes;
+# without it the item waits for `BODY_RETRY_S` and is then tried again.
+CLAIM_TIMEOUT_S = 1.0
 # Time after which all gateways have replayed a durable record: several times the sum of
 # a long poll's response, the pause between reads and the latency across regions.
 REPLAY_LAG_S = 0.6
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -6,6 +6,7 @@
 from ._batch_slots import PEAK_S, BatchSlots
 from ._blob_ref import BlobRef
 from ._fragments import Assembler, base_key, split
+from ._hold import HOLD_VALID_S, Hold
 from ._item import Item, ItemKey, ItemState, NewItem, Result
 from ._item_outcome import AfterRun, ItemPolicy
 from ._job import DurableProgress, Job
@@ -15,6 +16,7 @@
 from ._records import (
     ItemFailed,
     ItemProgress,
+    ItemResumed,
     ItemSettled,
     JobEnded,
     JobRecord,
@@ -26,17 +28,20 @@
 from ._work_queue import WorkItem, WorkQueue
 
 __all__ = [
+    "HOLD_VALID_S",
     "PEAK_S",
     "AfterRun",
     "Assembler",
     "BatchSlots",
     "BlobRef",
     "DurableProgress",
+    "Hold",
     "Item",
     "ItemFailed",
     "ItemKey",
     "ItemPolicy",
     "ItemProgress",
+    "ItemResumed",
     "ItemSettled",
     "ItemState",
     "Job",
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ._blob_ref import BlobRef
+from ._hold import Hold
 from ._item import Item, ItemState, Result
 
 
@@ -20,8 +21,9 @@
 
     ``accepted_at`` is in monotonic seconds. ``results`` are in the order in which the
     items finished, which never changes. ``keys`` are those of the job's log records.
-    ``events_done`` maps items to their last known event. ``pending`` holds the indexes
-    of the unfinished items, and ``waiting_tokens`` is the sum of their tokens.
+    ``events_done`` maps items to their last known event, and ``holds`` those that were
+    resumed to the process that did so last. ``pending`` holds the indexes of the
+    unfinished items, and ``waiting_tokens`` is the sum of their tokens.
     """
 
     id: str
@@ -36,6 +38,7 @@
     failures: dict[int, int] = attrs.field(factory=dict)
     progress: dict[int, DurableProgress] = attrs.field(factory=dict)
     events_done: dict[int, int] = attrs.field(factory=dict)
+    holds: dict[int, Hold] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
 
@@ -55,6 +58,7 @@
         item = self.items[index]
         self.pending.discard(index)
         self.progress.pop(index, None)
+        self.holds.pop(index, None)
         self.waiting_tokens -= item.tokens
         self.results.append(Result(item.id, state, text))
         return True
@@ -66,6 +70,17 @@
             self.progress[index] = DurableProgress(event_id, text)
             self.events_done[index] = max(event_id, self.events_done.get(index, 0))
 
+    def hold_item(self, index: int, hold: Hold) -> None:
+        """Records that a process resumed an unfinished item."""
+        if index in self.pending:
+            self.holds[index] = hold
+
+    def release_item(self, index: int, by: str) -> None:
+        """Records that a process ended its run of an item and holds it no longer."""
+        hold = self.holds.get(index)
+        if hold is not None and hold.by == by:
+            del self.holds[index]
+
     def blobs(self) -> list[BlobRef]:
         """Returns all blobs that the job's records refer to."""
         refs = [item.body for item in self.items]
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -4,11 +4,13 @@
 import msgspec
 
 from ._fragments import Assembler, base_key
+from ._hold import Hold
 from ._item import Item, ItemState
 from ._job import Job
 from ._records import (
     ItemFailed,
     ItemProgress,
+    ItemResumed,
     ItemSettled,
     JobEnded,
     JobSubmitted,
@@ -68,6 +70,10 @@
         if job is None:
             return None
         job.keys.extend(keys)
+        if isinstance(record, ItemResumed):
+            offset = self.next_offset - 1
+            job.hold_item(record.index, Hold(record.by, offset, now))
+            return job.id
         return job.id if self._change(job, record) else None
 
     def waiting_tokens(self, queue: str) -> int:
@@ -109,6 +115,7 @@
             job.failures[record.index] = job.failures.get(record.index, 0) + 1
         elif isinstance(record, ItemProgress):
             job.note_progress(record.index, record.event_id, record.text)
+            job.release_item(record.index, record.by)
         else:
             job.is_ended = True
         return True
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -47,12 +47,25 @@
 
 
 class ItemProgress(msgspec.Struct, tag="progress", array_like=True):
-    """The output of an unfinished item up to an event, so that it can be resumed."""
+    """The output of an unfinished item up to an event, so that it can be resumed.
+
+    ``by`` names the process that ran the item and now lets others resume it.
+    """
 
     job_id: str
     index: int
     event_id: int
     text: BlobRef
+    by: str = ""
+
+
+class ItemResumed(msgspec.Struct, tag="resumed", array_like=True):
+    """The process ``by`` resumes an item after an event; all others stop theirs."""
+
+    job_id: str
+    index: int
+    event_id: int
+    by: str
 
 
 class JobEnded(msgspec.Struct, tag="ended", array_like=True):
@@ -61,7 +74,9 @@
     job_id: str
 
 
-JobRecord = JobSubmitted | ItemSettled | ItemFailed | ItemProgress | JobEnded
+JobRecord = (
+    JobSubmitted | ItemSettled | ItemFailed | ItemProgress | ItemResumed | JobEnded
+)
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Any] = msgspec.msgpack.Decoder(JobRecord)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -29,6 +29,11 @@
 MAX_BACKOFF_S = 10.0
 
 
+def _never(name: str) -> bool:
+    """The default for queues without a list of processes."""
+    return False
+
+
 @attrs.frozen
 class WorkItem:
     """An item to run and when it is due (monotonic seconds).
@@ -55,14 +60,17 @@
 class WorkQueue:
     """Orders the items, over all jobs, that no other entry has claimed.
 
-    ``is_claimed`` returns whether another entry runs an item or holds it. ``salt``
-    differs between entries, so that they rarely choose the same item at once.
-    ``reserved`` maps each item that was stopped here to the time until which it is
-    reserved for this entry.
+    ``is_claimed`` returns whether another entry runs an item or holds it. ``name`` is
+    this process's name in the job log, and ``has_ended`` returns whether the process
+    with a name has been replaced. ``salt`` differs between entries, so that they rarely
+    choose the same item at once. ``reserved`` maps each item that was stopped here to
+    the time until which it is reserved for this entry.
     """
 
     salt: int
     is_claimed: Callable[[int], bool]
+    name: str = ""
+    has_ended: Callable[[str], bool] = attrs.field(default=_never)
     running: set[ItemKey] = attrs.field(factory=set)
     reserved: dict[ItemKey, float] = attrs.field(factory=dict)
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
@@ -116,7 +124,7 @@
             share = (shares or {}).get(job.queue, ALL_ITEMS)
             for index in job.pending:
                 key = (job.id, index)
-                if not self._is_ready(key, now):
+                if not self._is_ready(key, now) or self._is_held(job, index, now):
                     continue
                 ready_since[key] = self._ready_since.get(key, now)
                 claim = claim_of(*key)
@@ -151,6 +159,12 @@
             del self._not_before[key]
         return not self.is_claimed(claim_of(*key))
 
+    def _is_held(self, job: Job, index: int, now: float) -> bool:
+        hold = job.holds.get(index)
+        if hold is None or not hold.excludes(self.name, now):
+            return False
+        return not self.has_ended(hold.by)
+
     def _rank(self, work: WorkItem) -> tuple[bool, int, int, bool, int]:
         events = work.job.events_done.get(work.index, 0)
         due = round(work.due / DUE_RESOLUTION_S)
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -15,6 +15,7 @@
     PoolConfig,
     RequestHead,
 )
+from pomeloshift.jobs import ItemProgress
 from pomeloshift.net import SystemClock
 from pomeloshift.platform import parse_platform_settings
 from pomeloshift.standins.platform import EngineServer, StoreServer
@@ -159,6 +160,15 @@
     def submit(self, gateway, job_id, bodies, tokens=10):
         return self.call(gateway, "POST", "/jobs/new", job(bodies, tokens), job_id)
 
+    async def store_progress(self, gateway, job_id, events):
+        """Stores the progress of a job's first item, as a gateway that stopped it."""
+        output = text(events).encode()
+        (ref,) = await gateway.batch_loop.blobs.put(job_id, [output], CALL_TIMEOUT_S)
+        record = ItemProgress(job_id, 0, events, ref)
+        await gateway.job_log.append_within(record, CALL_TIMEOUT_S)
+        for each in self.gateways:
+            await each.job_log.follower.catch_up()
+
     async def results(self, gateway, job_id, count):
         """Reads a job until it has ``count`` results."""
         while True:
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -2,10 +2,13 @@
 import pytest
 
 from _gateway import config, job, route, text
+from pomeloshift.gateway._peer_exchange import PeerExchange
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
+from pomeloshift.jobs import ItemResumed
 from pomeloshift.platform import StoreUnreachableError
 from pomeloshift.standins.platform import Behaviour
 
+POLLS = 200
 BODIES = [b"one", b"two", b"x" * 10_000]  # the last one is split into several records
 
 
@@ -263,3 +266,61 @@
         return accepted.status, rows == others, len(rows)
 
     assert play(scenario) == (202, True, 3)
+
+
+def test_item_resumed_by_two_gateways_that_do_not_hear_each_other_runs_at_one(
+    play, monkeypatch
+):
+    monkeypatch.setattr(PeerExchange, "datagramReceived", lambda *args: None)
+
+    async def scenario(deployment):
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        await deployment.submit(gateways[0], "job1", [b"one"])
+        await deployment.store_progress(gateways[0], "job1", events=2)
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        for _ in range(POLLS):
+            if engine.aborted > 0:
+                break
+            await deployment.pause(0.01)
+        return [s.headers.get("last-event-id") for s in engine.requests], engine.running
+
+    resumed_from, running = play(scenario)
+    assert set(resumed_from) == {"2"}
+    assert running == 1
+
+
+def test_run_of_an_item_ends_once_another_gateway_has_resumed_the_item(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        while not engine.running:
+            await deployment.pause(0.01)
+        await gateway.job_log.append_within(ItemResumed("job1", 0, 2, "other"), 1.0)
+        while engine.running:
+            await deployment.pause(0.01)
+        return gateway.batch_loop.running, len(engine.requests)
+
+    assert play(scenario) == (0, 1)
+
+
+def test_resumed_run_is_claimed_in_the_log_before_it_reaches_an_engine(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        await deployment.store_progress(gateway, "job1", events=2)
+        deployment.store.responses_to_drop = 2
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        while not engine.requests:
+            await deployment.pause(0.01)
+        appends = deployment.store.appends
+        await gateway.job_log.follower.catch_up()
+        hold = gateway.job_log.table.jobs["job1"].holds[0]
+        return hold.by == gateway.batch_loop.queue.name, appends
+
+    # A body, the job, a text, its progress, and the claim, which is tried three times,
+    # beside the gateway's address.
+    assert play(scenario) == (True, 8)
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -12,6 +12,7 @@
     RequestCounts,
 )
 from pomeloshift.jobs import (
+    HOLD_VALID_S,
     PEAK_S,
     AfterRun,
     Assembler,
@@ -20,6 +21,7 @@
     ItemFailed,
     ItemPolicy,
     ItemProgress,
+    ItemResumed,
     ItemSettled,
     JobEnded,
     JobSubmitted,
@@ -223,6 +225,48 @@
     assert set(order(queue, table, now=6.0)) == {("j1", 2), ("j1", 3)}
 
 
+def test_resumed_item_is_left_to_its_holder_until_the_hold_expires(log, queue):
+    log.add(submitted("j1", items=1))
+    log.add(ItemResumed("j1", 0, 4, "other"))
+    table = log.replay(now=10.0)
+    assert order(queue, table, now=10.0 + HOLD_VALID_S - 0.1) == []
+    assert order(queue, table, now=10.0 + HOLD_VALID_S) == [("j1", 0)]
+
+
+@pytest.mark.parametrize("how", ["own", "released", "replaced"])
+def test_hold_that_excludes_nobody_delays_nothing(log, queue, how):
+    log.add(submitted("j1", items=1))
+    log.add(ItemResumed("j1", 0, 4, "other"))
+    if how == "own":
+        queue.name = "other"
+    elif how == "released":
+        log.add(ItemProgress("j1", 0, 6, ref(6), "other"))
+    else:
+        queue.has_ended = {"other"}.__contains__
+    assert order(queue, log.replay(), now=1.0) == [("j1", 0)]
+
+
+def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(log, queue):
+    log.add(submitted("j1", items=1))
+    log.add(ItemResumed("j1", 0, 4, "first"))
+    log.add(ItemResumed("j1", 0, 4, "second"))
+    log.add(ItemProgress("j1", 0, 6, ref(6), "first"))
+    table = log.replay()
+    assert table.jobs["j1"].holds[0].by == "second"
+    assert order(queue, table, now=1.0) == []
+
+
+def test_of_two_gateways_that_resume_an_item_only_the_later_claim_is_in_force(log):
+    log.add(submitted("j1", items=1))
+    offsets = {}
+    for name in ("first", "second"):
+        offsets[name] = len(log.rows)
+        log.add(ItemResumed("j1", 0, 4, name))
+    hold = log.replay().jobs["j1"].holds[0]
+    assert hold.supersedes("first", offsets["first"])
+    assert not hold.supersedes("second", offsets["second"])
+
+
 def test_item_whose_runs_break_off_backs_off_exponentially(log, queue):
     log.add(submitted("j1", items=1))
     table, key = log.replay(), ("j1", 0)
