--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -11,6 +11,7 @@
 from ..platform import (
     HistoryLostError,
     KeyedRecord,
+    Page,
     StoreClient,
     StoreUnreachableError,
 )
@@ -106,14 +107,14 @@
         """
         if not self._is_reachable:
             raise StoreUnreachableError("the store did not respond to the last read")
-        if self._offset is None:
-            await self._take_snapshot()
-            return
         while True:
+            if self._offset is None:
+                if await self._take_snapshot():
+                    return
+                continue
             offset = self._offset
             page = await self._store.read(self.topic, self.partition, offset, 0.0)
-            self._apply(page.records, page.next_offset)
-            if page.next_offset >= page.end:
+            if self._apply(offset, page) and page.next_offset >= page.end:
                 self._confirm()
                 return
 
@@ -142,14 +143,19 @@
         # A read that does not wait for records shows at once whether the store is
         # available again.
         wait_s = self._poll_s if self._is_reachable else 0.0
-        page = await self._store.read(self.topic, self.partition, self._offset, wait_s)
-        self._apply(page.records, page.next_offset)
-        if page.next_offset >= page.end:
+        offset = self._offset
+        page = await self._store.read(self.topic, self.partition, offset, wait_s)
+        if self._apply(offset, page) and page.next_offset >= page.end:
             self._confirm()
         if page.records and self._read_gap_s > 0:
             await sleep(self._reactor, self._read_gap_s)
 
-    async def _take_snapshot(self) -> None:
+    async def _take_snapshot(self) -> bool:
+        """Reads the newest records; returns False if another call did so before.
+
+        `catch_up` and the loop may read a snapshot at once. Only the first is applied:
+        a second one might be older than what was applied since.
+        """
         records: list[KeyedRecord] = []
         after, end = "", None
         while True:
@@ -160,6 +166,8 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
+        if self._offset is not None:
+            return False
         # The pages are not one snapshot: records from the first page's end on are left
         # out here and read again.
         known = [record for record in records if record.offset < end]
@@ -169,14 +177,22 @@
             "topic_read", topic=self.topic, records=len(known), offset=end
         )
         self._confirm()
+        return True
+
+    def _apply(self, start: int, page: Page) -> bool:
+        """Applies records that were read from the offset ``start`` on.
 
-    def _apply(self, records: list[KeyedRecord], next_offset: int) -> None:
-        # `catch_up` and the loop may read at once; each record is applied once.
-        assert self._offset is not None
-        for record in records:
+        `catch_up` and the loop may read at once; each record is applied once. Returns
+        False for a read that began before a loss of history or a later snapshot, and
+        would leave out records.
+        """
+        if self._offset is None or start > self._offset:
+            return False
+        for record in page.records:
             if record.offset >= self._offset:
                 self._handlers.record(record)
-        self._offset = max(self._offset, next_offset)
+        self._offset = max(self._offset, page.next_offset)
+        return True
 
     def _confirm(self) -> None:
         self._failures = 0
--- /dev/null
+++ b/tests/test_topic_follower.py
@@ -0,0 +1,116 @@
+import attrs
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.task import Clock
+
+from _virtual import VirtualClock
+from pomeloshift.gateway._events import EventLog
+from pomeloshift.gateway._metrics import GatewayMetrics
+from pomeloshift.gateway._topic_follower import TopicFollower, TopicHandlers
+from pomeloshift.platform import HistoryLostError, KeyedRecord, NewestPage, Page
+
+
+def records(first, end):
+    return [KeyedRecord(n, f"k{n}", b"v") for n in range(first, end)]
+
+
+@attrs.define
+class Store:
+    """A store whose responses the test gives, in any order."""
+
+    snapshots: list = attrs.field(factory=list)
+    reads: list = attrs.field(factory=list)
+
+    async def newest(self, topic, partition, after=""):
+        self.snapshots.append(Deferred())
+        return await self.snapshots[-1]
+
+    async def read(self, topic, partition, offset, wait_s):
+        response = Deferred()
+        self.reads.append((offset, response))
+        return await response
+
+    def answer_snapshot(self, number, end):
+        page = NewestPage(records(0, end), has_more=False, end=end)
+        self.snapshots[number].callback(page)
+
+    def answer_read(self, number, end):
+        offset, response = self.reads[number]
+        response.callback(Page(records(offset, end), end, end))
+
+
+@attrs.define
+class Replica:
+    """The offsets that a follower applied since its last snapshot."""
+
+    offsets: list = attrs.field(factory=list)
+
+    def take_snapshot(self, newest, end):
+        self.offsets = [record.offset for record in newest]
+
+    def take_record(self, record):
+        self.offsets.append(record.offset)
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+@pytest.fixture
+def replica():
+    return Replica()
+
+
+@pytest.fixture
+def follower(store, replica):
+    reactor = Clock()
+    clock = VirtualClock(reactor)
+    handlers = TopicHandlers(replica.take_record, snapshot=replica.take_snapshot)
+    events = EventLog(clock, GatewayMetrics("n"))
+    return TopicFollower("keyed.t", 0, store, reactor, clock, events, handlers)
+
+
+def catch_up(follower):
+    return Deferred.fromCoroutine(follower.catch_up())
+
+
+def test_late_response_with_an_older_snapshot_does_not_undo_a_newer_one(
+    follower, store, replica
+):
+    follower.start()
+    catch_up(follower)
+    store.answer_snapshot(1, end=9)
+    store.answer_snapshot(0, end=5)
+    assert replica.offsets == list(range(9))
+
+
+def test_no_record_is_left_out_when_two_snapshots_and_reads_overlap(
+    follower, store, replica
+):
+    follower.start()
+    catch_up(follower)
+    store.answer_snapshot(1, end=9)
+    later = catch_up(follower)
+    store.answer_snapshot(0, end=5)
+    for number in range(len(store.reads)):
+        store.answer_read(number, end=12)
+    assert later.called
+    assert replica.offsets == list(range(12))
+
+
+def test_history_lost_during_a_read_does_not_break_the_other_reader(
+    follower, store, replica
+):
+    follower.start()
+    store.answer_snapshot(0, end=5)
+    outcome = []
+    catch_up(follower).addBoth(outcome.append)
+    store.reads[0][1].errback(HistoryLostError(9))
+    store.answer_read(1, end=7)
+    for number in range(1, len(store.snapshots)):
+        store.answer_snapshot(number, end=10)
+    for number in range(2, len(store.reads)):
+        store.answer_read(number, end=10)
+    assert replica.offsets == list(range(10))
+    assert outcome == [None]
