End a request whose caller leaves while its connection is being opened

Callers saw: a request reached an engine, and ran there to its end, after its caller had gone. A batch item that was stopped at that moment counted as a failure of its engine.

Cause: Twisted's endpoint ends a cancelled connection attempt with `ConnectingCancelledError`. The pool took it, like any other exception, for a server that cannot be reached, and the request was tried at the next engine.

Evidence, before:

test_cancelled_send_does_not_look_like_an_unreachable_server E AssertionError: assert <class '...ConnectError'> is CancelledError (10.0.0.1:80: ConnectingCancelledError)

Change: the pool raises `CancelledError`, which ends the request's task.

--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -6,7 +6,7 @@
 import h11
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectingCancelledError, ConnectionDone
 from twisted.internet.protocol import Factory, Protocol
 from twisted.internet.task import LoopingCall
 
@@ -328,6 +328,8 @@
             return await connecting
         except CancelledError:
             raise
+        except ConnectingCancelledError as exc:
+            raise CancelledError from exc
         except Exception as exc:
             raise ConnectError(f"{address}: {type(exc).__name__}") from exc
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,7 +1,8 @@
 import pytest
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
 from pomeloshift.dispatch import HttpLimits
@@ -159,6 +160,16 @@
     assert events_of(call) == [Disconnected("reset", was_reused=True)]
 
 
+def test_cancelled_send_does_not_look_like_an_unreachable_server(clock):
+    reactor = MemoryReactorClock()
+    pool = ConnectionPool(reactor, clock, PoolConfig())
+    sending = Deferred.fromCoroutine(pool.send("10.0.0.1:80", head(), b""))
+    sending.cancel()
+    failures = []
+    sending.addErrback(failures.append)
+    assert failures[0].type is CancelledError
+
+
 def test_connection_is_not_reused_after_connection_close(connection, pool):
     connection.send(head(), b"")
     connection.dataReceived(response(extra=b"Connection: close\r\n"))
