Send heartbeats to an unheard gateway within the time they are valid

Callers could see: an item ran at two engines (TWICE) while all entries were well.

Cause: an entry sent only every 2 s to a peer that it did not hear, but a state is valid for 1.6 s. If heartbeats arrive in one direction only, the entry that hears them dropped its peer for 0.4 s of every 2 s, and with it the peer's claims and its share of the engines.

The test, before:

test_gateway_that_hears_nothing_keeps_its_claims_known_to_its_peers E assert False (all([True, True, ...]))

Change: the interval is 1 s, and a peer counts as unheard only once its state is no longer valid.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -14,7 +14,13 @@
 from ._event_stream import EventSplitter, StreamEvent
 from ._fleet import EXPIRY_GRACE_S, Fleet
 from ._isolation import is_isolated
-from ._peer_loads import NO_REQUESTS, PeerLoads, PeerState, RequestCounts
+from ._peer_loads import (
+    NO_REQUESTS,
+    PEER_VALID_S,
+    PeerLoads,
+    PeerState,
+    RequestCounts,
+)
 from ._placement import Placement, PlacementConfig
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
@@ -34,6 +40,7 @@
     "Fleet",
     "HttpLimits",
     "OnlineAdmission",
+    "PEER_VALID_S",
     "PeerLoads",
     "PeerState",
     "Placement",
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -10,7 +10,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
-from ..dispatch import Fleet, PeerLoads, PeerState, RequestCounts
+from ..dispatch import PEER_VALID_S, Fleet, PeerLoads, PeerState, RequestCounts
 from ..platform import KeyedRecord
 from ._events import EventLog
 from ._timing import PEER_HEARTBEAT_S, PEER_LOST_HEARTBEAT_S, PEER_SEND_GAP_S
@@ -204,7 +204,7 @@
 
     @staticmethod
     def _send_gap_s(peer: _Peer, has_changed: bool, now: float) -> float:
-        if now - peer.last_seen_at > PEER_LOST_HEARTBEAT_S:
+        if now - peer.last_seen_at > PEER_VALID_S:
             return PEER_LOST_HEARTBEAT_S
         return PEER_SEND_GAP_S if has_changed else PEER_HEARTBEAT_S
 
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -82,11 +82,12 @@
 # Interval at which a gateway checks whether heartbeats to others are due.
 PEER_TICK_S = 0.04
 # Least time between two heartbeats to a gateway: for a changed state; for an unchanged
-# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing was
-# received for the last of these times.
+# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing has been
+# received for that long. The last is below `PEER_VALID_S` too, because that gateway may
+# receive what this one sends.
 PEER_SEND_GAP_S = 0.03
 PEER_HEARTBEAT_S = 0.5
-PEER_LOST_HEARTBEAT_S = 2.0
+PEER_LOST_HEARTBEAT_S = 1.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
 
