Read the addresses of gateways when one is heard whose address is missing

Callers could see: an item ran at two engines (TWICE) while all entries were well.

Cause: an entry learns the addresses of its peers from a poll of 10 s. If the store overlooks a record while a poll waits, the entry sends nothing to that gateway until the poll ends, though it receives its heartbeats. The other gateway counts it as dead, and starts its items and fills its engines.

With a store that overlooks a record, before:

test_address_that_a_poll_missed_is_read_when_its_gateway_is_heard E AssertionError: assert '' == 'a'

Change: once a second an entry that hears a gateway without a known address reads the addresses without waiting. The stand-in for the store can now overlook records.

--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -64,6 +64,7 @@
     LEAVE_ROTATION_S,
     MEMBERS_TICK_S,
     METRICS_PORT,
+    PEER_REFRESH_S,
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
@@ -274,6 +275,7 @@
         self.job_log.follower.start()
         self._directory.start(self._listen_to_peers())
         self._periodic_tasks.repeat(self.peers.tick, PEER_TICK_S)
+        self._periodic_tasks.repeat(self._directory.refresh, PEER_REFRESH_S)
         self._periodic_tasks.repeat(self._engine_list.drop_missing, DROP_MISSING_TICK_S)
         self._periodic_tasks.repeat(self.members.update_members, MEMBERS_TICK_S)
         self._periodic_tasks.repeat(self._store_link.probe, DIRECT_PROBE_S)
--- a/src/pomeloshift/gateway/_peer_directory.py
+++ b/src/pomeloshift/gateway/_peer_directory.py
@@ -28,6 +28,7 @@
         clock: Any,
     ) -> None:
         self._writer = writer
+        self._peers = peers
         self._events = events
         self._follower = TopicFollower(
             TOPIC,
@@ -51,6 +52,15 @@
         self._writer.append([record]).done.addErrback(self._note_not_published)
         self._follower.start()
 
+    async def refresh(self) -> None:
+        """Reads the topic at once if a gateway is heard whose address is missing.
+
+        Without the address this gateway sends it nothing. Raises an error of the store
+        if the topic cannot be read.
+        """
+        if self._peers.hears_unknown and self._follower.is_reachable:
+            await self._follower.catch_up()
+
     def stop(self) -> None:
         """Stops following and publishing."""
         self._follower.stop()
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -118,6 +118,11 @@
         """Whether other gateways have published their addresses."""
         return bool(self._peers)
 
+    @property
+    def hears_unknown(self) -> bool:
+        """Whether a gateway sends heartbeats whose address is not known here."""
+        return any(ip not in self._peers for ip in self.loads.states)
+
     def has_ended(self, name: str) -> bool:
         """Returns whether another process has replaced the one with this name."""
         return name != self._name and all(
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -90,6 +90,9 @@
 PEER_LOST_HEARTBEAT_S = 1.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
+# Interval at which they are read without waiting while a gateway is heard whose address
+# is missing.
+PEER_REFRESH_S = 1.0
 
 # Port that serves metrics; deploy/system.toml names the same port.
 METRICS_PORT = 9464
--- a/src/pomeloshift/standins/platform/_store_server.py
+++ b/src/pomeloshift/standins/platform/_store_server.py
@@ -23,7 +23,8 @@
 
     With ``is_silent`` calls get no response, and with ``is_busy`` they are rejected
     with 503. The next ``responses_to_drop`` appends are applied, but the connection
-    is reset instead of a response.
+    is reset instead of a response. Reads of ``overlooked_topics`` that wait for records
+    respond only when their time is up.
     """
 
     def __init__(self, reactor: Any, clock: Any) -> None:
@@ -31,6 +32,7 @@
         self.is_silent = False
         self.is_busy = False
         self.responses_to_drop = 0
+        self.overlooked_topics: set[str] = set()
         self.appends = 0
         self._reactor = reactor
         self._clock = clock
@@ -95,7 +97,10 @@
         if start < partition.first:
             _respond(exchange, 410, {"first": partition.first})
             return
-        if start >= len(partition.records) and self._clock.monotonic() < until:
+        has_records = start < len(partition.records)
+        if query["topic"] in self.overlooked_topics:
+            has_records = False
+        if not has_records and self._clock.monotonic() < until:
             self._reactor.callLater(
                 POLL_INTERVAL_S, self._try_read, exchange, query, until
             )
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -2,6 +2,7 @@
 import pytest
 
 from _gateway import config, job, route, text
+from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway._peer_exchange import PeerExchange
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
 from pomeloshift.jobs import ItemResumed
@@ -324,3 +325,22 @@
     # A body, the job, a text, its progress, and the claim, which is tried three times,
     # beside the gateway's address.
     assert play(scenario) == (True, 8)
+
+
+def test_address_that_a_poll_missed_is_read_when_its_gateway_is_heard(
+    play, monkeypatch
+):
+    """The poll of the addresses ends long after the test."""
+    monkeypatch.setattr(gateway_module, "PEER_REFRESH_S", 0.05)
+
+    async def scenario(deployment):
+        first = await deployment.add_gateway()
+        deployment.store.overlooked_topics = {"keyed.peers"}
+        await deployment.add_gateway()
+        for _ in range(POLLS):
+            if first.peers.zone_of("127.0.0.2"):
+                break
+            await deployment.pause(0.01)
+        return first.peers.zone_of("127.0.0.2")
+
+    assert play(scenario) == "a"
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -70,3 +70,14 @@
         known.append(hearing.loads.is_claimed(CLAIM))
         reactor.advance(PEER_TICK_S)
     assert all(known)
+
+
+def test_heartbeat_of_a_gateway_without_a_known_address_shows_that_one_is_missing(
+    exchange, network
+):
+    sender = exchange("10.0.0.1", ["10.0.0.2"])
+    receiver = exchange("10.0.0.2", [])
+    assert not receiver.hears_unknown
+    network.reachable = {"10.0.0.2"}
+    sender.tick()
+    assert receiver.hears_unknown
