--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -64,6 +64,7 @@
     LEAVE_ROTATION_S,
     MEMBERS_TICK_S,
     METRICS_PORT,
+    PEER_REFRESH_S,
     PEER_TICK_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
@@ -142,7 +143,7 @@
             events,
         )
         self._batch_api = BatchApi(self.job_log, self._blobs, events, reactor, clock)
-        self.job_log.on_change = self._batch_api.job_changed
+        self.job_log.on_change = self._job_changed
         self.peers = PeerExchange(
             self._incarnation,
             settings.ip,
@@ -161,7 +162,12 @@
             clock,
         )
         self._store_link.attach()
-        queue = WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed)
+        queue = WorkQueue(
+            random.getrandbits(48),
+            self.peers.loads.is_claimed,
+            self._incarnation,
+            lambda name: self._directory.is_synced and self.peers.has_ended(name),
+        )
         ownership = Ownership(settings.ip)
         item_writer = ItemWriter(self.job_log, self._blobs, queue, access, events)
         cleaner = JobCleaner(
@@ -232,6 +238,10 @@
             reactor, clock, self._respond_scrape, SIDE_CONNECTIONS
         )
 
+    def _job_changed(self, job_id: str) -> None:
+        self._batch_api.job_changed(job_id)
+        self.batch_loop.job_changed(job_id)
+
     def _writer(self, topic: str, partition: int) -> LogWriter:
         return LogWriter(
             topic,
@@ -265,6 +275,7 @@
         self.job_log.follower.start()
         self._directory.start(self._listen_to_peers())
         self._periodic_tasks.repeat(self.peers.tick, PEER_TICK_S)
+        self._periodic_tasks.repeat(self._directory.refresh, PEER_REFRESH_S)
         self._periodic_tasks.repeat(self._engine_list.drop_missing, DROP_MISSING_TICK_S)
         self._periodic_tasks.repeat(self.members.update_members, MEMBERS_TICK_S)
         self._periodic_tasks.repeat(self._store_link.probe, DIRECT_PROBE_S)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -52,6 +52,9 @@
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
+# How long a gateway waits for the record with which it claims an item that it resumes;
+# without it the item waits for `BODY_RETRY_S` and is then tried again.
+CLAIM_TIMEOUT_S = 1.0
 # Time after which all gateways have replayed a durable record: several times the sum of
 # a long poll's response, the pause between reads and the latency across regions.
 REPLAY_LAG_S = 0.6
@@ -79,13 +82,17 @@
 # Interval at which a gateway checks whether heartbeats to others are due.
 PEER_TICK_S = 0.04
 # Least time between two heartbeats to a gateway: for a changed state; for an unchanged
-# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing was
-# received for the last of these times.
+# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing has been
+# received for that long. The last is below `PEER_VALID_S` too, because that gateway may
+# receive what this one sends.
 PEER_SEND_GAP_S = 0.03
 PEER_HEARTBEAT_S = 0.5
-PEER_LOST_HEARTBEAT_S = 2.0
+PEER_LOST_HEARTBEAT_S = 1.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
+# Interval at which they are read without waiting while a gateway is heard whose address
+# is missing.
+PEER_REFRESH_S = 1.0
 
 # Port that serves metrics; deploy/system.toml names the same port.
 METRICS_PORT = 9464
