--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -335,7 +335,7 @@
             if end is RunEnd.NOT_RUN:
                 self.queue.defer(key, now + ITEM_RETRY_S)
             else:
-                self.queue.record_failed_run(key, _events(run) > begun_at_event, now)
+                self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -23,10 +23,10 @@
 # a jitter of up to the same length, so that they do not all take the item at once.
 TAKEOVER_DELAY_S = 0.15
 SALT_BITS = 48  # also the width of a claim
-# An item whose run broke off without progress waits this long, doubled after each
-# further such run, because the item itself may be what breaks the engines.
-BACKOFF_S = 0.3
-MAX_BACKOFF_S = 10.0
+# How long an item waits after a run that broke off without progress: less than the
+# engine is avoided, so that the next run is at another one. The wait does not grow,
+# because engines that crash are no fault of the items that they ran.
+BROKEN_RUN_DELAY_S = 0.3
 
 
 @attrs.frozen
@@ -66,25 +66,16 @@
     running: set[ItemKey] = attrs.field(factory=set)
     reserved: dict[ItemKey, float] = attrs.field(factory=dict)
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
-    _runs_without_progress: dict[ItemKey, int] = attrs.field(factory=dict)
     _ready_since: dict[ItemKey, float] = attrs.field(factory=dict)
 
     def defer(self, key: ItemKey, until: float) -> None:
         """Excludes an item from `pending` until ``until`` (monotonic seconds)."""
         self._not_before[key] = until
 
-    def record_failed_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
-        """Records a run that broke off.
-
-        After a run without progress the item is deferred, for longer after each such
-        run in a row.
-        """
-        if has_progressed:
-            self._runs_without_progress.pop(key, None)
-            return
-        runs_without_progress = self._runs_without_progress.get(key, 0)
-        self._runs_without_progress[key] = runs_without_progress + 1
-        self.defer(key, now + min(BACKOFF_S * 2**runs_without_progress, MAX_BACKOFF_S))
+    def record_broken_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
+        """Records a run that broke off; without progress the item waits shortly."""
+        if not has_progressed:
+            self.defer(key, now + BROKEN_RUN_DELAY_S)
 
     def claims(self) -> frozenset[int]:
         """Returns the claims of items that run or are reserved here, for the peers."""
@@ -134,12 +125,11 @@
         return items
 
     def _remove_finished(self, table: JobTable) -> None:
-        """Removes the retry state of items that finished, at whichever entry."""
-        for by_item in (self._runs_without_progress, self._not_before):
-            for key in list(by_item):
-                job = table.jobs.get(key[0])
-                if job is None or key[1] not in job.pending:
-                    del by_item[key]
+        """Removes the delays of items that finished, at whichever entry."""
+        for key in list(self._not_before):
+            job = table.jobs.get(key[0])
+            if job is None or key[1] not in job.pending:
+                del self._not_before[key]
 
     def _is_ready(self, key: ItemKey, now: float) -> bool:
         if key in self.running:
