--- a/src/pomeloshift/gateway/_item_writer.py
+++ b/src/pomeloshift/gateway/_item_writer.py
@@ -1,9 +1,10 @@
-"""Writes the results and the progress of items to the store."""
+"""Writes results, progress, failures and claims of items to the store."""
 
 import attrs
 from twisted.internet.defer import Deferred
 
 from ..jobs import (
+    ItemFailed,
     ItemKey,
     ItemProgress,
     ItemResumed,
@@ -27,7 +28,7 @@
 
 @attrs.define
 class ItemWriter:
-    """Writes outputs, progress and claims to the store.
+    """Writes outputs, progress, failures and claims to the store.
 
     An item counts as running until all gateways have replayed what was written.
     """
@@ -62,6 +63,14 @@
         record = ItemResumed(work.job.id, work.index, event_id, self.queue.name)
         return await self.log.append_within(record, CLAIM_TIMEOUT_S)
 
+    def record_failure(self, key: ItemKey, engine: str) -> None:
+        """Records the engine at which an item failed, before the item runs again."""
+        self.queue.running.add(key)
+        record = ItemFailed(*key, engine)
+        self._hold_until_replayed(
+            key, spawn(self.log.append_within(record, ITEM_RECORD_TIMEOUT_S))
+        )
+
     def _hold_until_replayed(self, key: ItemKey, done: Deferred[None]) -> None:
         """Counts an item as running until others have replayed its record."""
         done.addBoth(
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -22,11 +22,14 @@
 # poll of the batch work and the time until the peers learn of it. Each other entry adds
 # a jitter of up to the same length, so that they do not all take the item at once.
 TAKEOVER_DELAY_S = 0.15
+# How long an item that failed at all of this entry's engines with free slots is left to
+# other entries.
+UNTRIED_DELAY_S = 1.0
 SALT_BITS = 48  # also the width of a claim
-# An item whose run broke off without progress waits this long, doubled after each
-# further such run, because the item itself may be what breaks the engines.
-BACKOFF_S = 0.3
-MAX_BACKOFF_S = 10.0
+# How long an item waits after a run that broke off without progress: less than the
+# engine is avoided, so that the next run is at another one. The wait does not grow,
+# because engines that crash are no fault of the items that they ran.
+BROKEN_RUN_DELAY_S = 0.3
 
 
 def _never(name: str) -> bool:
@@ -55,6 +58,15 @@
         """The job's id and the item's position in it."""
         return self.job.id, self.index
 
+    def choose(self, free: dict[str, int]) -> str:
+        """Returns the engine to run the item at: one where it has not failed, if any.
+
+        Among those it is the one with the most free slots; ``free`` maps the ids of
+        the engines to theirs.
+        """
+        failed_at = self.job.failures.get(self.index, ())
+        return max(free, key=lambda name: (name not in failed_at, free[name]))
+
 
 @attrs.define
 class WorkQueue:
@@ -74,25 +86,16 @@
     running: set[ItemKey] = attrs.field(factory=set)
     reserved: dict[ItemKey, float] = attrs.field(factory=dict)
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
-    _runs_without_progress: dict[ItemKey, int] = attrs.field(factory=dict)
     _ready_since: dict[ItemKey, float] = attrs.field(factory=dict)
 
     def defer(self, key: ItemKey, until: float) -> None:
         """Excludes an item from `pending` until ``until`` (monotonic seconds)."""
         self._not_before[key] = until
 
-    def record_failed_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
-        """Records a run that broke off.
-
-        After a run without progress the item is deferred, for longer after each such
-        run in a row.
-        """
-        if has_progressed:
-            self._runs_without_progress.pop(key, None)
-            return
-        runs_without_progress = self._runs_without_progress.get(key, 0)
-        self._runs_without_progress[key] = runs_without_progress + 1
-        self.defer(key, now + min(BACKOFF_S * 2**runs_without_progress, MAX_BACKOFF_S))
+    def record_broken_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
+        """Records a run that broke off; without progress the item waits shortly."""
+        if not has_progressed:
+            self.defer(key, now + BROKEN_RUN_DELAY_S)
 
     def claims(self) -> frozenset[int]:
         """Returns the claims of items that run or are reserved here, for the peers."""
@@ -106,6 +109,7 @@
         event_s: float,
         run_s: float,
         shares: dict[str, Share] | None = None,
+        engines: frozenset[str] = frozenset(),
     ) -> list[WorkItem]:
         """Returns the items to run, the most urgent first.
 
@@ -113,7 +117,9 @@
         its items are due. ``run_s`` is the typical duration of a whole run; each event
         that an item already has shortens the rest of its run by ``event_s``. ``shares``
         holds this entry's share of each queue; other items are returned once no entry
-        has run them for `TAKEOVER_DELAY_S` and a jitter.
+        has run them for `TAKEOVER_DELAY_S` and a jitter. ``engines`` are this
+        entry's engines with free slots; items that failed at all of them are returned
+        once no entry has run them for `UNTRIED_DELAY_S`.
         """
         items = []
         ready_since: dict[ItemKey, float] = {}
@@ -130,7 +136,10 @@
                 claim = claim_of(*key)
                 is_own = share.holds(claim)
                 tie_break = claim ^ self.salt
-                if not is_own and now - ready_since[key] < _takeover_s(tie_break):
+                delay_s = 0.0 if is_own else _takeover_s(tie_break)
+                if engines and engines.issubset(job.failures.get(index, ())):
+                    delay_s = UNTRIED_DELAY_S
+                if now - ready_since[key] < delay_s:
                     continue
                 events = job.events_done.get(index, 0)
                 rest_s = max(0.0, run_s - event_s * events)
@@ -142,12 +151,11 @@
         return items
 
     def _remove_finished(self, table: JobTable) -> None:
-        """Removes the retry state of items that finished, at whichever entry."""
-        for by_item in (self._runs_without_progress, self._not_before):
-            for key in list(by_item):
-                job = table.jobs.get(key[0])
-                if job is None or key[1] not in job.pending:
-                    del by_item[key]
+        """Removes the delays of items that finished, at whichever entry."""
+        for key in list(self._not_before):
+            job = table.jobs.get(key[0])
+            if job is None or key[1] not in job.pending:
+                del self._not_before[key]
 
     def _is_ready(self, key: ItemKey, now: float) -> bool:
         if key in self.running:
