End a wait for a response at its deadline while bytes keep arriving

Callers waited past their deadline, and calls to the store, to relays and to engines past their time-out, as long as the server sent bytes in every turn of the reactor: a wait without time left set a timer of 0 s, and the reactor reads its sockets before it runs the timers that are due, so the next bytes ended each wait before its timer did.

A wait without time left now raises at once if no event has arrived yet. What has arrived is one read of the socket, so the reader stops within it.

--- a/src/pomeloshift/http1/_mailbox.py
+++ b/src/pomeloshift/http1/_mailbox.py
@@ -30,11 +30,17 @@
         return self._messages.popleft() if self._messages else None
 
     async def get(self, timeout_s: float) -> T:
-        """Waits for the next message; raises `CallTimeoutError` after ``timeout_s``."""
+        """Waits for the next message; raises `CallTimeoutError` after ``timeout_s``.
+
+        Without time left it raises at once: a message that arrives in every turn of
+        the reactor would be read before the timer of such a wait.
+        """
         while not self._messages:
+            if timeout_s <= 0:
+                raise CallTimeoutError("no event arrived in time")
             waiter: Deferred[None] = Deferred(self._clear_waiter)
             self._waiter = waiter
-            timer = self._reactor.callLater(max(timeout_s, 0.0), self._expire, waiter)
+            timer = self._reactor.callLater(timeout_s, self._expire, waiter)
             try:
                 await waiter
             finally:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -1,4 +1,5 @@
 import pytest
+from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
@@ -6,7 +7,9 @@
 
 from pomeloshift.dispatch import HttpLimits
 from pomeloshift.http1 import (
+    CallTimeoutError,
     Chunk,
+    Client,
     ConnectionPool,
     Disconnected,
     Headers,
@@ -229,6 +232,40 @@
     assert connection.transport.ended == "aborted"
 
 
+def test_wait_whose_time_is_up_ends_before_more_bytes_can_arrive(connection):
+    call = connection.send(head("r1"), b"")
+    connection.dataReceived(CHUNKED)
+    ready = Deferred.fromCoroutine(call.next(0.0))
+    assert isinstance(ready.result, ResponseHead)
+    late = Deferred.fromCoroutine(call.next(0.0))
+    connection.dataReceived(b"1\r\nx\r\n")
+    late.addBoth(lambda result: result.check(CallTimeoutError))
+    assert late.result is CallTimeoutError
+
+
+@pytest.fixture
+def client(pool, clock, connection, monkeypatch):
+    """A client whose only call goes over ``connection``."""
+    monkeypatch.setattr(pool, "_take_idle", lambda address: connection)
+    return Client(pool, clock)
+
+
+def call_result(client):
+    call = client.call("10.0.0.1:80", head("r1"), b"", timeout_s=1.0)
+    return Deferred.fromCoroutine(call)
+
+
+def test_call_ends_in_time_while_bytes_arrive_without_end(client, connection, clock):
+    result = call_result(client)
+    connection.dataReceived(CHUNKED)
+    for _ in range(30):
+        clock.rightNow += 0.05  # bytes arrive before the timers run
+        connection.dataReceived(b"1\r\nx\r\n")
+    assert connection.transport.ended == "aborted"
+    result.addBoth(lambda result: result.check(CallTimeoutError))
+    assert result.result is CallTimeoutError
+
+
 # Server connections
 
 
