Bound the body that a client's call holds in memory

A gateway held every byte that the store, a relay or an engine's report sent within the time-out of the call, 0.5 s to a few seconds: at the rate of its link more than the memory of the smallest instance.

Evidence, before the change: nothing limited the parts that Client.call collected; test_body_without_end_ends_the_call_at_its_limit had no limit to set TypeError: Client.call() got an unexpected keyword argument 'max_bytes'

A body above the limit counts as a broken connection, whose outcome is unknown, which the callers of the client handle already: 8 MiB, twice the longest body that a caller may send and the store return, and 256 KiB for an engine's report. The bytes are collected in one buffer, because a list of small chunks takes many times their size.

--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -20,7 +20,7 @@
 )
 from ..platform import decode_load_header, decode_report, report_request
 from ._events import EventLog
-from ._timing import AVOID_FAILED_S, AVOID_FULL_S, PROBE_TIMEOUT_S
+from ._timing import AVOID_FAILED_S, AVOID_FULL_S, MAX_REPORT_BYTES, PROBE_TIMEOUT_S
 
 
 class EngineRun:
@@ -130,7 +130,9 @@
         address = engine.record.address
         head = report_request(address)
         try:
-            resp = await self.client.call(address, head, b"", PROBE_TIMEOUT_S)
+            resp = await self.client.call(
+                address, head, b"", PROBE_TIMEOUT_S, MAX_REPORT_BYTES
+            )
             load = decode_report(resp.body, engine.slots)
         except PomeloshiftError as exc:
             self.note_failed(engine, f"report: {exc.message}", "")
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -45,6 +45,8 @@
 # needs the load; counts that gateways exchange are newer.
 PROBE_S = 2.0
 PROBE_TIMEOUT_S = 0.5
+# Limit of an engine's report, which lists its models and its requests.
+MAX_REPORT_BYTES = 256 * 1024
 # Pause in a batch stream after which the run is abandoned, to be resumed elsewhere.
 BATCH_STALL_S = 2.5
 # Delay before an item whose run failed is retried.
--- a/src/pomeloshift/http1/_client.py
+++ b/src/pomeloshift/http1/_client.py
@@ -14,6 +14,10 @@
     ResponseHead,
 )
 
+# Limit of a response's body. The store's longest holds an item's body, which is
+# limited to the 4 MiB of a caller's request.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+
 
 class Client:
     """Makes HTTP calls over a connection pool.
@@ -26,25 +30,35 @@
         self._clock = clock
 
     async def call(
-        self, address: str, head: RequestHead, body: bytes, timeout_s: float
+        self,
+        address: str,
+        head: RequestHead,
+        body: bytes,
+        timeout_s: float,
+        max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Response:
         """Sends a request and returns the complete response.
 
         Raises `ConnectError` if nothing was sent, and `ConnectionBrokenError` or
-        `CallTimeoutError` if the server may have handled the request.
+        `CallTimeoutError` if the server may have handled the request. A body of more
+        than ``max_bytes`` counts as broken.
         """
         deadline = self._clock.monotonic() + timeout_s
         call = await self._pool.send(address, head, body)
-        status, headers, parts = 0, Headers([]), []
+        status, headers, content = 0, Headers([]), bytearray()
         try:
             while True:
                 event = await call.next(deadline - self._clock.monotonic())
                 if isinstance(event, ResponseHead):
                     status, headers = event.status, event.headers
                 elif isinstance(event, Chunk):
-                    parts.append(event.data)
+                    content += event.data
+                    if len(content) > max_bytes:
+                        raise ConnectionBrokenError(
+                            f"{address}: the body exceeds {max_bytes} bytes"
+                        )
                 elif isinstance(event, ResponseEnd):
-                    return Response(status, headers, b"".join(parts))
+                    return Response(status, headers, bytes(content))
                 elif isinstance(event, Disconnected):
                     raise ConnectionBrokenError(f"{address}: {event.reason}")
         except CallTimeoutError as exc:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -10,6 +10,7 @@
     CallTimeoutError,
     Chunk,
     Client,
+    ConnectionBrokenError,
     ConnectionPool,
     Disconnected,
     Headers,
@@ -250,8 +251,8 @@
     return Client(pool, clock)
 
 
-def call_result(client):
-    call = client.call("10.0.0.1:80", head("r1"), b"", timeout_s=1.0)
+def call_result(client, **limits):
+    call = client.call("10.0.0.1:80", head("r1"), b"", timeout_s=1.0, **limits)
     return Deferred.fromCoroutine(call)
 
 
@@ -266,6 +267,22 @@
     assert result.result is CallTimeoutError
 
 
+def test_body_without_end_ends_the_call_at_its_limit(client, connection):
+    result = call_result(client, max_bytes=4096)
+    connection.dataReceived(CHUNKED)
+    for _ in range(5):
+        connection.dataReceived(b"400\r\n" + b"a" * 1024 + b"\r\n")
+    assert connection.transport.ended == "aborted"
+    result.addBoth(lambda result: result.check(ConnectionBrokenError))
+    assert result.result is ConnectionBrokenError
+
+
+def test_body_up_to_the_limit_is_returned(client, connection):
+    result = call_result(client, max_bytes=5)
+    connection.dataReceived(response())
+    assert result.result.body == b"hello"
+
+
 # Server connections
 
 
