Write the events before one that is out of order

A caller of a resumable stream missed an event, in a response that looked complete, or got 502 although other engines could serve it.

Cause: an engine's bytes contained an event in order and one out of order. The relay noted the id of the first as the last one written, then wrote neither. Another engine was asked to resume after an event that the caller had never received; before the first event, each further engine's event 1 was out of order too.

Evidence, before the change, test_event_before_one_out_of_order_is_not_missing_in_the_stream: [2] At index 42 diff: b'4' != b'3' (event 3 is missing) [0] engine_failed engine=i-1 why="events out of order", request_failed status=502 runs=2

The relay now writes the events up to the first one that is out of order, so the last id that it notes is always the last one written. The stand-in of an engine can repeat bytes without end.

--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -65,15 +65,13 @@
             self._hold_plain(data)
             return True
         events = self._splitter.feed(data)
-        if not events:
-            return True
-        if not self._is_in_order(events):
-            return False
-        if self._stream_began_at is None:
-            self._stream_began_at = self._now()
-        self._begin()
-        self._exchange.write(b"".join(event.raw for event in events))
-        return True
+        in_order = self._take_in_order(events)
+        if in_order:
+            if self._stream_began_at is None:
+                self._stream_began_at = self._now()
+            self._begin()
+            self._exchange.write(b"".join(event.raw for event in in_order))
+        return len(in_order) == len(events)
 
     def finish(self) -> bool:
         """Ends the response; returns False if its body stops within an event."""
@@ -115,11 +113,12 @@
         self.first_event_s = self._now() - self._exchange.arrived_at
         self._exchange.start(self._head.status, self._head.headers.end_to_end())
 
-    def _is_in_order(self, events: list[StreamEvent]) -> bool:
-        for event in events:
+    def _take_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Returns the events before the first one that is out of order."""
+        for at, event in enumerate(events):
             if event.id is None:
                 continue
             if self._last_id is not None and event.id != self._last_id + 1:
-                return False
+                return events[:at]
             self._last_id = event.id
-        return True
+        return events
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -40,6 +40,11 @@
         self.on_pause: Callable[[bool], None] = _ignore
         self._conn = conn
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the caller currently reads too slowly."""
+        return self._conn.is_paused
+
     def respond(self, status: int, headers: HeaderList, body: bytes) -> None:
         """Sends a complete response."""
         length = (b"Content-Length", str(len(body)).encode())
@@ -89,6 +94,7 @@
         self._exchange: Exchange | None = None
         self._timer: Any = None
         self._is_open = True
+        self.is_paused = False
 
     def connectionMade(self) -> None:  # noqa: N802
         transport: Any = self.transport
@@ -122,11 +128,13 @@
     # The transport calls these three methods of its push producer.
     def pauseProducing(self) -> None:  # noqa: N802
         """Called when the write buffer is full: the caller reads too slowly."""
+        self.is_paused = True
         if self._exchange is not None:
             self._exchange.on_pause(True)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Called when the write buffer has drained."""
+        self.is_paused = False
         if self._exchange is not None:
             self._exchange.on_pause(False)
 
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -19,7 +19,8 @@
     ``delay_s`` seconds, and ``event_gap_s`` seconds pass between events. With
     ``reset_after_events`` the engine sends that many events and a part of the next
     one, then resets the connection. A ``status`` other than 200 is sent without a
-    stream.
+    stream. With ``endless`` it sends ``endless_after`` events, then these bytes again
+    and again until its caller disconnects.
 
     With ``is_full`` the engine rejects requests with 503 and does not run them. With
     ``is_silent`` it never responds. Without ``has_stamp`` its responses lack the
@@ -30,6 +31,8 @@
     delay_s: float = 0.0
     event_gap_s: float = 0.001
     reset_after_events: int | None = None
+    endless: bytes = b""
+    endless_after: int = 0
     status: int = 200
     is_full: bool = False
     is_silent: bool = False
@@ -147,6 +150,8 @@
             self.running -= 1
             exchange.write(b"id: %d\nda" % number)
             exchange.abort()
+        elif behaviour.endless and sent >= behaviour.endless_after:
+            self._repeat(exchange, behaviour)
         elif number > behaviour.events:
             self.running -= 1
             exchange.finish()
@@ -161,6 +166,14 @@
                 sent + 1,
             )
 
+    def _repeat(self, exchange: Exchange, behaviour: Behaviour) -> None:
+        if exchange.is_over:
+            return
+        if not exchange.is_paused:
+            exchange.write(behaviour.endless)
+        gap_s = behaviour.event_gap_s
+        self._reactor.callLater(gap_s, self._repeat, exchange, behaviour)
+
     def _on_disconnect(self) -> None:
         self.running -= 1
         self.aborted += 1
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -283,3 +283,22 @@
     assert refusal.startswith(b"HTTP/1.1 503")
     assert last == "ResponseEnd"
     assert seen == 1
+
+
+@pytest.mark.parametrize("good", [0, 2])
+def test_event_before_one_out_of_order_is_not_missing_in_the_stream(play, good):
+    next_event = events(good + 1, good + 1)
+
+    async def scenario(deployment):
+        bad = deployment.add_engine()
+        bad.behaviour = Behaviour(
+            endless=next_event + b"id: 99\ndata: a\n\n", endless_after=good
+        )
+        deployment.add_engine(zone="b")
+        gateway = await deployment.add_gateway()
+        resp = await deployment.call(gateway, "POST", "/resumable/a")
+        return resp, deployment.engines[1].requests[0].headers["last-event-id"]
+
+    resp, resumed_after = play(scenario)
+    assert resp.body == events(1, 4)
+    assert resumed_after == str(good + 1)
