Measure a stream's progress by its events, and bound what is held without one

Callers of resumable streams got no event until their deadline, then 504 or a cut, while another engine was free; comments and garbage that looked like events were relayed to them. The gateway kept every byte.

Cause: the time for the next event started anew with every chunk, whatever it contained; the buffer of an incomplete event had no limit, and each chunk copied and searched all of it; an event without an id counted as one.

The time for the next event now counts from the last event or body byte that the caller can use. An incomplete event is limited to 256 KiB, and so are events without ids, which are written with the next event that has one; beyond this the attempt fails at once. A chunk costs time in proportion to its own size. An event id of thousands of digits, which int() rejects with an error that nobody handled, is no id. What a caller has received still ends with a complete event, so the existing rules of a retry apply.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -11,7 +11,12 @@
 from ._engine import Engine
 from ._engine_load import EngineLoad
 from ._engine_record import EngineRecord
-from ._event_stream import EventSplitter, StreamEvent
+from ._event_stream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    OversizedEventError,
+    StreamEvent,
+)
 from ._fleet import EXPIRY_GRACE_S, Fleet
 from ._isolation import is_isolated
 from ._peer_loads import NO_REQUESTS, PeerLoads, PeerState, RequestCounts
@@ -24,6 +29,7 @@
 __all__ = [
     "DIRECT",
     "EXPIRY_GRACE_S",
+    "MAX_EVENT_BYTES",
     "NO_REQUESTS",
     "AttemptPlan",
     "ConfigHolder",
@@ -34,6 +40,7 @@
     "Fleet",
     "HttpLimits",
     "OnlineAdmission",
+    "OversizedEventError",
     "PeerLoads",
     "PeerState",
     "Placement",
--- a/src/pomeloshift/dispatch/_event_stream.py
+++ b/src/pomeloshift/dispatch/_event_stream.py
@@ -1,7 +1,18 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
+
 import attrs
 
+from ..errors import ErrorCode, PomeloshiftError, Ran
+
+# Limit of an event that is incomplete: far above the few tokens of an event.
+MAX_EVENT_BYTES = 256 * 1024
+EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+MAX_EVENT_END_BYTES = 4
+# Ids with more digits are no counts of events.
+MAX_ID_DIGITS = 18
+
 
 @attrs.frozen
 class StreamEvent:
@@ -25,10 +36,18 @@
             if name == b"data":
                 data.append(value)
             elif name == b"id":
-                event_id = int(value) if value.isdigit() else None
+                is_count = value.isdigit() and len(value) <= MAX_ID_DIGITS
+                event_id = int(value) if is_count else None
         return cls(raw, event_id, b"\n".join(data))
 
 
+class OversizedEventError(PomeloshiftError):
+    """A stream contains more than `MAX_EVENT_BYTES` without a complete event."""
+
+    code = ErrorCode.BACKEND_SERVER_LOST
+    ran = Ran.YES
+
+
 @attrs.define
 class EventSplitter:
     """Buffers the bytes of an incomplete event until the rest arrives.
@@ -36,29 +55,29 @@
     EventSplitter().feed(b"id: 1\\ndata: a\\n\\nid: 2")  # one event
     """
 
-    _rest: bytes = b""
+    _buffer: bytearray = attrs.field(factory=bytearray)
+    _searched: int = 0
 
     @property
     def rest(self) -> bytes:
         """The buffered bytes of an incomplete event."""
-        return self._rest
+        return bytes(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Returns the events that ``data`` completes, in order."""
-        buffer = self._rest + data
+        """Returns the events that ``data`` completes, in order.
+
+        Raises `OversizedEventError` if ``data`` completes none and the incomplete event
+        exceeds `MAX_EVENT_BYTES`.
+        """
+        self._buffer += data
         events = []
-        while (end := _end_of_event(buffer)) > 0:
-            events.append(StreamEvent.parse(buffer[:end]))
-            buffer = buffer[end:]
-        self._rest = buffer
+        begin = 0
+        while match := EVENT_END.search(self._buffer, max(begin, self._searched)):
+            events.append(StreamEvent.parse(bytes(self._buffer[begin : match.end()])))
+            begin = match.end()
+        del self._buffer[:begin]
+        # The end of an event may be split between two calls.
+        self._searched = max(0, len(self._buffer) - MAX_EVENT_END_BYTES + 1)
+        if not events and len(self._buffer) > MAX_EVENT_BYTES:
+            raise OversizedEventError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         return events
-
-
-def _end_of_event(buffer: bytes) -> int:
-    """Returns the length of the first complete event, 0 if there is none."""
-    ends = []
-    for separator in (b"\n\n", b"\r\n\r\n"):
-        at = buffer.find(separator)
-        if at >= 0:
-            ends.append(at + len(separator))
-    return min(ends, default=0)
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from ..dispatch import Engine, EventSplitter
+from ..dispatch import Engine, EventSplitter, OversizedEventError
 from ..http1 import CallTimeoutError, ConnectError, Disconnected, ResponseEnd
 from ..jobs import Progress, WorkItem
 from ..platform import is_stamped, item_request, proves_not_run
@@ -64,9 +64,9 @@
         try:
             return await self._receive(run)
         except CallTimeoutError:
-            self.access.note_failed(self.engine, "silent", item.id)
-            self.why = "silent"
-            return RunEnd.BROKEN
+            return self._broken("silent")
+        except OversizedEventError as exc:
+            return self._broken(exc.message)
         finally:
             run.close()
 
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -5,7 +5,15 @@
 import attrs
 from twisted.internet.defer import CancelledError
 
-from ..dispatch import AttemptPlan, Engine, Route, RouteKind, ServingConfig, Step
+from ..dispatch import (
+    AttemptPlan,
+    Engine,
+    OversizedEventError,
+    Route,
+    RouteKind,
+    ServingConfig,
+    Step,
+)
 from ..http1 import (
     CallTimeoutError,
     Chunk,
@@ -137,6 +145,8 @@
             await self._receive(run)
         except CallTimeoutError:
             self._note_failure(engine, "silent")
+        except OversizedEventError as exc:
+            self._note_failure(engine, exc.message)
         finally:
             run.close()
             self._run = None
@@ -215,13 +225,18 @@
         return self.plan.is_repeatable and self.plan.runs < self.plan.max_runs
 
     def _read_timeout_s(self) -> float:
-        """Returns how long to wait for the engine's next event, in seconds."""
-        remaining_s = self.plan.deadline - self.access.now()
+        """Returns how long to wait for the engine's next bytes, in seconds.
+
+        Bytes that the caller cannot use do not extend the time.
+        """
+        now = self.access.now()
+        remaining_s = self.plan.deadline - now
         if not self._may_retry():
             return remaining_s
+        limit_s = FIRST_EVENT_OBJECTIVES * self.route.objective_s
         if self.relay.has_begun:
-            return min(remaining_s, STALL_S)
-        return min(remaining_s, FIRST_EVENT_OBJECTIVES * self.route.objective_s)
+            limit_s = STALL_S
+        return min(remaining_s, self.relay.progressed_at + limit_s - now)
 
     def _note_failure(self, engine: Engine, why: str) -> None:
         self.plan.record_failure(engine.record.id)
--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -4,7 +4,12 @@
 
 import attrs
 
-from ..dispatch import EventSplitter, StreamEvent
+from ..dispatch import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    OversizedEventError,
+    StreamEvent,
+)
 from ..http1 import Exchange, ResponseHead
 from ._timing import MAX_HELD_BYTES
 
@@ -17,8 +22,12 @@
     other response it holds the head back until the body is complete or exceeds
     `MAX_HELD_BYTES`. Until then the request can be retried on another engine. The
     relay writes only complete events, so that another engine can resume a stream
-    after the last one. ``stream_s`` is the time from a stream's first event to its
-    end; it stays 0 for a stream that another engine resumed.
+    after the last one. Events without an id, such as comments, are written with the
+    next one that has an id, because garbage looks like them.
+
+    ``progressed_at`` is the monotonic time of the last event or body byte that the
+    caller can use. ``stream_s`` is the time from a stream's first event to its end; it
+    stays 0 for a stream that another engine resumed.
     """
 
     _exchange: Exchange
@@ -27,12 +36,13 @@
     has_begun: bool = False
     first_event_s: float = 0.0
     stream_s: float = 0.0
+    progressed_at: float = 0.0
     _stream_began_at: float | None = None
     _is_resumed: bool = False
     _head: ResponseHead | None = None
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
-    _held: list[bytes] = attrs.field(factory=list)
-    _held_bytes: int = 0
+    _unnumbered: bytearray = attrs.field(factory=bytearray)
+    _held: bytearray = attrs.field(factory=bytearray)
     _last_id: int | None = None
 
     @property
@@ -48,11 +58,13 @@
     def begin_run(self) -> None:
         """Prepares for the response of the next engine."""
         self._splitter = EventSplitter()
+        self._unnumbered.clear()
         self._held.clear()
-        self._held_bytes = 0
+        self.progressed_at = self._now()
 
     def take_head(self, head: ResponseHead) -> bool:
         """Handles a response's head; returns whether the response can be used."""
+        self.progressed_at = self._now()
         if self.has_begun:
             self._is_resumed = True
             return head.status == 200
@@ -60,17 +72,16 @@
         return True
 
     def take_data(self, data: bytes) -> bool:
-        """Handles a chunk of the body; returns False if its events are out of order."""
+        """Handles a chunk of the body; returns False if its events are out of order.
+
+        Raises `OversizedEventError` if the stream goes on without an event to write.
+        """
         if not self._splits_events():
             self._hold_plain(data)
             return True
         events = self._splitter.feed(data)
-        in_order = self._take_in_order(events)
-        if in_order:
-            if self._stream_began_at is None:
-                self._stream_began_at = self._now()
-            self._begin()
-            self._exchange.write(b"".join(event.raw for event in in_order))
+        in_order = self._events_in_order(events)
+        self._write_numbered(in_order)
         return len(in_order) == len(events)
 
     def finish(self) -> bool:
@@ -79,11 +90,13 @@
             if self._splitter.rest:
                 return False
             self._begin()
+            if self._unnumbered:
+                self._exchange.write(bytes(self._unnumbered))
             self._exchange.finish()
             if self._stream_began_at is not None and not self._is_resumed:
                 self.stream_s = self._now() - self._stream_began_at
             return True
-        body = b"".join(self._held)
+        body = bytes(self._held)
         if self.has_begun:
             self._exchange.write(body)
             self._exchange.finish()
@@ -98,11 +111,11 @@
         return self._is_stream and self._head is not None and self._head.status == 200
 
     def _hold_plain(self, data: bytes) -> None:
-        self._held.append(data)
-        self._held_bytes += len(data)
-        if self._held_bytes > MAX_HELD_BYTES:
+        self.progressed_at = self._now()
+        self._held += data
+        if self.has_begun or len(self._held) > MAX_HELD_BYTES:
             self._begin()
-            self._exchange.write(b"".join(self._held))
+            self._exchange.write(bytes(self._held))
             self._held.clear()
 
     def _begin(self) -> None:
@@ -113,12 +126,34 @@
         self.first_event_s = self._now() - self._exchange.arrived_at
         self._exchange.start(self._head.status, self._head.headers.end_to_end())
 
-    def _take_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
+    def _events_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
         """Returns the events before the first one that is out of order."""
+        last_id = self._last_id
         for at, event in enumerate(events):
             if event.id is None:
                 continue
-            if self._last_id is not None and event.id != self._last_id + 1:
+            if last_id is not None and event.id != last_id + 1:
                 return events[:at]
-            self._last_id = event.id
+            last_id = event.id
         return events
+
+    def _write_numbered(self, events: list[StreamEvent]) -> None:
+        """Writes the events up to the last one with an id and holds the others back."""
+        numbered = bytearray()
+        for event in events:
+            self._unnumbered += event.raw
+            if event.id is not None:
+                self._last_id = event.id
+                numbered += self._unnumbered
+                self._unnumbered.clear()
+        if numbered:
+            self._note_progress()
+            self._exchange.write(bytes(numbered))
+        if len(self._unnumbered) > MAX_EVENT_BYTES:
+            raise OversizedEventError(f"{MAX_EVENT_BYTES} bytes of events without ids")
+
+    def _note_progress(self) -> None:
+        self.progressed_at = self._now()
+        if self._stream_began_at is None:
+            self._stream_began_at = self.progressed_at
+        self._begin()
--- a/tests/test_dispatch_cores.py
+++ b/tests/test_dispatch_cores.py
@@ -7,6 +7,7 @@
 from pomeloshift.dispatch import (
     DIRECT,
     EXPIRY_GRACE_S,
+    MAX_EVENT_BYTES,
     AttemptPlan,
     ConfigHolder,
     Engine,
@@ -15,6 +16,7 @@
     EventSplitter,
     Fleet,
     OnlineAdmission,
+    OversizedEventError,
     PeerLoads,
     PeerState,
     Placement,
@@ -139,6 +141,26 @@
     assert splitter.rest == b"id: 1\nda"
 
 
+def test_event_without_end_is_an_error_and_is_not_buffered_for_ever():
+    splitter = EventSplitter()
+    with pytest.raises(OversizedEventError):
+        for _ in range(MAX_EVENT_BYTES // 1024 + 1):
+            splitter.feed(b"a" * 1024)
+
+
+def test_events_before_one_without_end_are_not_lost():
+    splitter = EventSplitter()
+    (event,) = splitter.feed(b"id: 1\n\n" + b"a" * (MAX_EVENT_BYTES + 1))
+    assert event.id == 1
+    with pytest.raises(OversizedEventError):
+        splitter.feed(b"a")
+
+
+def test_event_id_of_too_many_digits_is_no_id():
+    (event,) = EventSplitter().feed(b"id: " + b"1" * 5000 + b"\n\n")
+    assert event.id is None
+
+
 # Configuration
 
 
