Measure an item's progress by its events, and bound its output

An item stayed at an engine for ever, and its slot with it: the pause after which a run is abandoned was counted from the last bytes, whatever they contained, and events that never end were collected without a limit, each copying all of the output before it.

The pause now counts from the last event in order. An output above 1 MiB, what the platform reads of a job's results in one call, ends the run as a failure of the engine. Its events are then worthless, so the item starts again from its first event. The events of a chunk are added at once, so that a flood copies the output once for each read.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -357,7 +357,9 @@
         self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
 
     def _save_progress(self, key: ItemKey, run: ItemRun) -> None:
-        if run.progress is not None and run.work.index in run.work.job.pending:
+        if run.progress is None:
+            self._progress.pop(key, None)
+        elif run.work.index in run.work.job.pending:
             self._progress[key] = run.progress
             run.work.job.events_done[run.work.index] = run.progress.event_id
 
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -1,6 +1,7 @@
 """Runs one batch item at an engine."""
 
 from enum import Enum
+from itertools import count, takewhile
 from typing import Any
 
 import attrs
@@ -11,7 +12,7 @@
 from ..platform import is_stamped, item_request, proves_not_run
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess, EngineRun
-from ._timing import BATCH_STALL_S
+from ._timing import BATCH_STALL_S, MAX_OUTPUT_BYTES
 
 
 class RunEnd(Enum):
@@ -39,6 +40,7 @@
     status: int = 0
     why: str = ""
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
+    _progressed_at: float = 0.0
 
     async def run(self) -> RunEnd:
         """Runs the item and returns how the run ended.
@@ -90,8 +92,9 @@
             return self._broken(f"unusable response, status {event.status}")
         if event.status != 200:
             return RunEnd.ANSWERED
+        self._progressed_at = self.access.now()
         while True:
-            event = await run.next(BATCH_STALL_S)
+            event = await run.next(self._stall_time_s())
             if isinstance(event, Disconnected):
                 return self._broken(event.reason)
             if isinstance(event, ResponseEnd):
@@ -100,22 +103,32 @@
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
                 return self._broken("events out of order")
+            if self.progress and len(self.progress.text) > MAX_OUTPUT_BYTES:
+                # Whatever runs the item next starts it again.
+                self.progress = None
+                return self._broken(f"the output exceeds {MAX_OUTPUT_BYTES} bytes")
+
+    def _stall_time_s(self) -> float:
+        """Returns how long to wait for bytes until the run counts as stalled."""
+        return self._progressed_at + BATCH_STALL_S - self.access.now()
 
     def _apply_data(self, data: bytes) -> bool:
-        for event in self._splitter.feed(data):
-            if event.id is None:
-                return False
-            if self.progress is None:
-                # Without progress the item starts at its first event.
-                if event.id != FIRST_EVENT_ID:
-                    return False
-                self.progress = Progress(event.id, event.data)
-            elif event.id != self.progress.event_id + 1:
-                return False
-            else:
-                text = self.progress.text + b"\n" + event.data
-                self.progress = Progress(event.id, text)
-        return True
+        """Adds the events that ``data`` completes; returns whether all are in order."""
+        events = self._splitter.feed(data)
+        first_id = self.progress.event_id + 1 if self.progress else FIRST_EVENT_ID
+        in_order = [
+            event
+            for event, _ in takewhile(
+                lambda pair: pair[0].id == pair[1],
+                zip(events, count(first_id), strict=False),
+            )
+        ]
+        if in_order:
+            self._progressed_at = self.access.now()
+            texts = [self.progress.text] if self.progress else []
+            texts += [event.data for event in in_order]
+            self.progress = Progress(first_id + len(in_order) - 1, b"\n".join(texts))
+        return len(in_order) == len(events)
 
     def _broken(self, why: str) -> RunEnd:
         self.why = why
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -49,6 +49,8 @@
 MAX_REPORT_BYTES = 256 * 1024
 # Pause in a batch stream after which the run is abandoned, to be resumed elsewhere.
 BATCH_STALL_S = 2.5
+# Limit of an item's output: what the platform reads of a job's results in one call.
+MAX_OUTPUT_BYTES = 1024 * 1024
 # Delay before an item whose run failed is retried.
 ITEM_RETRY_S = 0.3
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from _gateway import config, events, route
+from _gateway import config, events, route, text
+from pomeloshift.gateway import _item_run as item_module
 from pomeloshift.gateway import _online as online_module
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
@@ -11,6 +12,7 @@
 GARBAGE = [
     pytest.param(b"\x00garbage" * 4096, id="no-line"),
     pytest.param(b"data: a\n" * 4096, id="one-event"),
+    pytest.param(b"a", id="drip"),
     pytest.param(b": ping\n\n", id="comments"),
     pytest.param(b"data: a\n\n" * 4096, id="no-ids"),
 ]
@@ -105,3 +107,39 @@
         return await deployment.call(gateway, "POST", "/plain/a")
 
     assert play(scenario).status == 504
+
+
+async def run_items(deployment, bad):
+    """Runs items at an engine that behaves as given and at a sound one."""
+    for behaviour in (bad, Behaviour()):
+        deployment.add_engine().behaviour = behaviour
+    gateway = await deployment.add_gateway()
+    await deployment.submit(gateway, "job1", [b"body"] * 4)
+    results = await deployment.results(gateway, "job1", 4)
+    assert deployment.engines[0].requests
+    assert deployment.engines[0].running == 0
+    return [(result["state"], result["text"]) for result in results]
+
+
+@pytest.mark.parametrize("garbage", GARBAGE)
+def test_item_with_garbage_without_end_goes_on_at_another_engine(
+    play, monkeypatch, garbage
+):
+    monkeypatch.setattr(item_module, "BATCH_STALL_S", 0.1)
+
+    async def scenario(deployment):
+        bad = Behaviour(endless=garbage, endless_after=2)
+        return await run_items(deployment, bad)
+
+    assert play(scenario) == [("completed", text(4))] * 4
+
+
+def test_item_whose_output_exceeds_the_limit_runs_again_from_its_start(
+    play, monkeypatch
+):
+    monkeypatch.setattr(item_module, "MAX_OUTPUT_BYTES", 1024)
+
+    async def scenario(deployment):
+        return await run_items(deployment, Behaviour(events=1000, event_gap_s=0.0))
+
+    assert play(scenario) == [("completed", text(4))] * 4
