Read on from a connection whose last response ended while it was paused

A request could wait until its time-out although its engine had responded: a caller that read too slowly paused the engine's connection within the last bytes of a response, the connection went back to the pool without being resumed, and the next request on it got nothing. A late pause or resume of a call that had ended also acted on the next one.

Evidence, before the change: test_call_that_ended_while_paused_does_not_pause_the_next_one assert 'paused' == 'producing'

A connection is resumed before it goes back to the pool, and a call that has ended no longer pauses or resumes it.

--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -61,12 +61,14 @@
         self._mailbox.put(event)
 
     def pause(self) -> None:
-        """Stops reading from the server (back-pressure)."""
-        self._connection.set_reading(False)
+        """Stops reading from the server (back-pressure) until the response ends."""
+        if not self.is_over:
+            self._connection.set_reading(False)
 
     def resume(self) -> None:
         """Resumes reading from the server."""
-        self._connection.set_reading(True)
+        if not self.is_over:
+            self._connection.set_reading(True)
 
     def abort(self) -> None:
         """Closes the connection if the response is not complete."""
@@ -252,6 +254,7 @@
             and self._h11.their_state is h11.DONE
         )
         if is_reusable:
+            self.set_reading(True)
             self._h11.start_next_cycle()
             self._pool.release(self)
         else:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -233,6 +233,20 @@
     assert connection.transport.ended == "aborted"
 
 
+def test_call_that_ended_while_paused_does_not_pause_the_next_one(connection):
+    first = connection.send(head("r1"), b"")
+    connection.dataReceived(response()[:-1])
+    first.pause()
+    connection.dataReceived(response()[-1:])
+    assert connection.transport.producerState == "producing"
+    second = connection.send(head("r2"), b"")
+    first.pause()
+    assert connection.transport.producerState == "producing"
+    second.pause()
+    first.resume()
+    assert connection.transport.producerState == "paused"
+
+
 def test_wait_whose_time_is_up_ends_before_more_bytes_can_arrive(connection):
     call = connection.send(head("r1"), b"")
     connection.dataReceived(CHUNKED)
