Pause a run that begins while its caller already reads too slowly

When a stream was resumed at another engine while its caller had stopped reading, nothing paused the new run: the transport reports that its buffer is full once, which went to the run before. All bytes of the new run, however many, were kept for the caller.

Evidence, before the change: test_slow_reader_pauses_a_response_that_begins_later assert [False] == [True, False]

Whatever is set to pause an exchange's source is now paused at once if the caller already reads too slowly.

--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -21,8 +21,8 @@
     ``arrived_at`` is the monotonic time in seconds at which the request was complete.
     ``is_over`` is set once the response is complete or the connection has ended.
     ``on_disconnect`` is called if the caller disconnects before the response is
-    complete. ``on_pause`` is called with True when the caller reads too slowly and with
-    False when it has caught up.
+    complete. ``on_pause`` is called with True when the caller reads too slowly, at once
+    if it already does, and with False when it has caught up.
     """
 
     def __init__(
@@ -37,7 +37,7 @@
         self.arrived_at = arrived_at
         self.is_over = False
         self.on_disconnect: Callable[[], None] = _do_nothing
-        self.on_pause: Callable[[bool], None] = _ignore
+        self._on_pause: Callable[[bool], None] = _ignore
         self._conn = conn
 
     @property
@@ -45,6 +45,17 @@
         """Whether the caller currently reads too slowly."""
         return self._conn.is_paused
 
+    @property
+    def on_pause(self) -> Callable[[bool], None]:
+        """What pauses and resumes the source of the response."""
+        return self._on_pause
+
+    @on_pause.setter
+    def on_pause(self, on_pause: Callable[[bool], None]) -> None:
+        self._on_pause = on_pause
+        if self.is_paused:
+            on_pause(True)
+
     def respond(self, status: int, headers: HeaderList, body: bytes) -> None:
         """Sends a complete response."""
         length = (b"Content-Length", str(len(body)).encode())
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -384,6 +384,15 @@
     assert pauses == [True, False]
 
 
+def test_slow_reader_pauses_a_response_that_begins_later(caller):
+    caller.send(REQUEST)
+    pauses = []
+    caller.connection.pauseProducing()
+    caller.exchanges[0].on_pause = pauses.append
+    caller.connection.resumeProducing()
+    assert pauses == [True, False]
+
+
 def test_slow_request_head_gets_a_timeout_response(caller, clock):
     caller.send(b"POST /a/ HT")
     clock.advance(caller.listener.limits.header_timeout_s)
