Treat garbled headers, records and responses as unreadable, not as crashes

A request was cut and not retried when its engine's load header held no numbers; an entry's list of engines or jobs stopped being followed after a record or a page that could not be read; an append whose confirmation was garbled was never reported, and the next one reused its number, for which the store repeats its first response without appending.

Cause: the decoders caught their library's usual error only. Digits that int() rejects (superscripts, thousands of digits), JSON nested more deeply than the stack, a page cut within a length, and fields that are missing raised other errors, which nobody handles.

The decoders now name all errors of unreadable bytes in one place and raise their own. An append whose confirmation cannot be read has an unknown outcome and is repeated with the same number, as after a lost response.

--- a/src/pomeloshift/platform/_configuration.py
+++ b/src/pomeloshift/platform/_configuration.py
@@ -1,12 +1,13 @@
 """Decodes the operator's configuration."""
 
-from typing import Any
+from typing import TypeVar
 
 import msgspec
 
 from ..dispatch import HttpLimits, Route, RouteKind, Service, ServingConfig, Split
-from ._errors import MalformedError
+from ._errors import UNREADABLE, MalformedError
 
+T = TypeVar("T")
 MS = 1000.0
 
 
@@ -64,7 +65,7 @@
     try:
         wire = _DECODER.decode(value)
         routes = tuple(_to_route(route) for route in wire.routes)
-    except (msgspec.DecodeError, ValueError) as exc:
+    except UNREADABLE as exc:
         raise MalformedError(f"the configuration cannot be read: {exc}") from exc
     services = tuple(Service(s.name, s.conn_limit) for s in wire.services)
     return ServingConfig(wire.version, routes, services, _to_limits(wire.limits))
@@ -101,9 +102,9 @@
     )
 
 
-def decode_json(value: bytes, what: str) -> Any:
-    """Returns decoded JSON; raises `MalformedError`, whose message names ``what``."""
+def decode_json(value: bytes, what: str, into: type[T]) -> T:
+    """Returns JSON of type ``into``; raises `MalformedError`, which names ``what``."""
     try:
-        return msgspec.json.decode(value)
-    except msgspec.DecodeError as exc:
+        return msgspec.json.decode(value, type=into)
+    except UNREADABLE as exc:
         raise MalformedError(f"{what} cannot be read: {exc}") from exc
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -4,10 +4,12 @@
 
 from ..dispatch import EngineLoad, EngineRecord
 from ..http1 import Headers
-from ._errors import MalformedError
+from ._errors import UNREADABLE, MalformedError
 from ._names import SERVER_LOAD
 
 STATES = ("serving", "draining")
+# Numbers with more digits are neither ports nor counts.
+MAX_DIGITS = 18
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -33,10 +35,10 @@
     """Returns an engine's record; raises `MalformedError` if it is not usable."""
     try:
         wire = _ENTRY_DECODER.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except UNREADABLE as exc:
         raise MalformedError(f"the entry of {engine_id} cannot be read: {exc}") from exc
     host, _, port = wire.address.rpartition(":")
-    if wire.state not in STATES or not host or not port.isdigit() or wire.slots < 1:
+    if wire.state not in STATES or not host or not _is_count(port) or wire.slots < 1:
         raise MalformedError(f"the entry of {engine_id} names no engine to use")
     return EngineRecord(
         id=engine_id,
@@ -53,7 +55,7 @@
     """Returns the load in an engine's report; raises `MalformedError`."""
     try:
         wire = _REPORT_DECODER.decode(value)
-    except msgspec.DecodeError as exc:
+    except UNREADABLE as exc:
         raise MalformedError(f"the report cannot be read: {exc}") from exc
     return EngineLoad(wire.running, wire.waiting, slots)
 
@@ -62,7 +64,11 @@
     """Returns the load in an engine's response headers, or `None`."""
     value = headers.text(SERVER_LOAD)
     parts = value.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(_is_count(part.strip()) for part in parts):
         return None
     running, waiting, slots = (int(part) for part in parts)
     return EngineLoad(running, waiting, slots)
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/src/pomeloshift/platform/_errors.py
+++ b/src/pomeloshift/platform/_errors.py
@@ -1,7 +1,13 @@
 """Errors of the platform's interfaces."""
 
+import msgspec
+
 from ..errors import ErrorCode, PomeloshiftError, Ran
 
+# What decoders raise for bytes that they cannot read; JSON that is nested too deeply
+# exhausts the stack.
+UNREADABLE = (msgspec.DecodeError, ValueError, RecursionError)
+
 
 class StoreRejectedError(PomeloshiftError):
     """The store, or this process's rate limit, rejected a call temporarily.
--- a/src/pomeloshift/platform/_job_bodies.py
+++ b/src/pomeloshift/platform/_job_bodies.py
@@ -1,13 +1,12 @@
 """Request and response bodies of the batch interface."""
 
 import base64
-import binascii
 from collections.abc import Sequence
 
 import msgspec
 
 from ..jobs import ItemState, NewItem, Result
-from ._errors import MalformedError
+from ._errors import UNREADABLE, MalformedError
 
 
 class _Item(msgspec.Struct):
@@ -40,7 +39,7 @@
             )
             for item in wire.items
         )
-    except (msgspec.DecodeError, binascii.Error, ValueError) as exc:
+    except UNREADABLE as exc:
         raise MalformedError(f"the job cannot be read: {exc}") from exc
 
 
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -22,6 +22,7 @@
 from ..limits import TokenBucket
 from ._configuration import decode_json
 from ._errors import (
+    UNREADABLE,
     HistoryLostError,
     MalformedError,
     SequenceError,
@@ -98,6 +99,19 @@
     offset: int
 
 
+class _Appended(msgspec.Struct):
+    offset: int
+
+
+class _Rejection(msgspec.Struct):
+    why: str = ""
+    seq: int | None = None
+
+
+class _Expired(msgspec.Struct):
+    first: int
+
+
 _NEWEST_DECODER = msgspec.json.Decoder(_Newest)
 
 
@@ -143,14 +157,13 @@
         body = b"".join(_frame(key, value) for key, value in records)
         self._take(self._writes)
         response = await self._call(b"POST", "/api/log-append", query, body, timeout_s)
-        if response.status == 409:
-            rejection = decode_json(response.body, "a refused append")
-            raise SequenceError(
-                f"append {sequence} of {producer}: {rejection.get('why')}",
-                rejection.get("seq"),
-            )
-        _check(response)
-        return int(decode_json(response.body, "an append's answer")["offset"])
+        if response.status != 409:
+            _check(response)
+        try:
+            return _decode_append(response, f"append {sequence} of {producer}")
+        except MalformedError as exc:
+            # The store may have applied the append, so its outcome is unknown.
+            raise StoreNoResponseError(exc.message) from exc
 
     async def read(
         self,
@@ -175,7 +188,8 @@
             b"GET", "/api/log-read", query, b"", wait_s + CALL_TIMEOUT_S
         )
         if response.status == 410:
-            raise HistoryLostError(int(decode_json(response.body, "a read")["first"]))
+            expired = decode_json(response.body, "a read", _Expired)
+            raise HistoryLostError(expired.first)
         _check(response)
         return _decode_page(response.body, offset)
 
@@ -195,7 +209,7 @@
                 KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
                 for item in wire.items
             ]
-        except (msgspec.DecodeError, ValueError) as exc:
+        except UNREADABLE as exc:
             raise MalformedError(f"the newest records of {topic}: {exc}") from exc
         return NewestPage(records, wire.has_more, wire.end)
 
@@ -252,6 +266,14 @@
             self.on_call(name, outcome, self._clock.monotonic() - started_at)
 
 
+def _decode_append(response: Response, what: str) -> int:
+    """Returns the offset in the response to an append; ``what`` names the append."""
+    if response.status == 409:
+        rejection = decode_json(response.body, what, _Rejection)
+        raise SequenceError(f"{what}: {rejection.why}", rejection.seq)
+    return decode_json(response.body, what, _Appended).offset
+
+
 def _check(response: Response) -> None:
     """Raises the error that corresponds to a response's status."""
     if response.status == 200:
@@ -278,6 +300,8 @@
     records = []
     at = 2 * OFFSET.size
     while at < len(body):
+        if len(body) - at < LENGTH.size:
+            raise MalformedError("a record's length is cut off")
         (length,) = LENGTH.unpack_from(body, at)
         at += LENGTH.size
         content = body[at : at + length]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,7 +3,8 @@
 
 from _gateway import Deployment, config, route, settings_table
 from pomeloshift.dispatch import EngineLoad, RouteKind
-from pomeloshift.http1 import Client, Headers, RequestHead, ResponseHead
+from pomeloshift.http1 import Client, Headers, RequestHead, Response, ResponseHead
+from pomeloshift.net import SystemClock
 from pomeloshift.platform import (
     HistoryLostError,
     ItemRead,
@@ -42,6 +43,9 @@
 
 # Settings
 
+# JSON that is nested more deeply than a decoder follows it.
+NESTED = b'{"a":' + b"[" * 100_000
+
 
 def test_settings_are_read_and_unknown_keys_ignored():
     settings = parse_platform_settings(settings_table("10.0.0.9:80", port=7000))
@@ -126,6 +130,8 @@
         {"address": "nowhere"},
         {"service": None},
         {"born": 1.5},
+        {"address": "10.0.0.1:\u00b2"},
+        {"address": "10.0.0.1:" + "1" * 5000},
     ],
 )
 def test_invalid_engine_record_is_malformed(change):
@@ -133,6 +139,19 @@
         decode_engine("i-1", msgspec.json.encode({**ENGINE, **change}))
     with pytest.raises(MalformedError):
         decode_engine("i-1", b"\xff\x00")
+    with pytest.raises(MalformedError):
+        decode_engine("i-1", NESTED)
+
+
+@pytest.mark.parametrize("value", [b"\xb2,1,1", b"1" * 5000 + b",1,1", b"-1,1,1"])
+def test_load_header_without_counts_is_ignored(value):
+    assert decode_load_header(Headers([(b"X-Server-Load", value)])) is None
+
+
+@pytest.mark.parametrize("value", [b"\xff", b"[]", NESTED])
+def test_garbled_report_is_malformed(value):
+    with pytest.raises(MalformedError):
+        decode_report(value, 8)
 
 
 def test_load_is_read_from_reports_and_response_headers():
@@ -221,6 +240,57 @@
     run_async(deployment.stop())
 
 
+class GarblingClient:
+    """Responds to each call with the same status and body."""
+
+    def __init__(self, status, body):
+        self._response = Response(status, Headers([]), body)
+
+    async def call(self, *args):
+        return self._response
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [(200, b"{}"), (200, b"[]"), (200, b'{"offset":"a"}'), (200, NESTED), (409, b"[]")],
+)
+def test_garbled_response_to_an_append_leaves_its_outcome_unknown(
+    run_async, status, body
+):
+    store = garbling_store(status, body)
+    with pytest.raises(StoreNoResponseError):
+        run_async(store.append("keyed.t", 0, [("a", b"1")], "p", 0))
+
+
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, b"\0" * 15),
+        (200, b"\0" * 18),
+        (200, b"\0" * 16 + b"\0\0\0\x09a"),
+        (410, b"{}"),
+        (410, b"[]"),
+    ],
+)
+def test_garbled_response_to_a_read_is_malformed(run_async, status, body):
+    with pytest.raises(MalformedError):
+        run_async(garbling_store(status, body).read("keyed.t", 0, 0, wait_s=0.0))
+
+
+@pytest.mark.parametrize(
+    "body", [b"{}", NESTED, b'{"items":[{"key":"k","value":"a","offset":0}],"end":1}']
+)
+def test_garbled_response_to_a_read_of_keys_is_malformed(run_async, body):
+    with pytest.raises(MalformedError):
+        run_async(garbling_store(200, body).newest("keyed.t", 0))
+
+
+def garbling_store(status, body):
+    settings = parse_platform_settings(settings_table("127.0.0.1:1", port=1))
+    client = GarblingClient(status, body)
+    return StoreClient(settings.store, client, SystemClock())
+
+
 def test_records_are_read_from_an_offset_on(store, run_async):
     _, client = store
 
