Reject output of an item that is not text

A job could not be read any more, at any entry: each read of its results was cut.

Cause: an engine's event had the next id and bytes that are not UTF-8. They were stored as the item's result, and results are JSON, so that encoding them failed for each read of the job from then on.

Evidence, before the change: test_item_with_bytes_that_are_no_text_does_not_end_the_job UnicodeDecodeError: 'utf-8' codec can't decode byte 0xff in position 0 ConnectionBrokenError: reset (the read of the job)

Such an event now counts like one out of order: a failure of the engine, and the item goes on at another one after its last usable event.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -102,7 +102,7 @@
                     return self._broken("ended in the middle of an event")
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
-                return self._broken("events out of order")
+                return self._broken("events out of order or not text")
             if self.progress and len(self.progress.text) > MAX_OUTPUT_BYTES:
                 # Whatever runs the item next starts it again.
                 self.progress = None
@@ -113,13 +113,13 @@
         return self._progressed_at + BATCH_STALL_S - self.access.now()
 
     def _apply_data(self, data: bytes) -> bool:
-        """Adds the events that ``data`` completes; returns whether all are in order."""
+        """Adds the events that ``data`` completes; returns whether all can be used."""
         events = self._splitter.feed(data)
         first_id = self.progress.event_id + 1 if self.progress else FIRST_EVENT_ID
         in_order = [
             event
             for event, _ in takewhile(
-                lambda pair: pair[0].id == pair[1],
+                lambda pair: pair[0].id == pair[1] and _is_text(pair[0].data),
                 zip(events, count(first_id), strict=False),
             )
         ]
@@ -138,3 +138,12 @@
 
 
 FIRST_EVENT_ID = 1
+
+
+def _is_text(data: bytes) -> bool:
+    """Whether data can be part of a result, which is JSON."""
+    try:
+        data.decode()
+    except UnicodeDecodeError:
+        return False
+    return True
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -143,3 +143,11 @@
         return await run_items(deployment, Behaviour(events=1000, event_gap_s=0.0))
 
     assert play(scenario) == [("completed", text(4))] * 4
+
+
+def test_item_with_bytes_that_are_no_text_does_not_end_the_job(play):
+    async def scenario(deployment):
+        bad = Behaviour(endless=b"id: 1\ndata: \xff\n\n")
+        return await run_items(deployment, bad)
+
+    assert play(scenario) == [("completed", text(4))] * 4
