Cut an engine's event and a sidecar's error body that do not end

A sidecar kept the bytes of an event that never ended, and copied and searched all of them for each segment; an entry ignored the rest of a long error body but read on for ever, and never learnt that the attempt was refused.

An incomplete event is limited to 256 KiB, as in the gateway; beyond it the connection is closed and the stream counts as interrupted. An error body is cut at its limit, and the connection closed.

--- a/src/pomeloshift/entry/online/_short_body.py
+++ b/src/pomeloshift/entry/online/_short_body.py
@@ -13,18 +13,22 @@
 
     def __init__(self) -> None:
         self.done: Deferred[bytes] = Deferred()
-        self._parts: list[bytes] = []
-        self._size = 0
+        self._content = bytearray()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Collects a segment, unless the body has reached ``MAX_BODY_BYTES``."""
-        if self._size < MAX_BODY_BYTES:
-            self._parts.append(data)
-            self._size += len(data)
+        """Collects a segment; closes the connection at ``MAX_BODY_BYTES``."""
+        if self.done.called:
+            return
+        self._content += data
+        if len(self._content) >= MAX_BODY_BYTES:
+            transport: Any = self.transport
+            transport.loseConnection()
+            self.done.callback(bytes(self._content[:MAX_BODY_BYTES]))
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Fires ``done`` with the collected bytes."""
-        self.done.callback(b"".join(self._parts))
+        if not self.done.called:
+            self.done.callback(bytes(self._content))
 
 
 def read_short_body(response: Any) -> Deferred[bytes]:
--- a/src/pomeloshift/sidecar/_engine_body.py
+++ b/src/pomeloshift/sidecar/_engine_body.py
@@ -8,6 +8,8 @@
 from twisted.python.failure import Failure
 from twisted.web.client import ResponseDone
 
+from ..dispatch import MAX_EVENT_BYTES, OversizedEventError
+
 EVENT_END = b"\n\n"
 END_MARKER = b"data: [DONE]"
 TOKEN_MARKERS = (b'"finish_reason":null', b'"finish_reason": null')
@@ -26,7 +28,7 @@
         self.ended: Deferred[bool] = Deferred()
         self._on_chunk = on_chunk
         self._is_event_stream = is_event_stream
-        self._buffer = b""
+        self._buffer = bytearray()
         self._has_end_marker = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -34,19 +36,35 @@
         if not self._is_event_stream:
             self._on_chunk(data, 0)
             return
-        pending = self._buffer + data
-        end = pending.rfind(EVENT_END)
+        if self.ended.called:
+            return
+        # The end of an event may be split between two segments.
+        searched = max(0, len(self._buffer) - len(EVENT_END) + 1)
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_END, searched)
         if end < 0:
-            self._buffer = pending
+            self._check_size()
             return
         end += len(EVENT_END)
-        payload, self._buffer = pending[:end], pending[end:]
+        payload = bytes(self._buffer[:end])
+        del self._buffer[:end]
         if END_MARKER in payload[-len(END_MARKER) - len(EVENT_END) :]:
             self._has_end_marker = True
         self._on_chunk(payload, count_tokens(payload))
 
+    def _check_size(self) -> None:
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self._buffer.clear()
+            transport: Any = self.transport
+            transport.loseConnection()
+            self.ended.errback(
+                OversizedEventError(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+            )
+
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Fires ``ended`` with whether the body is complete, or with the failure."""
+        if self.ended.called:
+            return
         if reason is None or not reason.check(ResponseDone):
             self.ended.errback(reason)
             return
