Limit the bodies that clients of sidecars, entries and the log hold

A response to a sidecar, an entry or a client of the log or the instance list was held in memory without a limit. The time-outs ended the wait, not the reading: a cancelled read left the connection open and collected on. The body of a plain service's response, and those of an engine's control interface, had no time-out at all, so a health check could wait for ever.

Before, the clients used treq's content(), which has neither. The clients themselves are tested by the suites that they had.

--- a/src/pomeloshift/entry/batch/_peer_client.py
+++ b/src/pomeloshift/entry/batch/_peer_client.py
@@ -4,12 +4,12 @@
 
 import msgspec
 from treq.client import HTTPClient
-from treq.content import content
 from twisted.internet.defer import Deferred
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.http_headers import Headers
 
 from ...errors import ErrorReport
+from ...net._bounded_body import read_bounded
 from ._calls import Call, Reply, decode_call, encode_call
 from ._errors import OwnerUnreachableError, RemoteError
 
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_S = 2.0
 CONNECTIONS_PER_ENTRY = 4
 HTTP_OK = 200
+# The longest reply holds a file: the results of all items of a job.
+MAX_REPLY_BYTES = 512 * 1024 * 1024
 
 
 class Peers(Protocol):
@@ -76,8 +78,9 @@
             f"http://{address}{CALL_PATH}",
             data=encode_call(call),
             headers=self._headers,
+            unbuffered=True,
         )
-        return response.code, await content(response)
+        return response.code, await read_bounded(response, MAX_REPLY_BYTES)
 
 
 def _report(status: int, data: bytes) -> ErrorReport:
--- a/src/pomeloshift/entry/burn/_peers.py
+++ b/src/pomeloshift/entry/burn/_peers.py
@@ -12,11 +12,13 @@
 from twisted.web.http_headers import Headers
 
 from ...model import Instance
+from ...net._bounded_body import read_bounded
 from ...report import BurnSummary
 
 PENDING_PATH = "/admin/v1/burn/pending"
 TIMEOUT_S = 2.0
 HTTP_OK = 200
+MAX_SUMMARY_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -43,13 +45,17 @@
         reactor: Any,
     ) -> None:
         self._name = name
+        self._reactor = reactor
         self._entries = entries
         self._headers = Headers({"authorization": [f"Bearer {internal_key}"]})
         self._pool = HTTPConnectionPool(reactor, persistent=False)
         self._agent: Any = Agent(reactor, connectTimeout=TIMEOUT_S, pool=self._pool)
 
     async def ask(self) -> PeerSummaries:
-        """Queries all other entries concurrently; ``TIMEOUT_S`` limits each query."""
+        """Queries all other entries concurrently.
+
+        ``TIMEOUT_S`` limits the wait for each head and each body.
+        """
         peers = [entry for entry in self._entries() if entry.name != self._name]
         found = await gatherResults(
             [Deferred.fromCoroutine(self._ask_one(peer)) for peer in peers]
@@ -68,8 +74,10 @@
                 agent=self._agent,
                 headers=self._headers,
                 timeout=TIMEOUT_S,
+                unbuffered=True,
             )
-            content = await response.content()
+            body = read_bounded(response, MAX_SUMMARY_BYTES)
+            content = await body.addTimeout(TIMEOUT_S, self._reactor)
             if response.code != HTTP_OK:
                 raise ValueError(f"status {response.code}")
             return msgspec.json.decode(content, type=BurnSummary)
--- a/src/pomeloshift/net/_list_client.py
+++ b/src/pomeloshift/net/_list_client.py
@@ -10,9 +10,12 @@
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
 from ..model import Instance
+from ._bounded_body import BodyTooLargeError, read_bounded
 
 TIMEOUT_S = 2.0
 HTTP_OK = 200
+# Limit of the list: some hundred bytes for each of 10,000 instances.
+MAX_LIST_BYTES = 4 * 1024 * 1024
 
 
 class ListUnavailableError(PomeloshiftError):
@@ -46,6 +49,7 @@
             ConnectionClosed,
             ResponseFailed,
             TimeoutError,
+            BodyTooLargeError,
             msgspec.DecodeError,
         ) as exc:
             raise ListUnavailableError(
@@ -53,8 +57,10 @@
             ) from exc
 
     async def _read(self) -> tuple[Instance, ...]:
-        resp = await treq.get(self._url, pool=self._pool, reactor=self._reactor)
-        body = await resp.content()
+        resp = await treq.get(
+            self._url, pool=self._pool, reactor=self._reactor, unbuffered=True
+        )
+        body = await read_bounded(resp, MAX_LIST_BYTES)
         if resp.code != HTTP_OK:
             raise ListUnavailableError(f"the instance list responded with {resp.code}")
         return msgspec.json.decode(body, type=tuple[Instance, ...])
--- a/src/pomeloshift/net/_log_client.py
+++ b/src/pomeloshift/net/_log_client.py
@@ -6,7 +6,6 @@
 
 import msgspec
 from treq.client import HTTPClient
-from treq.content import content
 from twisted.internet.defer import Deferred
 from twisted.internet.error import (
     ConnectBindError,
@@ -31,9 +30,12 @@
     LogRateLimitedError,
     LogUnavailableError,
 )
+from ._bounded_body import read_bounded
 
 MAX_IDLE_CONNECTIONS = 8
 HTTP_OK = 200
+# A page is longer than a few megabytes only if its one record is: an uploaded file.
+MAX_RESPONSE_BYTES = 128 * 1024 * 1024
 HEADERS = Headers({"content-type": ["application/msgpack"]})
 # With these errors no request has reached the service.
 NOT_SENT_ERRORS = (
@@ -112,12 +114,14 @@
         return f"{self._base_url}/v1/streams/{quote(stream, safe='')}/records"
 
     async def _post(self, url: str, body: bytes) -> tuple[int, bytes]:
-        response = await self._http.post(url, data=body, headers=HEADERS)
-        return response.code, await content(response)
+        response = await self._http.post(
+            url, data=body, headers=HEADERS, unbuffered=True
+        )
+        return response.code, await read_bounded(response, MAX_RESPONSE_BYTES)
 
     async def _get(self, url: str) -> tuple[int, bytes]:
-        response = await self._http.get(url)
-        return response.code, await content(response)
+        response = await self._http.get(url, unbuffered=True)
+        return response.code, await read_bounded(response, MAX_RESPONSE_BYTES)
 
     async def _within_timeout(self, start: Callable[[], Awaitable[T]]) -> T:
         pending: Deferred = Deferred.fromCoroutine(start())  # type: ignore[arg-type]
--- a/src/pomeloshift/sidecar/_engine_client.py
+++ b/src/pomeloshift/sidecar/_engine_client.py
@@ -10,6 +10,7 @@
 from twisted.web.http_headers import Headers
 
 from ..errors import Ran
+from ..net._bounded_body import read_bounded
 from ._engine_body import OnChunk, receive
 from ._engine_errors import EngineFencedError, EngineLostError, EngineRefusedError
 from ._engine_types import EngineEnd, EngineLoadSnapshot, EngineServes
@@ -17,6 +18,9 @@
 CONNECT_TIMEOUT_S = 2.0
 CONTROL_TIMEOUT_S = 5.0
 HEALTH_TIMEOUT_S = 2.0
+# Limits of bodies that are not relayed: states, errors, and exported KV caches.
+MAX_CONTROL_BYTES = 1024 * 1024
+MAX_KV_BYTES = 1024 * 1024 * 1024
 IDLE_CONNECTION_S = 30
 MAX_IDLE_CONNECTIONS = 256
 EVENT_STREAM = "text/event-stream"
@@ -36,6 +40,7 @@
 
     def __init__(self, base_url: str, reactor: Any) -> None:
         self._base_url = base_url.rstrip("/")
+        self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
         self._pool.cachedConnectionTimeout = IDLE_CONNECTION_S
@@ -84,7 +89,7 @@
     async def export_kv(self, stream_id: str) -> bytes:
         """Returns the KV cache of a running stream as opaque bytes."""
         path = f"/control/streams/{stream_id}/kv"
-        return await self._control_bytes("GET", path)
+        return await self._control_bytes("GET", path, max_bytes=MAX_KV_BYTES)
 
     async def import_kv(self, exported: bytes) -> None:
         """Loads a KV cache that another engine exported."""
@@ -144,11 +149,12 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CONTROL_TIMEOUT_S,
+        max_bytes: int = MAX_CONTROL_BYTES,
     ) -> bytes:
         headers = {"content-type": "application/json"}
         response = await self._request(method, path, body, headers, timeout_s)
         await self._check_status(response)
-        return await self._read(response)
+        return await self._read(response, timeout_s, max_bytes)
 
     async def _request(
         self,
@@ -176,7 +182,7 @@
         status = response.code
         if status < 400 or status == CANCELLED_STATUS:
             return
-        body = await self._read(response)
+        body = await self._read(response, CONTROL_TIMEOUT_S, MAX_CONTROL_BYTES)
         message = f"the engine responded with status {status}"
         if status >= 500 and status != UNAVAILABLE_STATUS:
             raise EngineLostError(message)
@@ -184,15 +190,14 @@
             raise EngineFencedError(message, status, body)
         raise EngineRefusedError(message, status, body)
 
-    async def _read(self, response: Any) -> bytes:
-        parts: list[bytes] = []
+    async def _read(self, response: Any, timeout_s: float, max_bytes: int) -> bytes:
         try:
-            await receive(response, lambda data, _: parts.append(data), False)
+            body = read_bounded(response, max_bytes)
+            return await body.addTimeout(timeout_s, self._reactor)
         except Exception as exc:
             raise EngineLostError(
                 f"the engine's response was interrupted: {exc}"
             ) from exc
-        return b"".join(parts)
 
 
 def _content_type(response: Any) -> str:
--- a/src/pomeloshift/sidecar/_plain_executor.py
+++ b/src/pomeloshift/sidecar/_plain_executor.py
@@ -9,11 +9,14 @@
 
 from ..errors import ErrorCode, ErrorReport, Ran
 from ..model import LoadReport
-from ..wire import AttemptRequest
+from ..net._bounded_body import read_bounded
+from ..wire import MAX_FRAME_BYTES, AttemptRequest
 from ._frame_sink import FrameSink
 
 CONNECT_TIMEOUT_S = 2.0
 NEVER_SENT = (ConnectError, ConnectionRefusedError, RequestNotSent)
+# A response is sent to the entry in one frame, which also holds a few fields.
+MAX_BODY_BYTES = MAX_FRAME_BYTES - 64 * 1024
 FORWARDED_HEADERS = ("idempotency-key", "accept")
 
 
@@ -27,6 +30,7 @@
     def __init__(self, base_url: str, sink: FrameSink, reactor: Any) -> None:
         self._base_url = base_url.rstrip("/")
         self._sink = sink
+        self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
         agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
@@ -78,8 +82,10 @@
             headers=headers,
             data=req.body or None,
             timeout=req.deadline_s,
+            unbuffered=True,
         )
-        body = await response.content()
+        reading = read_bounded(response, MAX_BODY_BYTES)
+        body = await reading.addTimeout(req.deadline_s, self._reactor)
         kinds = response.headers.getRawHeaders("content-type", [""])
         self._sink.append(req.attempt_id, body, 0, response.code, kinds[0])
         self._sink.finish(req.attempt_id)
--- a/src/pomeloshift/wire/__init__.py
+++ b/src/pomeloshift/wire/__init__.py
@@ -3,7 +3,7 @@
 from ._attempt import AttemptRequest
 from ._codec import decode_message, encode_message
 from ._errors import WireError
-from ._frame import Frame, FrameReader, encode_frame
+from ._frame import MAX_FRAME_BYTES, Frame, FrameReader, encode_frame
 from ._messages import (
     Acknowledgement,
     ConfigDocument,
@@ -21,6 +21,7 @@
 )
 
 __all__ = [
+    "MAX_FRAME_BYTES",
     "Acknowledgement",
     "AttemptRequest",
     "ConfigDocument",
