Stop requests that crashed three engines, at every gateway and after restarts

Cause: nothing remembered a crash beyond one attempt of a caller. `AttemptPlan` counts the engines of one attempt; a retry has a new id, usually arrives at another gateway, and started with an empty plan. The class of fault is state that is kept for each attempt where the limit holds for the request.

Change: a request is known by the digest of method, host, path and body. A connection that ends before the complete response counts as a crash of the engine's incarnation; a silent engine counts once its record is gone. The third crash quarantines the request for ten minutes: it is refused with 503 before it is sent, and stopped between its attempts and before a stream resumes, with 502 if it may have run. A complete response clears the request.

Why this works: a crash counts at once at the gateway that sees it, and the others and later processes learn of it from the one place that outlives them all, within the long poll's response. Entries that see one crash write one key, so that it counts once.

`SuspectTracker.expire` also drops the mark that a record has changed; a user that never calls `take_changes` would otherwise keep these marks for ever.

--- a/src/pomeloshift/attempts/_suspects.py
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -27,13 +27,20 @@
 
     def quarantine_state(self, fingerprint: str, now: float) -> QuarantineState:
         """Returns how a request may be run."""
-        known = self._records.get(fingerprint)
-        if known is None or known[1] <= now or not known[0].count:
+        count = len(self.crashes(fingerprint, now))
+        if count == 0:
             return QuarantineState.CLEAR
-        if known[0].count >= self._cfg.quarantine_crashes:
+        if count >= self._cfg.quarantine_crashes:
             return QuarantineState.QUARANTINED
         return QuarantineState.SUSPECT
 
+    def crashes(self, fingerprint: str, now: float) -> frozenset[str]:
+        """Returns the crashes of a request, without the cleared ones."""
+        known = self._records.get(fingerprint)
+        if known is None or known[1] <= now:
+            return frozenset()
+        return known[0].crashes - known[0].cleared
+
     def quarantined_for(self, fingerprint: str, now: float) -> float:
         """Returns the seconds until the request's record expires, or 0 without one."""
         known = self._records.get(fingerprint)
@@ -137,6 +144,7 @@
         """Removes the records that have expired."""
         for fingerprint in [k for k, (_, at) in self._records.items() if at <= now]:
             del self._records[fingerprint]
+            self._changed.discard(fingerprint)
 
     def _notify_watchers(self, fingerprint: str) -> None:
         for callback in list(self._watchers.get(fingerprint, ())):
@@ -151,3 +159,4 @@
         if len(self._records) > self._cfg.max_suspects:
             oldest = next(iter(self._records))
             del self._records[oldest]
+            self._changed.discard(oldest)
--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -12,6 +12,7 @@
 from ._engine_load import EngineLoad
 from ._engine_record import EngineRecord
 from ._event_stream import EventSplitter, StreamEvent
+from ._fingerprint import fingerprint
 from ._fleet import EXPIRY_GRACE_S, Fleet
 from ._isolation import is_isolated
 from ._peer_loads import NO_REQUESTS, PeerLoads, PeerState, RequestCounts
@@ -19,6 +20,7 @@
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
 from ._serving_config import HttpLimits, Service, ServingConfig
+from ._silent_runs import SilentRun, SilentRuns
 from ._store_path import DIRECT, StorePath
 
 __all__ = [
@@ -44,9 +46,12 @@
     "RouteKind",
     "Service",
     "ServingConfig",
+    "SilentRun",
+    "SilentRuns",
     "Split",
     "Step",
     "StorePath",
     "StreamEvent",
+    "fingerprint",
     "is_isolated",
 ]
--- a/src/pomeloshift/dispatch/_attempt_plan.py
+++ b/src/pomeloshift/dispatch/_attempt_plan.py
@@ -27,7 +27,7 @@
     as run once bytes of it were written to an engine, unless that engine reports that
     the request did not run. ``refused_by`` holds the ids of the engines that did not
     run the request, ``failed_at`` those of engines that may have run it without a
-    complete response.
+    complete response. Once ``is_stopped`` is set, the request is not sent again.
 
         plan = AttemptPlan(is_repeatable=False, max_runs=1, deadline=10.0)
         plan.record_sent()
@@ -41,6 +41,7 @@
     runs: int = 0
     refused_by: set[str] = attrs.field(factory=set)
     failed_at: set[str] = attrs.field(factory=set)
+    is_stopped: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -71,7 +72,7 @@
 
     def next_step(self, now: float) -> Step:
         """Returns the next step at ``now``; no attempt starts after the deadline."""
-        if now >= self.deadline:
+        if now >= self.deadline or self.is_stopped:
             return Step.FAIL if self.may_have_run else Step.REFUSE
         if not self.may_have_run:
             return Step.TRY
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -70,6 +70,13 @@
         "attempt_refused",
         "The engine rejected a request and proved that it did not run it.",
     ),
+    EventSpec(
+        "crash_recorded",
+        "An engine crashed during an online request, seen here or not.",
+    ),
+    EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
+    EventSpec("crash_ignored", "The record of a crash cannot be read."),
+    EventSpec("request_quarantined", "Three engines crashed during it: it is stopped."),
     EventSpec("request_answered", "An engine's complete response was relayed.", True),
     EventSpec("request_failed", "It was refused, expired or was cut.", True),
     EventSpec("caller_gone", "The caller closed its connection first.", True),
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -35,10 +35,11 @@
     StoreClient,
     decode_config,
 )
-from . import _blob_store, _job_log, _peer_directory
+from . import _blob_store, _crash_log, _job_log, _peer_directory
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
+from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
 from ._engine_list import EngineList
 from ._events import EventLog
@@ -127,7 +128,6 @@
             reactor,
         )
         self._access = access
-        self.online = OnlineService(access, events)
         self._blobs = BlobStore(
             self._store,
             self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
@@ -163,6 +163,15 @@
         self._store_link.attach()
         queue = WorkQueue(random.getrandbits(48), self.peers.loads.is_claimed)
         ownership = Ownership(settings.ip)
+        self.crashes = CrashLog(
+            self._store,
+            self._writer(_crash_log.TOPIC, _crash_log.PARTITION),
+            ownership,
+            events,
+            reactor,
+            clock,
+        )
+        self.online = OnlineService(access, self.crashes, events)
         item_writer = ItemWriter(self.job_log, self._blobs, queue, access, events)
         cleaner = JobCleaner(
             self.job_log,
@@ -245,7 +254,11 @@
 
     @property
     def _has_unwritten(self) -> bool:
-        return self.job_log.writer.has_unwritten or self._blobs.writer.has_unwritten
+        return (
+            self.job_log.writer.has_unwritten
+            or self._blobs.writer.has_unwritten
+            or self.crashes.has_unwritten
+        )
 
     def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
         return TopicFollower(
@@ -263,6 +276,7 @@
         self._config_follower.start()
         self._engine_follower.start()
         self.job_log.follower.start()
+        self.crashes.start(self._periodic_tasks)
         self._directory.start(self._listen_to_peers())
         self._periodic_tasks.repeat(self.peers.tick, PEER_TICK_S)
         self._periodic_tasks.repeat(self._engine_list.drop_missing, DROP_MISSING_TICK_S)
@@ -329,6 +343,7 @@
             follower.stop()
         self.job_log.writer.stop()
         self._blobs.writer.stop()
+        self.crashes.stop()
         self._directory.stop()
         await self._relay.stop()
         self.peers.stop()
@@ -350,6 +365,7 @@
             and not self.members.is_draining
             and self.config.current is not None
             and self._engine_follower.is_synced
+            and self.crashes.is_ready
             and not self.members.is_isolated
         )
         refuse(exchange, 200 if is_ready else 503)
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -48,6 +48,7 @@
         config = gateway.config.current
         metrics.set("gateway_config_version", config.version if config else 0)
         metrics.set("gateway_open_requests", gateway.online.open_requests)
+        metrics.set("gateway_quarantined_requests", gateway.crashes.count_quarantined())
         metrics.set("gateway_peers", len(gateway.peers.loads.states))
         metrics.set("gateway_items_running", gateway.batch_loop.running)
         jobs = gateway.job_log.table.jobs.values()
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -5,7 +5,15 @@
 import attrs
 from twisted.internet.defer import CancelledError
 
-from ..dispatch import AttemptPlan, Engine, Route, RouteKind, ServingConfig, Step
+from ..dispatch import (
+    AttemptPlan,
+    Engine,
+    Route,
+    RouteKind,
+    ServingConfig,
+    Step,
+    fingerprint,
+)
 from ..http1 import (
     CallTimeoutError,
     Chunk,
@@ -17,12 +25,15 @@
 )
 from ..net._periodic_tasks import spawn
 from ..platform import CallerRequest, is_stamped, proves_not_run, to_engine
+from ._crash_log import CrashLog
 from ._engine_access import EngineAccess, EngineRun
 from ._events import EventLog
 from ._refusal import refuse
 from ._response_relay import ResponseRelay
 from ._timing import FIRST_EVENT_OBJECTIVES, STALL_S
 
+# Reasons of `Disconnected` for which the engine may have crashed.
+CRASH_REASONS = frozenset({"closed by the server", "reset"})
 # Statuses which guarantee to the caller that a request has not run. A response of an
 # engine with one of them is never relayed: with the engine's proof the attempt counts
 # as not run, without it as failed.
@@ -34,6 +45,7 @@
     """One request from its arrival to its response."""
 
     access: EngineAccess
+    crashes: CrashLog
     events: EventLog
     exchange: Exchange
     req: CallerRequest
@@ -41,6 +53,7 @@
     config: ServingConfig
     plan: AttemptPlan
     relay: ResponseRelay
+    fingerprint: str
     _run: EngineRun | None = None
     _wait_s: float = 0.0
     _sent_at: float = 0.0
@@ -57,6 +70,8 @@
 
     async def _step(self) -> None:
         now = self.access.now()
+        if self.crashes.is_quarantined(self.fingerprint):
+            self._stop_quarantined()
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
             return
@@ -66,6 +81,17 @@
             return
         await self._attempt(engine)
 
+    def _stop_quarantined(self) -> None:
+        self.plan.is_stopped = True
+        self.events.warn(
+            "request_quarantined",
+            id=self.req.id,
+            fingerprint=self.fingerprint,
+            crashes=self.crashes.count_crashes(self.fingerprint),
+            remaining_s=self.crashes.quarantined_for(self.fingerprint),
+            runs=self.plan.runs,
+        )
+
     def _choose(self, now: float) -> Engine | None:
         service = self.route.pick_service(self.access.random.random())
         if service is None:
@@ -137,6 +163,10 @@
             await self._receive(run)
         except CallTimeoutError:
             self._note_failure(engine, "silent")
+            self._note_given_up(engine)
+        except CancelledError:
+            self._note_given_up(engine)
+            raise
         finally:
             run.close()
             self._run = None
@@ -145,7 +175,7 @@
         engine = run.engine
         event = await self._next(run)
         if isinstance(event, Disconnected):
-            self._note_failure(engine, event.reason)
+            self._note_disconnected(engine, event)
             return
         head: Any = event
         if proves_not_run(head):
@@ -179,7 +209,7 @@
                     self._note_failure(engine, "ended in the middle of an event")
                 return
             if isinstance(event, Disconnected):
-                self._note_failure(engine, event.reason)
+                self._note_disconnected(engine, event)
                 return
             if not self.relay.take_data(event.data):  # type: ignore[union-attr]
                 self._note_failure(engine, "events out of order")
@@ -227,8 +257,18 @@
         self.plan.record_failure(engine.record.id)
         self.access.note_failed(engine, why, self.req.id)
 
+    def _note_disconnected(self, engine: Engine, event: Disconnected) -> None:
+        self._note_failure(engine, event.reason)
+        if event.reason in CRASH_REASONS:
+            self.crashes.note_crash(self.fingerprint, engine, self.req.id)
+
+    def _note_given_up(self, engine: Engine) -> None:
+        self.crashes.note_given_up(self.fingerprint, engine, self.req.id)
+
     def _note_answered(self, engine: Engine, status: int) -> None:
         self._is_done = True
+        if status < 500:
+            self.crashes.note_answered(self.fingerprint)
         took_s = self.access.now() - self.exchange.arrived_at
         self.events.metrics.observe_response(
             self.route.name, status, self.relay.first_event_s, took_s
@@ -276,6 +316,8 @@
         )
         if self.relay.has_begun:
             self.exchange.abort()
+        elif status == 503 and self.plan.is_stopped:
+            refuse(self.exchange, 503, self.crashes.quarantined_for(self.fingerprint))
         elif status == 503:
             retry_after_s = self.access.retry_after.after_burst(self._time_left_s(now))
             self.access.admission.note_refusal(
@@ -291,6 +333,7 @@
     """Starts an `OnlineRequest` for each request of an online route."""
 
     access: EngineAccess
+    crashes: CrashLog
     events: EventLog
     open_requests: int = 0
 
@@ -314,7 +357,16 @@
         is_stream = route.kind is RouteKind.STREAMING
         relay = ResponseRelay(exchange, is_stream, self.access.now)
         request = OnlineRequest(
-            self.access, self.events, exchange, req, route, config, plan, relay
+            self.access,
+            self.crashes,
+            self.events,
+            exchange,
+            req,
+            route,
+            config,
+            plan,
+            relay,
+            fingerprint(req.method, req.host, exchange.head.target, exchange.body),
         )
         self.open_requests += 1
         task = spawn(self._serve(request))
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -62,6 +62,22 @@
 # Interval at which the gateways that share the batch work are determined.
 MEMBERS_TICK_S = 0.2
 
+# A request under which this many engines crashed is not sent to another one, until this
+# long after the last crash.
+QUARANTINE_CRASHES = 3
+QUARANTINE_S = 600.0
+# Long poll of the crashes. An unresponsive connection is detected after this plus the
+# store client's time-out: a crash has to be known everywhere within four seconds.
+CRASH_POLL_S = 2.0
+# Pause between two reads of the crashes: an engine's crash makes a record of each
+# request that ran there.
+CRASH_READ_GAP_S = 0.1
+CRASH_TICK_S = 0.5
+# After this time a new gateway is ready although it could not read the crashes.
+CRASHES_WAIT_S = 5.0
+# Largest number of crash records that wait for the store: those of a hundred engines.
+MAX_UNWRITTEN_CRASHES = 2000
+
 # Time from SIGTERM until new requests are refused: callers are sent to other gateways
 # after two failed readiness checks, one a second.
 LEAVE_ROTATION_S = 2.6
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -230,6 +230,13 @@
         ("state",),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_quarantined_requests",
+        GAUGE,
+        "Online requests that are not sent to engines, because they crashed some.",
+        (),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_peers",
         GAUGE,
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -1,5 +1,6 @@
 """Serves a stand-in for a model engine of the platform."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -30,6 +31,7 @@
     delay_s: float = 0.0
     event_gap_s: float = 0.001
     reset_after_events: int | None = None
+    crash_body: bytes | None = None
     status: int = 200
     is_full: bool = False
     is_silent: bool = False
@@ -50,6 +52,7 @@
     """Streams numbered events and records the requests it receives.
 
     ``running`` counts open streams, ``aborted`` those whose caller disconnected.
+    ``on_crash`` is called after a request has crashed the engine.
     """
 
     def __init__(self, reactor: Any, clock: Any, engine_id: str) -> None:
@@ -58,6 +61,7 @@
         self.requests: list[ReceivedRequest] = []
         self.aborted = 0
         self.running = 0
+        self.on_crash: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._listener = HttpListener(reactor, clock, self._handle, MAX_CONNECTIONS)
 
@@ -108,6 +112,12 @@
 
     def _run(self, exchange: Exchange, request_id: str, last_id: int) -> None:
         behaviour = self.behaviour
+        if behaviour.crash_body is not None:
+            if exchange.body != behaviour.crash_body:
+                behaviour = attrs.evolve(behaviour, reset_after_events=None)
+            elif behaviour.reset_after_events is None:
+                self._crash(exchange)
+                return
         fields = [(b"X-Request-Id", request_id.encode())]
         if behaviour.is_silent:
             return
@@ -146,7 +156,7 @@
         ):
             self.running -= 1
             exchange.write(b"id: %d\nda" % number)
-            exchange.abort()
+            self._crash(exchange)
         elif number > behaviour.events:
             self.running -= 1
             exchange.finish()
@@ -161,6 +171,10 @@
                 sent + 1,
             )
 
+    def _crash(self, exchange: Exchange) -> None:
+        exchange.abort()
+        self.on_crash()
+
     def _on_disconnect(self) -> None:
         self.running -= 1
         self.aborted += 1
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -1,6 +1,7 @@
 """A deployment on the platform: stand-ins and gateways on loopback addresses."""
 
 import base64
+from functools import partial
 from random import Random
 
 import attrs
@@ -17,7 +18,7 @@
 )
 from pomeloshift.net import SystemClock
 from pomeloshift.platform import parse_platform_settings
-from pomeloshift.standins.platform import EngineServer, StoreServer
+from pomeloshift.standins.platform import Behaviour, EngineServer, StoreServer
 
 HOST = "app.example"
 SERVICE = "lm"
@@ -115,6 +116,22 @@
         record = engine.record(engine.address, SERVICE, **fields)
         self.store.state.put("keyed.servers", engine.id, record)
 
+    def add_crashing_engines(self, count, body, **behaviour):
+        """Adds engines that a request with this body crashes for good."""
+        for _ in range(count):
+            engine = self.add_engine()
+            engine.behaviour = Behaviour(crash_body=body, **behaviour)
+            engine.on_crash = partial(self.deregister, engine)
+
+    def deregister(self, engine):
+        self.store.state.put("keyed.servers", engine.id, b"")
+
+    def runs_of(self, body):
+        """The number of requests with this body that reached engines."""
+        return sum(
+            seen.body == body for engine in self.engines for seen in engine.requests
+        )
+
     async def add_gateway(self, **bounds):
         ip = f"127.0.0.{len(self.gateways) + 1}"
         settings = parse_platform_settings(
--- /dev/null
+++ b/tests/test_crash_log.py
@@ -0,0 +1,241 @@
+"""The record of crashes at several gateways over one topic, in virtual time."""
+
+from collections import namedtuple
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import deferLater
+from twisted.internet.testing import MemoryReactorClock
+
+from _virtual import VirtualClock
+from pomeloshift.dispatch import Engine, EngineRecord, fingerprint
+from pomeloshift.gateway._crash_log import CrashLog
+from pomeloshift.gateway._events import EventLog
+from pomeloshift.gateway._metrics import GatewayMetrics
+from pomeloshift.gateway._timing import (
+    CRASHES_WAIT_S,
+    MAX_UNWRITTEN_CRASHES,
+    QUARANTINE_CRASHES,
+    QUARANTINE_S,
+)
+from pomeloshift.net._periodic_tasks import PeriodicTasks
+from pomeloshift.platform import (
+    KeyedRecord,
+    NewestPage,
+    Page,
+    StoreUnreachableError,
+)
+
+STEP_S = 0.1
+Append = namedtuple("Append", "done")
+
+
+class Topic:
+    """A topic in memory that is its own client and writer."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.records = []
+        self.is_down = False
+
+    async def newest(self, topic, partition, after=""):
+        self._check()
+        last = {record.key: record for record in self.records}
+        kept = [record for record in last.values() if record.value is not None]
+        return NewestPage(kept, False, len(self.records))
+
+    async def read(self, topic, partition, offset, wait_s):
+        self._check()
+        if offset == len(self.records):
+            await deferLater(self.reactor, STEP_S, lambda: None)
+            self._check()
+        return Page(self.records[offset:], len(self.records), len(self.records))
+
+    def append(self, records):
+        for key, value in records:
+            self.records.append(KeyedRecord(len(self.records), key, value))
+        return Append(succeed(0))
+
+    def stop(self):
+        pass
+
+    def live_keys(self):
+        last = {record.key: record.value for record in self.records}
+        return {key for key, value in last.items() if value is not None}
+
+    def _check(self):
+        if self.is_down:
+            raise StoreUnreachableError("down")
+
+
+class Owner:
+    def owns(self, name):
+        return True
+
+
+class Fixture:
+    def __init__(self):
+        self.reactor = MemoryReactorClock()
+        self.clock = VirtualClock(self.reactor)
+        self.topic = Topic(self.reactor)
+        self.tasks = PeriodicTasks(self.reactor)
+
+    def add(self):
+        events = EventLog(self.clock, GatewayMetrics("g"))
+        log = CrashLog(
+            self.topic, self.topic, Owner(), events, self.reactor, self.clock
+        )
+        log.start(self.tasks)
+        return log
+
+    def advance(self, seconds):
+        self.reactor.pump([STEP_S] * round(seconds / STEP_S))
+
+
+@pytest.fixture
+def logs():
+    fixture = Fixture()
+    yield fixture
+    fixture.tasks.stop()
+
+
+def engine(name, incarnation=1):
+    record = EngineRecord(name, "lm", "10.0.0.1:1", "a", 8, False, incarnation)
+    return Engine(record)
+
+
+def crash(log, *names, request="f"):
+    for name in names:
+        log.note_crash(request, engine(name), "r1")
+
+
+def test_third_crash_quarantines_at_every_gateway(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2")
+    logs.advance(1.0)
+    assert not second.is_quarantined("f")
+    crash(second, "e3")
+    assert second.is_quarantined("f")  # before the store has the record
+    logs.advance(1.0)
+    assert first.is_quarantined("f")
+    assert logs.add().is_quarantined("f")
+    assert not first.is_quarantined("g")
+
+
+def test_crash_that_several_gateways_see_counts_once(logs):
+    gateways = [logs.add() for _ in range(QUARANTINE_CRASHES)]
+    for log in gateways:
+        crash(log, "e1")
+    logs.advance(1.0)
+    assert [log.count_crashes("f") for log in gateways] == [1, 1, 1]
+    assert len(logs.topic.live_keys()) == 1
+
+
+def test_each_incarnation_of_an_engine_is_a_crash_of_its_own(logs):
+    log = logs.add()
+    for incarnation in range(QUARANTINE_CRASHES):
+        log.note_crash("f", engine("e1", incarnation), "r1")
+    assert log.is_quarantined("f")
+
+
+def test_complete_response_clears_the_request_at_every_gateway(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2")
+    logs.advance(1.0)
+    second.note_answered("f")
+    crash(second, "e3")
+    logs.advance(1.0)
+    for log in (first, second, logs.add()):
+        assert log.count_crashes("f") == 1
+    assert len(logs.topic.live_keys()) == 1
+
+
+def test_quarantine_ends_and_its_records_are_removed(logs):
+    log = logs.add()
+    crash(log, "e1", "e2", "e3")
+    logs.advance(QUARANTINE_S - 10.0)
+    restarted = logs.add()
+    assert 9.0 < restarted.quarantined_for("f") <= 10.0
+    logs.advance(11.0)
+    assert not log.is_quarantined("f")
+    assert not restarted.is_quarantined("f")
+    assert not logs.topic.live_keys()
+
+
+def test_crash_seen_during_an_outage_of_the_store_counts_here(logs):
+    log = logs.add()
+    logs.topic.is_down = True
+    logs.advance(1.0)
+    crash(log, "e1", "e2", "e3")
+    assert log.is_quarantined("f")
+
+
+@pytest.mark.parametrize("value", [b"{", b'{"engine":1}', b"\xff"])
+def test_record_that_cannot_be_read_changes_nothing(logs, value):
+    logs.topic.append([("f/1", value), ("no key", value), ("f/2", None)])
+    log = logs.add()
+    crash(log, "e1")
+    logs.advance(1.0)
+    assert log.count_crashes("f") == 1
+
+
+def test_gateway_is_ready_once_it_has_read_the_crashes(logs):
+    logs.topic.is_down = True
+    log = logs.add()
+    assert not log.is_ready
+    logs.topic.is_down = False
+    logs.advance(1.0)
+    assert log.is_ready
+
+
+def test_gateway_whose_crashes_cannot_be_read_is_ready_later(logs):
+    logs.topic.is_down = True
+    log = logs.add()
+    logs.advance(CRASHES_WAIT_S + 1.0)
+    assert log.is_ready
+
+
+def test_records_that_wait_for_the_store_are_bounded(logs, monkeypatch):
+    log = logs.add()
+    sent = []
+    monkeypatch.setattr(
+        logs.topic, "append", lambda records: sent.append(records) or Append(Deferred())
+    )
+    for number in range(MAX_UNWRITTEN_CRASHES + 10):
+        crash(log, "e1", request=f"f{number}")
+    assert len(sent) == MAX_UNWRITTEN_CRASHES
+    assert log.count_crashes(f"f{MAX_UNWRITTEN_CRASHES + 9}") == 1
+
+
+def test_silent_engine_counts_only_once_it_is_gone(logs):
+    log = logs.add()
+    gone, slow, drained = engine("e1"), engine("e2"), engine("e3")
+    late = engine("e4")
+    for each in (gone, slow, drained, late):
+        log.note_given_up("f", each, "r1")
+    logs.advance(1.0)
+    assert log.count_crashes("f") == 0
+    gone.is_gone = True
+    drained.record = EngineRecord("e3", "lm", "10.0.0.1:1", "a", 8, True, 1)
+    drained.is_gone = True
+    late.last_byte_at = logs.clock.monotonic()
+    late.is_gone = True
+    logs.advance(1.0)
+    assert log.count_crashes("f") == 1
+    logs.advance(10.0)
+    slow.is_gone = True
+    logs.advance(1.0)
+    assert log.count_crashes("f") == 1
+
+
+def test_fingerprint_is_the_same_only_for_the_same_request():
+    parts = ("POST", "App.example", b"/a?b=c", b"body")
+    assert fingerprint(*parts) == fingerprint("POST", "app.example", *parts[2:])
+    changed = [
+        fingerprint("GET", *parts[1:]),
+        fingerprint("POST", "b.example", *parts[2:]),
+        fingerprint(*parts[:2], b"/a?b=d", b"body"),
+        fingerprint(*parts[:3], b"other"),
+        fingerprint(*parts[:2], b"/a?b=cb", b"ody"),
+    ]
+    assert len({fingerprint(*parts), *changed}) == 1 + len(changed)
--- /dev/null
+++ b/tests/test_gateway_crashes.py
@@ -0,0 +1,138 @@
+"""Requests that crash the engines that run them, and callers that send them again."""
+
+import itertools
+
+import pytest
+
+from _gateway import HOST, config, events, route
+from pomeloshift.dispatch import fingerprint
+from pomeloshift.http1 import ConnectionBrokenError
+from pomeloshift.standins.platform import Behaviour
+
+POISON = b"a prompt that crashes engines"
+# The platform allows three more runs after the crashes of three engines.
+MAX_RUNS = 3 + 3
+FINGERPRINT = fingerprint("POST", HOST, b"/once/a", POISON)
+ENGINES = 2 * MAX_RUNS
+
+
+@pytest.fixture
+def send():
+    """Sends a request under a new id and returns its response, None if it was cut."""
+    ids = itertools.count()
+
+    async def send(deployment, gateway, path, body=POISON, **headers):
+        try:
+            return await deployment.call(
+                gateway, "POST", path, body, f"r{next(ids)}", **headers
+            )
+        except ConnectionBrokenError:
+            return None
+
+    return send
+
+
+@pytest.mark.parametrize(
+    ("path", "reset_after_events"),
+    [
+        ("/plain/a", None),
+        ("/unsafe/a", None),
+        ("/once/a", None),
+        ("/once/a", 2),
+        ("/resumable/a", None),
+        ("/resumable/a", 2),
+    ],
+)
+def test_request_that_crashed_three_engines_is_not_sent_to_more(
+    play, send, path, reset_after_events
+):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(
+            ENGINES, POISON, reset_after_events=reset_after_events
+        )
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        for gateway in gateways * 8:
+            resp = await send(deployment, gateway, path)
+        return resp, deployment.runs_of(POISON)
+
+    resp, runs = play(scenario)
+    assert runs <= MAX_RUNS
+    assert resp.status == 503
+    assert float(resp.headers.text(b"retry-after")) > 0
+
+
+def test_restarted_gateway_knows_the_requests_that_crash_engines(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        for _ in range(4):
+            gateway = await deployment.add_gateway()
+            for _ in range(4):
+                await send(deployment, gateway, "/plain/a")
+            await gateway.stop()
+            deployment.gateways.remove(gateway)
+        return deployment.runs_of(POISON)
+
+    assert play(scenario) <= MAX_RUNS
+
+
+def test_request_that_crashes_engines_is_stopped_between_its_attempts(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        deployment.publish(config(2, [route("plain", maxAttempts=ENGINES)]))
+        gateway = await deployment.add_gateway()
+        resp = await send(deployment, gateway, "/plain/a")
+        return resp.status, deployment.runs_of(POISON)
+
+    status, runs = play(scenario)
+    assert status == 502  # it may have run, so 503 would be wrong
+    assert runs <= MAX_RUNS
+
+
+def test_other_requests_are_served_after_a_request_has_crashed_engines(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        gateway = await deployment.add_gateway()
+        for _ in range(8):
+            await send(deployment, gateway, "/plain/a")
+        return [
+            await send(deployment, gateway, "/plain/a", b"sound"),
+            await send(deployment, gateway, "/plain/b", b"sound"),
+        ]
+
+    assert [resp.body for resp in play(scenario)] == [events(1, 4)] * 2
+
+
+def test_engines_that_garble_responses_do_not_quarantine_a_request(play, send):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(has_stamp=False)
+        gateway = await deployment.add_gateway()
+        for _ in range(6):
+            await send(deployment, gateway, "/plain/a")
+        engine.behaviour = Behaviour()
+        return await send(deployment, gateway, "/plain/a")
+
+    assert play(scenario).status == 200
+
+
+def test_request_that_crashes_engines_silently_is_stopped(play, send):
+    """The engines stay silent, and are listed no more after the caller has left."""
+
+    async def scenario(deployment):
+        for _ in range(4):
+            deployment.add_engine().behaviour = Behaviour(is_silent=True)
+        deployment.publish(config(2, [route("once", timeoutMs=200)]))
+        gateway = await deployment.add_gateway()
+        crashed = set()
+        while len(crashed) < 3:
+            resp = await send(deployment, gateway, "/once/a")
+            for engine in deployment.engines:
+                if engine.requests and engine.id not in crashed:
+                    crashed.add(engine.id)
+                    deployment.deregister(engine)
+            while gateway.crashes.count_crashes(FINGERPRINT) < len(crashed):
+                await deployment.pause(0.01)
+        refused = await send(deployment, gateway, "/once/a")
+        return resp.status, refused.status, deployment.runs_of(POISON)
+
+    assert play(scenario) == (504, 503, 3)
