Explain a request with the crashes of engines under its retries

A retry has an id of its own, so `explain` of a quarantined attempt showed neither the crashes that led to it nor the attempts before. It now also prints the lines with the request's fingerprint, and takes a fingerprint in place of an id.

--- a/src/pomeloshift/explain/_explain.py
+++ b/src/pomeloshift/explain/_explain.py
@@ -24,9 +24,10 @@
     """Returns the lines about the request, job or item with the id ``wanted``.
 
     For an item, the lines of its job's own events are included; for a job, the lines
-    of its items. The lines of one file keep their order, also where its clock was set
-    back. Files are merged by the times in their lines, so clocks that differ by
-    seconds can change the order between files.
+    of its items; for a request, the crashes of engines under its retries. The lines of
+    one file keep their order, also where its clock was set back. Files are merged by
+    the times in their lines, so clocks that differ by seconds can change the order
+    between files.
 
     ``decisive_events`` are the events that state an outcome.
     """
@@ -36,15 +37,21 @@
         for line in known
         if line.fields.get("id") == wanted and "job" in line.fields
     }
-    found = [line for line in known if _belongs(line, wanted, jobs)]
+    fingerprints = {
+        line.fields["fingerprint"]
+        for line in known
+        if line.fields.get("id") == wanted and "fingerprint" in line.fields
+    }
+    ids = {wanted, *fingerprints}
+    found = [line for line in known if _belongs(line, ids, jobs)]
     ordered = _merge(found)
     about = [line for line in ordered if line.fields.get("id") == wanted] or ordered
     decisive = [line for line in about if line.event in decisive_events]
     return Explanation(decisive[-1] if decisive else None, tuple(ordered))
 
 
-def _belongs(line: LogLine, wanted: str, jobs: set[str]) -> bool:
-    if line.mentions({wanted}):
+def _belongs(line: LogLine, ids: set[str], jobs: set[str]) -> bool:
+    if line.mentions(ids):
         return True
     return line.fields.get("id") in jobs and line.event.startswith("job_")
 
--- a/src/pomeloshift/explain/_log_line.py
+++ b/src/pomeloshift/explain/_log_line.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+# Fields that name what a line is about.
+ID_FIELDS = ("id", "job", "fingerprint")
+
 PAIR = re.compile(r'(\w+)=("[^"]*"|\S*)')
 
 
@@ -27,8 +30,8 @@
         return self.fields.get("time", "")
 
     def mentions(self, ids: set[str]) -> bool:
-        """Whether one of the ids is the line's own or its job's."""
-        return any(self.fields.get(name) in ids for name in ("id", "job"))
+        """Whether one of the ids is the line's own, its job's or its fingerprint."""
+        return any(self.fields.get(name) in ids for name in ID_FIELDS)
 
 
 def parse_line(text: str, source: str, number: int) -> LogLine | None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -64,6 +64,32 @@
     assert len(explain("j1", log, DECISIVE).lines) == 5
 
 
+def test_lines_about_a_request_include_the_crashes_under_its_retries():
+    time = "time=2026-01-01T00:00:0"
+    known = [
+        *lines(
+            "a",
+            f"{time}1.000 event=crash_recorded id=r1 fingerprint=f1 crashes=1",
+            f"{time}2.000 event=crash_recorded id=r9 fingerprint=f9 crashes=1",
+        ),
+        *lines(
+            "b",
+            f'{time}1.100 event=crash_recorded id="" fingerprint=f1 crashes=1',
+            f"{time}3.000 event=request_quarantined id=r2 fingerprint=f1 crashes=3",
+            f"{time}3.001 event=request_failed id=r2 status=503",
+        ),
+    ]
+    found = explain("r2", known, DECISIVE)
+    assert [line.event for line in found.lines] == [
+        "crash_recorded",
+        "crash_recorded",
+        "request_quarantined",
+        "request_failed",
+    ]
+    assert found.decisive.event == "request_failed"
+    assert len(explain("f1", known, DECISIVE).lines) == 3
+
+
 def test_unknown_id_has_no_lines(log):
     found = explain("x", log, DECISIVE)
     assert found.lines == ()
