Test crashes across an outage of the store and under batch items

A gateway that sees three crashes while the store rejects calls refuses the request at once, and the other gateway knows them after the outage. A batch item with the body of such a request still completes after three engines crashed under it.

--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -136,3 +136,33 @@
         return resp.status, refused.status, deployment.runs_of(POISON)
 
     assert play(scenario) == (504, 503, 3)
+
+
+def test_gateway_without_the_store_learns_of_crashes_after_the_outage(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        deployment.store.is_busy = True
+        for _ in range(4):
+            resp = await send(deployment, first, "/once/a")
+        assert resp.status == 503
+        deployment.store.is_busy = False
+        while second.crashes.count_crashes(FINGERPRINT) < 3:
+            await deployment.pause(0.01)
+        resp = await send(deployment, second, "/once/a")
+        return resp.status, deployment.runs_of(POISON)
+
+    assert play(scenario) == (503, 3)
+
+
+def test_batch_item_under_which_engines_crash_is_not_quarantined(play):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(3, POISON)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [POISON])
+        while deployment.runs_of(POISON) < 3:
+            await deployment.pause(0.02)
+        deployment.add_engine()
+        return await deployment.results(gateway, "job1", 1)
+
+    assert [row["state"] for row in play(scenario)] == ["completed"]
