--- a/tests/test_dispatch_cores.py
+++ b/tests/test_dispatch_cores.py
@@ -83,6 +83,18 @@
     assert plan.failure_status(1.0) == 503
 
 
+@pytest.mark.parametrize(
+    ("runs", "step", "status"), [(0, Step.REFUSE, 503), (1, Step.FAIL, 502)]
+)
+def test_stopped_request_is_refused_only_if_it_has_not_run(runs, step, status):
+    plan = AttemptPlan(is_repeatable=True, max_runs=3, deadline=5.0)
+    for _ in range(runs):
+        plan.record_sent()
+    plan.is_stopped = True
+    assert plan.next_step(1.0) is step
+    assert plan.failure_status(1.0) == status
+
+
 @pytest.mark.parametrize(
     ("is_repeatable", "step"), [(False, Step.FAIL), (True, Step.TRY)]
 )
