--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -17,6 +17,7 @@
     OversizedEventError,
     StreamEvent,
 )
+from ._fingerprint import fingerprint
 from ._fleet import EXPIRY_GRACE_S, Fleet
 from ._isolation import is_isolated
 from ._peer_loads import (
@@ -30,6 +31,7 @@
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
 from ._serving_config import HttpLimits, Service, ServingConfig
+from ._silent_runs import SilentRun, SilentRuns
 from ._store_path import DIRECT, StorePath
 
 __all__ = [
@@ -58,9 +60,12 @@
     "RouteKind",
     "Service",
     "ServingConfig",
+    "SilentRun",
+    "SilentRuns",
     "Split",
     "Step",
     "StorePath",
     "StreamEvent",
+    "fingerprint",
     "is_isolated",
 ]
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -1,5 +1,6 @@
 """Serves a stand-in for a model engine of the platform."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -33,6 +34,7 @@
     reset_after_events: int | None = None
     endless: bytes = b""
     endless_after: int = 0
+    crash_body: bytes | None = None
     status: int = 200
     is_full: bool = False
     is_silent: bool = False
@@ -53,6 +55,7 @@
     """Streams numbered events and records the requests it receives.
 
     ``running`` counts open streams, ``aborted`` those whose caller disconnected.
+    ``on_crash`` is called after a request has crashed the engine.
     """
 
     def __init__(self, reactor: Any, clock: Any, engine_id: str) -> None:
@@ -61,6 +64,7 @@
         self.requests: list[ReceivedRequest] = []
         self.aborted = 0
         self.running = 0
+        self.on_crash: Callable[[], None] = lambda: None
         self._reactor = reactor
         self._listener = HttpListener(reactor, clock, self._handle, MAX_CONNECTIONS)
 
@@ -111,6 +115,12 @@
 
     def _run(self, exchange: Exchange, request_id: str, last_id: int) -> None:
         behaviour = self.behaviour
+        if behaviour.crash_body is not None:
+            if exchange.body != behaviour.crash_body:
+                behaviour = attrs.evolve(behaviour, reset_after_events=None)
+            elif behaviour.reset_after_events is None:
+                self._crash(exchange)
+                return
         fields = [(b"X-Request-Id", request_id.encode())]
         if behaviour.is_silent:
             return
@@ -149,7 +159,7 @@
         ):
             self.running -= 1
             exchange.write(b"id: %d\nda" % number)
-            exchange.abort()
+            self._crash(exchange)
         elif behaviour.endless and sent >= behaviour.endless_after:
             self._repeat(exchange, behaviour)
         elif number > behaviour.events:
@@ -174,6 +184,10 @@
         gap_s = behaviour.event_gap_s
         self._reactor.callLater(gap_s, self._repeat, exchange, behaviour)
 
+    def _crash(self, exchange: Exchange) -> None:
+        exchange.abort()
+        self.on_crash()
+
     def _on_disconnect(self) -> None:
         self.running -= 1
         self.aborted += 1
