Keep a resumed run whose own claim may be the later one

Two entries that claimed an item at the same moment could both stop: the later one replayed the earlier claim before its own was durable. A run is now compared with other claims only once its own claim has an offset.

The item was not lost: it started again at the next pass over the batch work.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -243,7 +243,8 @@
     def _is_superseded(self, key: ItemKey, run: ItemRun) -> bool:
         job = self.log.table.jobs.get(key[0])
         hold = job.holds.get(key[1]) if job is not None else None
-        if hold is None:
+        # Until the run's own claim is durable, it may be the later one.
+        if hold is None or run.is_claiming:
             return False
         return hold.supersedes(self.queue.name, run.claim_offset)
 
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -29,7 +29,8 @@
     """One run of an item, which resumes after the item's progress.
 
     ``claim`` records that this gateway resumes an item after an event and returns the
-    record's offset; ``claim_offset`` is that of the last claim known to this run.
+    record's offset; ``claim_offset`` is that of the last claim known to this run, and
+    ``is_claiming`` is set until its own is durable.
     ``progress`` grows with each event; a later run resumes after it. ``status`` is the
     engine's HTTP status, and ``why`` says why a run broke off.
     """
@@ -41,6 +42,7 @@
     progress: Progress | None
     claim: Callable[[WorkItem, int], Awaitable[int]]
     claim_offset: int = -1
+    is_claiming: bool = False
     status: int = 0
     why: str = ""
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -55,8 +57,7 @@
         await self._load_progress()
         body = await self.blobs.get(item.body)
         if self.progress is not None:
-            offset = await self.claim(self.work, self.progress.event_id)
-            self.claim_offset = max(self.claim_offset, offset)
+            await self._claim(self.progress.event_id)
         head = item_request(
             self.work.job.host,
             item.path,
@@ -79,6 +80,14 @@
         finally:
             run.close()
 
+    async def _claim(self, event_id: int) -> None:
+        self.is_claiming = True
+        try:
+            offset = await self.claim(self.work, event_id)
+        finally:
+            self.is_claiming = False
+        self.claim_offset = max(self.claim_offset, offset)
+
     async def _load_progress(self) -> None:
         """Loads the progress that another gateway stored, if it is further."""
         stored = self.work.job.progress.get(self.work.index)
