Start batch items only once the peers have been heard

Callers could see: an item ran at two engines (TWICE), and online requests waited behind batch items, after entries had started again or a partition had ended.

Cause: an entry replays the job log within 30 ms of its start, but hears its peers only some 0.1 to 2 s later. Until then it was its only member, owned all engines and knew no claims, so it started every pending item. The same held for an entry that no longer heard anybody while it reached the store and engines.

The test, before:

test_gateway_that_starts_again_runs_nothing_that_its_peers_run E assert 2 == 1

Change: `PeerView` decides whether every live peer has probably been heard. An entry for which this is not so owns no engine; items that already run continue. It waits for all published peers, at most 1.6 s if it hears some and 5 s if it hears none, so dead peers hold nobody up for long.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -21,6 +21,7 @@
     PeerState,
     RequestCounts,
 )
+from ._peer_view import PeerView
 from ._placement import Placement, PlacementConfig
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
@@ -43,6 +44,7 @@
     "PEER_VALID_S",
     "PeerLoads",
     "PeerState",
+    "PeerView",
     "Placement",
     "PlacementConfig",
     "RequestCounts",
--- /dev/null
+++ b/src/pomeloshift/dispatch/_peer_view.py
@@ -0,0 +1,41 @@
+"""Decides whether an entry has heard from its peers."""
+
+from collections.abc import Set
+
+import attrs
+
+from ._peer_loads import PEER_VALID_S
+
+# How long an entry that hears no peer, though others exist, assumes that the fault is
+# its own. It is longer than most restarts, and short against a job's deadline.
+ALONE_S = 5.0
+
+
+@attrs.define
+class PeerView:
+    """Tracks since when an entry has heard any peer.
+
+    Until an entry knows what its peers run it would start the same batch items. It
+    waits for all published peers, or for the time in which each that is alive sends a
+    heartbeat.
+
+        view = PeerView()
+        view.is_complete({"10.1.0.10"}, set(), now=3.0)  # False until 8.0
+    """
+
+    _is_alone: bool | None = None
+    _since: float = 0.0
+
+    def is_complete(self, published: Set[str], heard: Set[str], now: float) -> bool:
+        """Returns whether every live peer has probably been heard.
+
+        ``published`` names the other entries that exist, ``heard`` those whose state is
+        valid; ``now`` is in monotonic seconds.
+        """
+        is_alone = published.isdisjoint(heard)
+        if is_alone != self._is_alone:
+            self._is_alone = is_alone
+            self._since = now
+        if published <= heard:
+            return True
+        return now - self._since >= (ALONE_S if is_alone else PEER_VALID_S)
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -214,6 +214,8 @@
             self.batch_loop,
             self.job_log.follower,
             self._store_link,
+            self._directory,
+            clock,
         )
         self.members.attach()
         max_caller_connections = max(
--- a/src/pomeloshift/gateway/_members.py
+++ b/src/pomeloshift/gateway/_members.py
@@ -1,9 +1,12 @@
 """Determines which gateways share the batch work."""
 
+from typing import Any
+
 import attrs
 
-from ..dispatch import Fleet, PeerState, is_isolated
+from ..dispatch import Fleet, PeerState, PeerView, is_isolated
 from ._batch_loop import BatchLoop
+from ._peer_directory import PeerDirectory
 from ._peer_exchange import PeerExchange
 from ._store_link import StoreLink
 from ._topic_follower import TopicFollower
@@ -14,8 +17,8 @@
     """Reports this gateway's state to its peers and assigns engines to gateways.
 
     ``follower`` reads the job log. As long as the job log of any gateway is current,
-    gateways whose job log is not current own no engine. ``is_draining`` is set when the
-    process shuts down.
+    gateways whose job log is not current own no engine. Neither does a gateway that has
+    not heard its peers yet. ``is_draining`` is set when the process shuts down.
     """
 
     ip: str
@@ -24,6 +27,9 @@
     batch_loop: BatchLoop
     follower: TopicFollower
     store_link: StoreLink
+    directory: PeerDirectory
+    clock: Any
+    _view: PeerView = attrs.field(factory=PeerView)
     is_draining: bool = False
 
     def attach(self) -> None:
@@ -57,6 +63,9 @@
         If none can, all gateways that are not shutting down share the engines.
         """
         states = self.peers.loads.states
+        if not self._knows_peers:
+            self.batch_loop.set_members({})
+            return
         if not self.is_isolated:
             states[self.ip] = self.own_state()
         staying = {name for name, state in states.items() if not state.is_leaving}
@@ -64,6 +73,14 @@
         members = {name: self.peers.zone_of(name) for name in able or staying}
         self.batch_loop.set_members(members)
 
+    @property
+    def _knows_peers(self) -> bool:
+        if not self.directory.is_synced:
+            return False
+        heard = self.peers.loads.states.keys()
+        now = self.clock.monotonic()
+        return self._view.is_complete(self.peers.published, heard, now)
+
     @property
     def _can_store(self) -> bool:
         return self.follower.is_reachable and self.follower.is_synced
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -3,7 +3,7 @@
 A heartbeat reports the requests that its sender has at each engine.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 from typing import Any
 
 import attrs
@@ -113,6 +113,11 @@
         if address.ip != self._ip:
             self._peers[record.key] = _Peer(address)
 
+    @property
+    def published(self) -> Set[str]:
+        """The IP addresses of the other gateways that published an address."""
+        return self._peers.keys()
+
     @property
     def knows_others(self) -> bool:
         """Whether other gateways have published their addresses."""
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -2,6 +2,7 @@
 import pytest
 
 from _gateway import config, job, route, text
+from pomeloshift.dispatch import _peer_view
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway._peer_exchange import PeerExchange
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
@@ -273,6 +274,7 @@
     play, monkeypatch
 ):
     monkeypatch.setattr(PeerExchange, "datagramReceived", lambda *args: None)
+    monkeypatch.setattr(_peer_view, "ALONE_S", 0.0)
 
     async def scenario(deployment):
         gateways = [await deployment.add_gateway() for _ in range(2)]
@@ -344,3 +346,27 @@
         return first.peers.zone_of("127.0.0.2")
 
     assert play(scenario) == "a"
+
+
+def test_gateway_that_starts_again_runs_nothing_that_its_peers_run(play, monkeypatch):
+    """The peers' heartbeats arrive 0.5 s late, after the log has been replayed."""
+    send = PeerExchange._send
+
+    def send_later(exchange, *args):
+        exchange._reactor.callLater(0.5, send, exchange, *args)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        first = await deployment.add_gateway()
+        await deployment.submit(first, "job1", [b"one"])
+        while not engine.running:
+            await deployment.pause(0.01)
+        monkeypatch.setattr(PeerExchange, "_send", send_later)
+        second = await deployment.add_gateway()
+        while not second.peers.loads.states:
+            await deployment.pause(0.01)
+        await deployment.pause(0.3)
+        return len(engine.requests)
+
+    assert play(scenario) == 1
