Try an item at another engine after one has rejected it

An item could wait for ever in a calm fleet with free slots. An engine that rejects every request at once (503 with `X-Not-Executed`) has the most free slots. It is avoided for 0.15 s, but the item waits 0.3 s, so that the entry chose the same engine again each time, although others were free. Entries that fill other engines took such an item over only by chance, between two of these attempts; a single entry never ran it.

The queue now remembers when each engine last rejected an item, and the item goes to engines that have not done so, or did so the longest ago, before free slots count. This also holds for responses that are neither a success nor a counted failure.

test_engine_that_rejects_everything_does_not_keep_an_item_from_others failed on the code before, after five rejections by the same engine:

AssertionError: assert [] == ['completed']

With the change the item completes after one rejection.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -32,7 +32,6 @@
     BATCH_TICK_S,
     BODY_RETRY_S,
     HOLD_STOPPED_S,
-    ITEM_RETRY_S,
     ITEM_RUN_S,
     PROBE_S,
 )
@@ -333,7 +332,7 @@
             self._save_progress(key, run)
             now = self.access.now()
             if end is RunEnd.NOT_RUN:
-                self.queue.defer(key, now + ITEM_RETRY_S)
+                self.queue.record_rejection(key, run.engine.record.id, now)
             else:
                 self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
 
@@ -353,7 +352,7 @@
             return
         if after is AfterRun.COUNT_FAILURE:
             self.item_writer.record_failure(run.work.key, engine.id)
-        self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
+        self.queue.record_rejection(run.work.key, engine.id, self.access.now())
 
     def _save_progress(self, key: ItemKey, run: ItemRun) -> None:
         if run.progress is not None and run.work.index in run.work.job.pending:
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -47,8 +47,6 @@
 PROBE_TIMEOUT_S = 0.5
 # Pause in a batch stream after which the run is abandoned, to be resumed elsewhere.
 BATCH_STALL_S = 2.5
-# Delay before an item whose run failed is retried.
-ITEM_RETRY_S = 0.3
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -5,7 +5,7 @@
 finished item goes before new ones of its job, because little of it is left.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 
@@ -26,10 +26,10 @@
 # other entries.
 UNTRIED_DELAY_S = 1.0
 SALT_BITS = 48  # also the width of a claim
-# How long an item waits after a run that broke off without progress: less than the
-# engine is avoided, so that the next run is at another one. The wait does not grow,
-# because engines that crash are no fault of the items that they ran.
-BROKEN_RUN_DELAY_S = 0.3
+# How long an item waits after it was rejected, or after a run that broke off without
+# progress: less than a failed engine is avoided, so that the next run is at another
+# one. The wait does not grow, because engines that crash are no fault of their items.
+RETRY_DELAY_S = 0.3
 
 
 @attrs.frozen
@@ -39,6 +39,7 @@
     ``is_late`` states that the item is not expected to finish when it is due.
     ``is_own`` states that the item is assigned to an engine of this entry.
     ``tie_break`` orders equally urgent items, differently at each entry.
+    ``rejected_at`` holds when engines last rejected the item here.
     """
 
     job: Job
@@ -47,6 +48,7 @@
     is_late: bool = False
     is_own: bool = True
     tie_break: int = 0
+    rejected_at: Mapping[str, float] = attrs.field(factory=dict)
 
     @property
     def key(self) -> ItemKey:
@@ -54,13 +56,19 @@
         return self.job.id, self.index
 
     def choose(self, free: dict[str, int]) -> str:
-        """Returns the engine to run the item at: one where it has not failed, if any.
+        """Returns the engine to run the item at.
 
-        Among those it is the one with the most free slots; ``free`` maps the ids of
-        the engines to theirs.
+        Engines at which it has not failed go first, then those that did not reject it
+        or did so the longest ago, then those with the most free slots; ``free`` maps
+        the ids of the engines to their free slots.
         """
         failed_at = self.job.failures.get(self.index, ())
-        return max(free, key=lambda name: (name not in failed_at, free[name]))
+
+        def rank(name: str) -> tuple[bool, float, int]:
+            rejected_at = self.rejected_at.get(name, float("-inf"))
+            return name not in failed_at, -rejected_at, free[name]
+
+        return max(free, key=rank)
 
 
 @attrs.define
@@ -78,6 +86,7 @@
     running: set[ItemKey] = attrs.field(factory=set)
     reserved: dict[ItemKey, float] = attrs.field(factory=dict)
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
+    _rejected_at: dict[ItemKey, dict[str, float]] = attrs.field(factory=dict)
     _ready_since: dict[ItemKey, float] = attrs.field(factory=dict)
 
     def defer(self, key: ItemKey, until: float) -> None:
@@ -87,7 +96,12 @@
     def record_broken_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
         """Records a run that broke off; without progress the item waits shortly."""
         if not has_progressed:
-            self.defer(key, now + BROKEN_RUN_DELAY_S)
+            self.defer(key, now + RETRY_DELAY_S)
+
+    def record_rejection(self, key: ItemKey, engine: str, now: float) -> None:
+        """Defers an item that an engine rejected; others are preferred next."""
+        self._rejected_at.setdefault(key, {})[engine] = now
+        self.defer(key, now + RETRY_DELAY_S)
 
     def claims(self) -> frozenset[int]:
         """Returns the claims of items that run or are reserved here, for the peers."""
@@ -136,18 +150,22 @@
                 events = job.events_done.get(index, 0)
                 rest_s = max(0.0, run_s - event_s * events)
                 is_late = now + rest_s > due
-                items.append(WorkItem(job, index, due, is_late, is_own, tie_break))
+                rejected_at = self._rejected_at.get(key, {})
+                items.append(
+                    WorkItem(job, index, due, is_late, is_own, tie_break, rejected_at)
+                )
         self._ready_since = ready_since
         self._remove_finished(table)
         items.sort(key=self._rank)
         return items
 
     def _remove_finished(self, table: JobTable) -> None:
-        """Removes the delays of items that finished, at whichever entry."""
-        for key in list(self._not_before):
-            job = table.jobs.get(key[0])
-            if job is None or key[1] not in job.pending:
-                del self._not_before[key]
+        """Removes the retry state of items that finished, at whichever entry."""
+        for by_item in (self._not_before, self._rejected_at):
+            for key in list(by_item):
+                job = table.jobs.get(key[0])
+                if job is None or key[1] not in job.pending:
+                    del by_item[key]
 
     def _is_ready(self, key: ItemKey, now: float) -> bool:
         if key in self.running:
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -107,6 +107,25 @@
     assert failed > 0
 
 
+def test_engine_that_rejects_everything_does_not_keep_an_item_from_others(play):
+    async def scenario(deployment):
+        rejecting = deployment.add_engine(slots=8)
+        rejecting.behaviour = Behaviour(is_full=True)
+        deployment.add_engine(slots=4)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        rows = []
+        while not rows and len(rejecting.requests) < 5:
+            await deployment.pause(0.02)
+            resp = await deployment.call(gateway, "GET", "/api/lots/job1?after=0")
+            rows = msgspec.json.decode(resp.body)["results"]
+        return rows, len(rejecting.requests)
+
+    rows, rejections = play(scenario)
+    assert [row["state"] for row in rows] == ["completed"]
+    assert rejections == 1
+
+
 def test_new_gateway_knows_all_jobs_after_a_loss_of_history(play):
     async def scenario(deployment):
         deployment.add_engine()
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -327,6 +327,18 @@
     assert work.choose({"a": 9, "b": 8}) == "a"
 
 
+def test_item_that_an_engine_rejected_runs_next_at_another_one(log, queue):
+    log.add(submitted("j1", items=1))
+    free = {"a": 9, "b": 5, "c": 1}
+    chosen = []
+    for now in range(10):
+        (work,) = queue.pending(log.replay(), {}, now, event_s=0.02, run_s=4.0)
+        chosen.append(work.choose(free))
+        queue.record_rejection(work.key, chosen[-1], now)
+        assert order(queue, log.replay(), now + 0.2) == []
+    assert "".join(chosen) == "abcabcabca"
+
+
 def test_item_that_failed_at_all_open_engines_is_left_to_other_entries(log, queue):
     log.add(submitted("j1", items=1))
     log.add(ItemFailed("j1", 0, "a"))
