Run an item whose stored progress is lost

An item whose progress blob the store no longer holds was never run again: each entry failed to load it, logged `item_not_run` and tried again after a second, for ever. The progress only saves work, so the item is still owed. It now runs from the progress that the entry knows itself, or from its start, and `progress_lost` is logged.

test_item_whose_stored_progress_is_lost_still_runs failed on the code before:

assert <Failure BlobLostError: lost> is <RunEnd.COMPLETE: 'whole'>

A run now also knows the event after which it resumes once stored progress has been loaded. Before, a run that resumed from stored progress and broke off at once counted as one that had progressed, and its duration as that of a whole run.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -283,7 +283,6 @@
 
     async def _run(self, key: ItemKey, run: ItemRun, route: Route) -> None:
         began = self.access.now()
-        begun_at_event = _events(run)
         item = run.work.job.items[run.work.index]
         try:
             end = await run.run()
@@ -317,12 +316,13 @@
             end=end.value,
             status=run.status,
             why=run.why,
+            resumed_after=run.resumed_after,
             events=_events(run),
             took_s=self.access.now() - began,
         )
         if end is RunEnd.COMPLETE:
             assert run.progress is not None
-            if begun_at_event == 0:
+            if run.resumed_after == 0:
                 self._update_run_times(self.access.now() - began, run.progress.event_id)
             self._progress.pop(key, None)
             self.item_writer.write_result(run.work, True, run.progress.text)
@@ -334,7 +334,8 @@
             if end is RunEnd.NOT_RUN:
                 self.queue.record_rejection(key, run.engine.record.id, now)
             else:
-                self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
+                has_progressed = _events(run) > run.resumed_after
+                self.queue.record_broken_run(key, has_progressed, now)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -9,7 +9,7 @@
 from ..http1 import CallTimeoutError, ConnectError, Disconnected, ResponseEnd
 from ..jobs import Progress, WorkItem
 from ..platform import is_stamped, item_request, proves_not_run
-from ._blob_store import BlobStore
+from ._blob_store import BlobLostError, BlobStore
 from ._engine_access import EngineAccess, EngineRun
 from ._timing import BATCH_STALL_S
 
@@ -27,7 +27,8 @@
 class ItemRun:
     """One run of an item, which resumes after the item's progress.
 
-    ``progress`` grows with each event; a later run resumes after it. ``status`` is the
+    ``progress`` grows with each event; a later run resumes after it. ``resumed_after``
+    is the event after which this run resumes, 0 for a whole run. ``status`` is the
     engine's HTTP status, and ``why`` says why a run broke off.
     """
 
@@ -36,6 +37,7 @@
     work: WorkItem
     engine: Engine
     progress: Progress | None
+    resumed_after: int = 0
     status: int = 0
     why: str = ""
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -47,6 +49,7 @@
         """
         item = self.work.job.items[self.work.index]
         await self._load_progress()
+        self.resumed_after = self.progress.event_id if self.progress else 0
         body = await self.blobs.get(item.body)
         head = item_request(
             self.work.job.host,
@@ -54,7 +57,7 @@
             item.id,
             item.headers,
             self.engine.record.id,
-            self.progress.event_id if self.progress else None,
+            self.resumed_after or None,
         )
         try:
             run = await self.access.send(self.engine, head, body, True)
@@ -74,9 +77,16 @@
         """Loads the progress that another gateway stored, if it is further."""
         stored = self.work.job.progress.get(self.work.index)
         known = self.progress.event_id if self.progress else 0
-        if stored is not None and stored.event_id > known:
+        if stored is None or stored.event_id <= known:
+            return
+        try:
             text = await self.blobs.get(stored.text)
-            self.progress = Progress(stored.event_id, text)
+        except BlobLostError as exc:
+            # The item is still owed: it runs from the progress known here.
+            item = self.work.job.items[self.work.index]
+            self.access.events.warn("progress_lost", id=item.id, why=exc.message)
+            return
+        self.progress = Progress(stored.event_id, text)
 
     async def _receive(self, run: EngineRun) -> RunEnd:
         event: Any = await run.next(BATCH_STALL_S)
--- /dev/null
+++ b/tests/test_item_run.py
@@ -0,0 +1,83 @@
+import attrs
+import pytest
+from twisted.internet.defer import Deferred, succeed
+
+from _gateway import events
+from pomeloshift.dispatch import Engine, EngineRecord
+from pomeloshift.gateway._blob_store import BlobLostError
+from pomeloshift.gateway._item_run import ItemRun, RunEnd
+from pomeloshift.http1 import Chunk, Headers, ResponseEnd, ResponseHead
+from pomeloshift.jobs import BlobRef, Progress, WorkItem
+from test_jobs_cores import Log, submitted
+
+STAMPED = Headers([(b"X-Response-Stamp", b"s.1")])
+
+
+class Blobs:
+    """Holds the bodies of items; all other blobs are lost."""
+
+    def get(self, ref):
+        if ref.key.startswith("blob"):
+            return succeed(b"body")
+        raise BlobLostError(ref.key)
+
+
+@attrs.define
+class Access:
+    """Sends requests to an engine with scripted responses; records what is noted."""
+
+    response: list
+    sent: list = attrs.field(factory=list)
+    noted: list = attrs.field(factory=list)
+
+    @property
+    def events(self):
+        return self
+
+    def warn(self, event, **fields):
+        self.noted.append(event)
+
+    def send(self, engine, head, body, is_batch):
+        self.sent.append(head)
+        return succeed(self)
+
+    def next(self, timeout_s):
+        return succeed(self.response.pop(0))
+
+    def close(self):
+        pass
+
+
+@pytest.fixture
+def run_item():
+    """Runs an item against a scripted response; returns the run and how it ended."""
+
+    def run_item(response, stored=None, known=None):
+        log = Log()
+        log.add(submitted("j1", items=1))
+        job = log.replay().jobs["j1"]
+        if stored is not None:
+            job.note_progress(0, stored, BlobRef("lost", 7, 5, 1))
+        record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1)
+        run = ItemRun(
+            Access(response), Blobs(), WorkItem(job, 0, 18.0), Engine(record), known
+        )
+        return run, Deferred.fromCoroutine(run.run()).result
+
+    return run_item
+
+
+@pytest.mark.parametrize(
+    ("known", "resumed_after"), [(None, 0), (Progress(2, b"word1\nword2"), 2)]
+)
+def test_item_whose_stored_progress_is_lost_still_runs(run_item, known, resumed_after):
+    data = events(resumed_after + 1, 4)
+    response = [ResponseHead(200, STAMPED), Chunk(data), ResponseEnd()]
+    run, end = run_item(response, stored=3, known=known)
+    assert end is RunEnd.COMPLETE
+    assert run.progress == Progress(4, b"word1\nword2\nword3\nword4")
+    assert run.resumed_after == resumed_after
+    (sent,) = run.access.sent
+    expected = b"%d" % resumed_after if resumed_after else None
+    assert sent.headers.get(b"last-event-id") == expected
+    assert run.access.noted == ["progress_lost"]
