Bound what a caller may send beside a request's body

A caller that sent chunk extensions without end held its connection for ever: the limits of a header and of a body did not apply to them, and each byte of the body restarted the idle time.

Evidence, before the change, one of five cases of test_request_without_end_is_rejected [extensions] assert caller.transport.ended == 'closed': None The other four were ruled out: a request line, a header and a trailer get 431 above the limit of the header, a body 413 above its own.

The bytes beside the body have the limit that those of a response have, and the request then gets 413. Server and client connections count them in the same way.

--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -20,12 +20,9 @@
     ResponseEnd,
     ResponseHead,
 )
+from ._overhead import Overhead
 from ._pool_config import PoolConfig
 
-# Limit of the bytes beside the body: heads, chunk framing and skipped responses. Each
-# byte of the body adds `OVERHEAD_RATIO` to it; a chunk of one byte has five of framing.
-MAX_OVERHEAD_BYTES = 1024 * 1024
-OVERHEAD_RATIO = 8
 # Informational (1xx) and stale responses that are skipped before the response.
 MAX_SKIPPED_RESPONSES = 16
 
@@ -89,8 +86,7 @@
         self._body = b""
         self._completed_calls = 0
         self._has_received = False
-        self._overhead_bytes = 0
-        self._body_bytes = 0
+        self._overhead = Overhead()
         self._skipped_responses = 0
         self._is_unframed = False
         self._is_stale = False
@@ -110,7 +106,8 @@
         self._call = Call(self, self._pool.reactor)
         self._head, self._body = head, body
         self._has_received = False
-        self._overhead_bytes = self._body_bytes = self._skipped_responses = 0
+        self._overhead = Overhead()
+        self._skipped_responses = 0
         transport: Any = self.transport
         transport.write(self._encode(head, body))
         return self._call
@@ -147,19 +144,14 @@
             self._close()
             return
         self._has_received = True
-        self._overhead_bytes += len(data)
+        self._overhead.received += len(data)
         try:
             self._h11.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as exc:
             self._fail(f"invalid HTTP response: {exc}")
             return
-        self._check_overhead()
-
-    def _check_overhead(self) -> None:
-        """Fails the call if the server sends too much beside the response's body."""
-        limit = MAX_OVERHEAD_BYTES + OVERHEAD_RATIO * self._body_bytes
-        if self._overhead_bytes > limit:
+        if self._overhead.is_exceeded:
             self._fail("too many bytes beside the body")
 
     def _count_skipped(self) -> None:
@@ -205,8 +197,7 @@
             )
         elif isinstance(event, h11.Data):
             if not self._is_stale:
-                self._overhead_bytes -= len(event.data)
-                self._body_bytes += len(event.data)
+                self._overhead.body += len(event.data)
                 call.deliver(Chunk(bytes(event.data)))
         elif isinstance(event, h11.InformationalResponse):
             self._count_skipped()
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -8,6 +8,7 @@
 
 from ..dispatch import HttpLimits
 from ._messages import HeaderList, Headers, RequestHead
+from ._overhead import Overhead
 
 # Limit of unread bytes after the request that is being served. Some pipelined requests
 # fit; the connection of a caller that sends more is aborted as hostile.
@@ -101,7 +102,7 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
         self._head: RequestHead | None = None
         self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._overhead = Overhead()
         self._exchange: Exchange | None = None
         self._timer: Any = None
         self._is_open = True
@@ -134,7 +135,10 @@
             if len(self._h11.trailing_data[0]) > MAX_PIPELINED_BYTES:
                 self.abort()
             return
+        self._overhead.received += len(data)
         self._process_events()
+        if self._exchange is None and self._is_open and self._overhead.is_exceeded:
+            self._reject(413)
 
     # The transport calls these three methods of its push producer.
     def pauseProducing(self) -> None:  # noqa: N802
@@ -232,11 +236,11 @@
         if isinstance(event, h11.Request):
             headers = Headers(event.headers.raw_items())
             self._head = RequestHead(event.method, event.target, headers)
-            self._body, self._body_bytes = [], 0
+            self._body = []
             self._arm(self._limits.idle_timeout_s)
         elif isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._limits.max_body_bytes:
+            self._overhead.body += len(event.data)
+            if self._overhead.body > self._limits.max_body_bytes:
                 self._reject(413)
                 return
             self._body.append(bytes(event.data))
@@ -248,7 +252,7 @@
         assert self._head is not None
         self._disarm()
         head, body = self._head, b"".join(self._body)
-        self._head, self._body = None, []
+        self._head, self._body, self._overhead = None, [], Overhead()
         now = self._listener.clock.monotonic()
         self._exchange = Exchange(self, head, body, now)
         self._listener.handle(self._exchange)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -20,7 +20,8 @@
     ResponseEnd,
     ResponseHead,
 )
-from pomeloshift.http1._client_connection import MAX_OVERHEAD_BYTES, _Connection
+from pomeloshift.http1._client_connection import _Connection
+from pomeloshift.http1._overhead import MAX_OVERHEAD_BYTES
 from pomeloshift.http1._server_connection import ServerConnection
 
 
@@ -431,6 +432,43 @@
     assert caller.exchanges == []
 
 
+REQUEST_HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("start", "unit", "status"),
+    [
+        pytest.param(b"POST /", b"a" * 1024, b"431", id="request-line"),
+        pytest.param(b"POST / HTTP/1.1\r\n", b"X-Pad: a\r\n" * 64, b"431", id="header"),
+        pytest.param(
+            REQUEST_HEAD, b"1;" + b"a" * 1024 + b"\r\nx\r\n", b"413", id="extensions"
+        ),
+        pytest.param(
+            REQUEST_HEAD + b"0\r\n", b"X-Pad: a\r\n" * 64, b"431", id="trailer"
+        ),
+        pytest.param(REQUEST_HEAD, b"1\r\nx\r\n" * 64, b"413", id="body"),
+    ],
+)
+def test_request_without_end_is_rejected(clock, start, unit, status):
+    caller = Caller(clock, HttpLimits(max_body_bytes=65536))
+    caller.send(start)
+    for _ in range(4 * MAX_OVERHEAD_BYTES // len(unit)):
+        if caller.transport.ended:
+            break
+        caller.send(unit)
+    assert caller.transport.ended == "closed"
+    assert caller.received.startswith(b"HTTP/1.1 " + status)
+    assert caller.exchanges == []
+
+
+def test_body_in_chunks_of_one_byte_is_read(caller):
+    caller.send(REQUEST_HEAD)
+    for _ in range(MAX_OVERHEAD_BYTES // 4):
+        caller.send(b"1\r\nx\r\n")
+    caller.send(b"0\r\n\r\n")
+    assert caller.exchanges[0].body == b"x" * (MAX_OVERHEAD_BYTES // 4)
+
+
 def test_closing_listener_sends_connection_close(caller):
     caller.send(REQUEST)
     caller.listener.is_closing = True
