Do not blame an engine for a caller that reads too slowly

A resumable stream was moved to another engine, and its engine avoided for a second, when its caller stopped reading for 0.9 s: the gateway then stops reading from the engine, so nothing arrives, which counted as a stall.

Evidence, before the change, test_caller_that_reads_too_slowly_is_no_stall_of_its_engine: [True] CallTimeoutError: no event arrived in time, expected Chunk(data=b'late')

While the caller reads too slowly the time for the next event starts anew. The request's deadline still ends the wait.

--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -205,12 +205,28 @@
         at the request's deadline.
         """
         try:
-            return await run.next(self._read_timeout_s())
+            return await self._next_in_time(run)
         except CallTimeoutError:
             if self._has_alternative(run.engine):
                 raise
         return await run.next(max(0.0, self.plan.deadline - self.access.now()))
 
+    async def _next_in_time(
+        self, run: EngineRun
+    ) -> ResponseHead | Chunk | ResponseEnd | Disconnected:
+        """Returns the next event, or raises `CallTimeoutError` after the time-out.
+
+        The engine is not to blame for the time in which its caller reads too slowly.
+        """
+        while True:
+            try:
+                return await run.next(self._read_timeout_s())
+            except CallTimeoutError:
+                now = self.access.now()
+                if not self.exchange.is_paused or now >= self.plan.deadline:
+                    raise
+                self.relay.progressed_at = now
+
     def _has_alternative(self, engine: Engine) -> bool:
         now = self.access.now()
         excluded = self.plan.excluded | {engine.record.id}
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -1,9 +1,21 @@
+from types import SimpleNamespace
+
 import pytest
+from twisted.internet.defer import Deferred
 
 from _gateway import config, events, route
+from pomeloshift.dispatch import AttemptPlan, Engine, EngineRecord
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway import _request_dispatcher as dispatcher_module
-from pomeloshift.http1 import ConnectionBrokenError, Headers, RequestHead
+from pomeloshift.gateway._online import OnlineRequest
+from pomeloshift.gateway._response_relay import ResponseRelay
+from pomeloshift.http1 import (
+    CallTimeoutError,
+    Chunk,
+    ConnectionBrokenError,
+    Headers,
+    RequestHead,
+)
 from pomeloshift.standins.platform import Behaviour
 
 
@@ -302,3 +314,41 @@
     resp, resumed_after = play(scenario)
     assert resp.body == events(1, 4)
     assert resumed_after == str(good + 1)
+
+
+class PausedRun:
+    """A run that is silent for one wait, as while its caller reads too slowly."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.waits = 0
+
+    async def next(self, timeout_s):
+        self.waits += 1
+        if self.waits == 1:
+            raise CallTimeoutError("no event arrived in time")
+        return Chunk(b"late")
+
+
+@pytest.mark.parametrize("is_paused", [True, False])
+def test_caller_that_reads_too_slowly_is_no_stall_of_its_engine(is_paused):
+    engines = [
+        Engine(EngineRecord(name, "lm", "10.0.0.1:1", "a", 8, False, 1))
+        for name in ("e1", "e2")
+    ]
+    access = SimpleNamespace(
+        now=lambda: 1.0,
+        fleet=SimpleNamespace(of=lambda service: engines),
+        placement=SimpleNamespace(is_healthy=lambda engine, now: True),
+    )
+    exchange = SimpleNamespace(is_paused=is_paused, arrived_at=0.0)
+    relay = ResponseRelay(exchange, True, access.now)
+    plan = AttemptPlan(is_repeatable=True, max_runs=2, deadline=8.0, runs=1)
+    route = SimpleNamespace(objective_s=0.1)
+    request = OnlineRequest(access, None, exchange, None, route, None, plan, relay)
+    result = Deferred.fromCoroutine(request._next(PausedRun(engines[0])))
+    if is_paused:
+        assert result.result == Chunk(b"late")
+    else:
+        result.addErrback(lambda failure: failure.type)
+        assert result.result is CallTimeoutError
