--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -17,13 +17,21 @@
     OversizedEventError,
     StreamEvent,
 )
+from ._fingerprint import fingerprint
 from ._fleet import EXPIRY_GRACE_S, Fleet
 from ._isolation import is_isolated
-from ._peer_loads import NO_REQUESTS, PeerLoads, PeerState, RequestCounts
+from ._peer_loads import (
+    NO_REQUESTS,
+    PEER_VALID_S,
+    PeerLoads,
+    PeerState,
+    RequestCounts,
+)
 from ._placement import Placement, PlacementConfig
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
 from ._serving_config import HttpLimits, Service, ServingConfig
+from ._silent_runs import SilentRun, SilentRuns
 from ._store_path import DIRECT, StorePath
 
 __all__ = [
@@ -41,6 +49,7 @@
     "HttpLimits",
     "OnlineAdmission",
     "OversizedEventError",
+    "PEER_VALID_S",
     "PeerLoads",
     "PeerState",
     "Placement",
@@ -51,9 +60,12 @@
     "RouteKind",
     "Service",
     "ServingConfig",
+    "SilentRun",
+    "SilentRuns",
     "Split",
     "Step",
     "StorePath",
     "StreamEvent",
+    "fingerprint",
     "is_isolated",
 ]
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -10,7 +10,6 @@
 from ..jobs import (
     AfterRun,
     BatchSlots,
-    ItemFailed,
     ItemKey,
     ItemPolicy,
     Ownership,
@@ -33,7 +32,6 @@
     BATCH_TICK_S,
     BODY_RETRY_S,
     HOLD_STOPPED_S,
-    ITEM_RECORD_TIMEOUT_S,
     ITEM_RETRY_S,
     ITEM_RUN_S,
     PROBE_S,
@@ -104,6 +102,8 @@
         now = self.access.now()
         self._stop_ended()
         self._stop_duplicates(now)
+        for job_id in {key[0] for key in self._runs}:
+            self.job_changed(job_id)
         engines = self._own_engines()
         self.slots.observe(engines, now)
         self.preempt_items()
@@ -139,6 +139,7 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
+            frozenset(e.record.id for e in open_engines),
         )
         if pending:
             self._probe(healthy, now)
@@ -152,7 +153,8 @@
                     has_preempted = True
                     self._stop_late(service, now)
                 continue
-            engine = max(fitting, key=lambda e: free[e.record.id])
+            chosen = work.choose({e.record.id: free[e.record.id] for e in fitting})
+            engine = self.access.fleet.engines[chosen]
             free[engine.record.id] -= 1
             if free[engine.record.id] == 0:
                 open_engines.remove(engine)
@@ -230,6 +232,21 @@
                 self._stop(key, run, now, "claimed by another gateway")
                 self.queue.reserved.pop(key, None)
 
+    def job_changed(self, job_id: str) -> None:
+        """Stops items of a job that another gateway has resumed."""
+        now = self.access.now()
+        for key, run in list(self._runs.items()):
+            if key[0] == job_id and self._is_superseded(key, run):
+                self._stop(key, run, now, "resumed by another gateway")
+                self.queue.reserved.pop(key, None)
+
+    def _is_superseded(self, key: ItemKey, run: ItemRun) -> bool:
+        job = self.log.table.jobs.get(key[0])
+        hold = job.holds.get(key[1]) if job is not None else None
+        if hold is None:
+            return False
+        return hold.supersedes(self.queue.name, run.claim_offset)
+
     def _stop(self, key: ItemKey, run: ItemRun, now: float, why: str) -> None:
         """Stops an item.
 
@@ -266,7 +283,16 @@
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = work.key
         self.queue.reserved.pop(key, None)
-        run = ItemRun(self.access, self.blobs, work, engine, self._progress.get(key))
+        progress, hold = self._progress.get(key), work.job.holds.get(work.index)
+        run = ItemRun(
+            self.access,
+            self.blobs,
+            work,
+            engine,
+            progress,
+            self.item_writer.claim,
+            hold.offset if hold is not None else -1,
+        )
         self.events.info(
             "item_started",
             id=work.job.items[work.index].id,
@@ -275,7 +301,7 @@
             occupancy=engine.occupancy(self.access.now()),
             peak=self.slots.peak(engine),
             is_late=work.is_late,
-            event_id=_events(run),
+            event_id=work.job.events_done.get(work.index, 0),
         )
         self.queue.running.add(key)
         engine.reserve_slot()
@@ -335,7 +361,7 @@
             if end is RunEnd.NOT_RUN:
                 self.queue.defer(key, now + ITEM_RETRY_S)
             else:
-                self.queue.record_failed_run(key, _events(run) > begun_at_event, now)
+                self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
@@ -343,17 +369,16 @@
 
     def _after_failure(self, run: ItemRun, route: Route) -> None:
         job, index = run.work.job, run.work.index
-        after = ItemPolicy(route.max_attempts).after(
-            run.status, job.failures.get(index, 0)
-        )
+        engine = run.engine.record
+        engines = len(self.access.fleet.of(engine.service))
+        failed_at = [*job.failures.get(index, ()), engine.id]
+        after = ItemPolicy(route.max_attempts, engines).after(run.status, failed_at)
         if after is AfterRun.DEAD_LETTER:
             self._progress.pop(run.work.key, None)
             self.item_writer.write_result(run.work, False, b"")
             return
         if after is AfterRun.COUNT_FAILURE:
-            spawn(
-                self.log.append_within(ItemFailed(job.id, index), ITEM_RECORD_TIMEOUT_S)
-            )
+            self.item_writer.record_failure(run.work.key, engine.id)
         self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
 
     def _save_progress(self, key: ItemKey, run: ItemRun) -> None:
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -10,7 +10,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
-from ..dispatch import Fleet, PeerLoads, PeerState, RequestCounts
+from ..dispatch import PEER_VALID_S, Fleet, PeerLoads, PeerState, RequestCounts
 from ..platform import KeyedRecord
 from ._events import EventLog
 from ._timing import PEER_HEARTBEAT_S, PEER_LOST_HEARTBEAT_S, PEER_SEND_GAP_S
@@ -118,6 +118,17 @@
         """Whether other gateways have published their addresses."""
         return bool(self._peers)
 
+    @property
+    def hears_unknown(self) -> bool:
+        """Whether a gateway sends heartbeats whose address is not known here."""
+        return any(ip not in self._peers for ip in self.loads.states)
+
+    def has_ended(self, name: str) -> bool:
+        """Returns whether another process has replaced the one with this name."""
+        return name != self._name and all(
+            peer.address.name != name for peer in self._peers.values()
+        )
+
     def zone_of(self, ip: str) -> str:
         """Returns the availability zone of a gateway, empty if it is not published."""
         if ip == self._ip:
@@ -198,7 +209,7 @@
 
     @staticmethod
     def _send_gap_s(peer: _Peer, has_changed: bool, now: float) -> float:
-        if now - peer.last_seen_at > PEER_LOST_HEARTBEAT_S:
+        if now - peer.last_seen_at > PEER_VALID_S:
             return PEER_LOST_HEARTBEAT_S
         return PEER_SEND_GAP_S if has_changed else PEER_HEARTBEAT_S
 
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -56,6 +56,9 @@
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
+# How long a gateway waits for the record with which it claims an item that it resumes;
+# without it the item waits for `BODY_RETRY_S` and is then tried again.
+CLAIM_TIMEOUT_S = 1.0
 # Time after which all gateways have replayed a durable record: several times the sum of
 # a long poll's response, the pause between reads and the latency across regions.
 REPLAY_LAG_S = 0.6
@@ -66,6 +69,22 @@
 # Interval at which the gateways that share the batch work are determined.
 MEMBERS_TICK_S = 0.2
 
+# A request under which this many engines crashed is not sent to another one, until this
+# long after the last crash.
+QUARANTINE_CRASHES = 3
+QUARANTINE_S = 600.0
+# Long poll of the crashes. An unresponsive connection is detected after this plus the
+# store client's time-out: a crash has to be known everywhere within four seconds.
+CRASH_POLL_S = 2.0
+# Pause between two reads of the crashes: an engine's crash makes a record of each
+# request that ran there.
+CRASH_READ_GAP_S = 0.1
+CRASH_TICK_S = 0.5
+# After this time a new gateway is ready although it could not read the crashes.
+CRASHES_WAIT_S = 5.0
+# Largest number of crash records that wait for the store: those of a hundred engines.
+MAX_UNWRITTEN_CRASHES = 2000
+
 # Time from SIGTERM until new requests are refused: callers are sent to other gateways
 # after two failed readiness checks, one a second.
 LEAVE_ROTATION_S = 2.6
@@ -83,13 +102,17 @@
 # Interval at which a gateway checks whether heartbeats to others are due.
 PEER_TICK_S = 0.04
 # Least time between two heartbeats to a gateway: for a changed state; for an unchanged
-# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing was
-# received for the last of these times.
+# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing has been
+# received for that long. The last is below `PEER_VALID_S` too, because that gateway may
+# receive what this one sends.
 PEER_SEND_GAP_S = 0.03
 PEER_HEARTBEAT_S = 0.5
-PEER_LOST_HEARTBEAT_S = 2.0
+PEER_LOST_HEARTBEAT_S = 1.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
+# Interval at which they are read without waiting while a gateway is heard whose address
+# is missing.
+PEER_REFRESH_S = 1.0
 
 # Port that serves metrics; deploy/system.toml names the same port.
 METRICS_PORT = 9464
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -345,7 +345,18 @@
     relay = ResponseRelay(exchange, True, access.now)
     plan = AttemptPlan(is_repeatable=True, max_runs=2, deadline=8.0, runs=1)
     route = SimpleNamespace(objective_s=0.1)
-    request = OnlineRequest(access, None, exchange, None, route, None, plan, relay)
+    request = OnlineRequest(
+        access=access,
+        crashes=None,
+        events=None,
+        exchange=exchange,
+        req=None,
+        route=route,
+        config=None,
+        plan=plan,
+        relay=relay,
+        fingerprint="",
+    )
     result = Deferred.fromCoroutine(request._next(PausedRun(engines[0])))
     if is_paused:
         assert result.result == Chunk(b"late")
