Avoid an engine for longer once another one responds at its address

After an engine has crashed and another one has started at its address, its record stays in the list for several heartbeats. Requests sent by that record get 421. Such an engine was avoided for 0.15 s only, as one that is full, so that items went there again and again. It is now avoided for a second, as one that failed.

test_engine_at_whose_address_another_one_responds_is_not_just_full failed on the code before:

AssertionError: assert ['full'] == ['replaced']

--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -116,15 +116,23 @@
 
     def note_full(self, engine: Engine) -> None:
         """Avoids an engine that rejected a request, for `AVOID_FULL_S`."""
-        engine.avoided_until = max(engine.avoided_until, self.now() + AVOID_FULL_S)
+        self._avoid(engine, AVOID_FULL_S)
+
+    def note_replaced(self, engine: Engine) -> None:
+        """Avoids an engine at whose address another one responded."""
+        # Its record stays in the list until it has missed several heartbeats.
+        self._avoid(engine, AVOID_FAILED_S)
 
     def note_failed(self, engine: Engine, why: str, request_id: str) -> None:
         """Avoids an engine that failed, for `AVOID_FAILED_S`, and logs the failure."""
-        engine.avoided_until = max(engine.avoided_until, self.now() + AVOID_FAILED_S)
+        self._avoid(engine, AVOID_FAILED_S)
         self.events.warn(
             "engine_failed", engine=engine.record.id, id=request_id, why=why
         )
 
+    def _avoid(self, engine: Engine, for_s: float) -> None:
+        engine.avoided_until = max(engine.avoided_until, self.now() + for_s)
+
     async def probe(self, engine: Engine) -> None:
         """Asks an engine for its load and records it."""
         address = engine.record.address
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -94,7 +94,10 @@
             return self._broken(event.reason)
         self.status = event.status
         if proves_not_run(event):
-            self.access.note_full(self.engine)
+            if event.status == MISDIRECTED:
+                self.access.note_replaced(self.engine)
+            else:
+                self.access.note_full(self.engine)
             return RunEnd.NOT_RUN
         if not is_stamped(event):
             return self._broken(f"unusable response, status {event.status}")
@@ -135,3 +138,4 @@
 
 
 FIRST_EVENT_ID = 1
+MISDIRECTED = 421
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -13,6 +13,10 @@
 STAMPED = Headers([(b"X-Response-Stamp", b"s.1")])
 
 
+def head(status, *fields):
+    return ResponseHead(status, Headers([*STAMPED, *fields]))
+
+
 class Blobs:
     """Holds the bodies of items; all other blobs are lost."""
 
@@ -47,6 +51,15 @@
     def close(self):
         pass
 
+    def note_full(self, engine):
+        self.noted.append("full")
+
+    def note_replaced(self, engine):
+        self.noted.append("replaced")
+
+    def note_failed(self, engine, why, request_id):
+        self.noted.append("failed")
+
 
 @pytest.fixture
 def run_item():
@@ -67,12 +80,27 @@
     return run_item
 
 
+@pytest.mark.parametrize(
+    ("response", "noted"),
+    [
+        (head(421, (b"X-Instance-Id", b"e2")), "replaced"),
+        (head(503, (b"X-Not-Executed", b"1")), "full"),
+    ],
+)
+def test_engine_at_whose_address_another_one_responds_is_not_just_full(
+    run_item, response, noted
+):
+    run, end = run_item([response])
+    assert end is RunEnd.NOT_RUN
+    assert run.access.noted == [noted]
+
+
 @pytest.mark.parametrize(
     ("known", "resumed_after"), [(None, 0), (Progress(2, b"word1\nword2"), 2)]
 )
 def test_item_whose_stored_progress_is_lost_still_runs(run_item, known, resumed_after):
     data = events(resumed_after + 1, 4)
-    response = [ResponseHead(200, STAMPED), Chunk(data), ResponseEnd()]
+    response = [head(200), Chunk(data), ResponseEnd()]
     run, end = run_item(response, stored=3, known=known)
     assert end is RunEnd.COMPLETE
     assert run.progress == Progress(4, b"word1\nword2\nword3\nword4")
