Spread the entries that return to engines where an item failed

Each now adds its jitter, as for any item that it takes over.

test_entries_do_not_all_return_at_once_to_engines_where_an_item_failed failed on the code before, as all five entries chose the item in the same tick:

assert 1 >= 3

The bounds of test_item_that_failed_at_all_open_engines_is_left_to_other_entries moved by the jitter.

--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -125,7 +125,7 @@
         holds this entry's share of each queue; other items are returned once no entry
         has run them for `TAKEOVER_DELAY_S` and a jitter. ``engines`` are this
         entry's engines with free slots; items that failed at all of them are returned
-        once no entry has run them for `UNTRIED_DELAY_S`.
+        once no entry has run them for `UNTRIED_DELAY_S` longer than that.
         """
         items = []
         ready_since: dict[ItemKey, float] = {}
@@ -144,7 +144,7 @@
                 tie_break = claim ^ self.salt
                 delay_s = 0.0 if is_own else _takeover_s(tie_break)
                 if engines and engines.issubset(job.failures.get(index, ())):
-                    delay_s = UNTRIED_DELAY_S
+                    delay_s = UNTRIED_DELAY_S + _takeover_s(tie_break)
                 if now - ready_since[key] < delay_s:
                     continue
                 events = job.events_done.get(index, 0)
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -350,9 +350,26 @@
         )
 
     assert not is_chosen(1.0, "a")
-    assert not is_chosen(1.9, "a")
-    assert is_chosen(1.9, "ab")
-    assert is_chosen(2.1, "a")
+    assert not is_chosen(2.1, "a")
+    assert is_chosen(2.1, "ab")
+    assert is_chosen(2.4, "a")
+
+
+def test_entries_do_not_all_return_at_once_to_engines_where_an_item_failed(log):
+    log.add(submitted("j1", items=1))
+    log.add(ItemFailed("j1", 0, "a"))
+    table, first = log.replay(), {}
+    queues = [
+        WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
+        for n in range(5)
+    ]
+    for tick in range(60):
+        now = 1.0 + tick * 0.025
+        for number, queue in enumerate(queues):
+            if queue.pending(table, {}, now, 0.02, 4.0, engines=frozenset("a")):
+                first.setdefault(number, tick)
+    assert len(first) == 5
+    assert len(set(first.values())) >= 3
 
 
 def test_each_name_has_one_owner_in_its_zone_and_few_names_move():
