Resume no item while it cannot be claimed

Callers could see: an item went on at another engine while an entry that was well still ran it (TWICE).

Cause: entries that are cut off together hear each other but not the store. They cannot tell that from an outage for all, so they went on with the batch work and resumed items without a claim, which others still ran.

The test, before:

test_item_is_not_resumed_by_a_gateway_that_cannot_claim_it E assert 1 == 0

Change: without the store an item is not resumed; it is tried again after a second. Items without progress still start, and running ones continue.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -83,10 +83,9 @@
     async def _claim(self, event_id: int) -> None:
         self.is_claiming = True
         try:
-            offset = await self.claim(self.work, event_id)
+            self.claim_offset = await self.claim(self.work, event_id)
         finally:
             self.is_claiming = False
-        self.claim_offset = max(self.claim_offset, offset)
 
     async def _load_progress(self) -> None:
         """Loads the progress that another gateway stored, if it is further."""
--- a/src/pomeloshift/gateway/_item_writer.py
+++ b/src/pomeloshift/gateway/_item_writer.py
@@ -17,6 +17,7 @@
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._job_log import JobLog
+from ._log_writer import LogUnavailableError
 from ._timing import (
     CLAIM_TIMEOUT_S,
     HAND_OFF_TIMEOUT_S,
@@ -53,12 +54,13 @@
     async def claim(self, work: WorkItem, event_id: int) -> int:
         """Records that this process resumes an item; returns the record's offset.
 
-        Processes that still run the item stop it when they replay the record. Returns
-        -1 without a claim while the store is unavailable. Raises the errors of
-        `LogWriter.wait`.
+        Processes that still run the item stop it when they replay the record. Raises
+        `LogUnavailableError` while the store is unavailable: entries that are cut off
+        together cannot tell that from an outage for all. Raises the errors of
+        `LogWriter.wait` too.
         """
         if not self.log.follower.is_reachable:
-            return -1
+            raise LogUnavailableError("the store did not respond to the last read")
         record = ItemResumed(work.job.id, work.index, event_id, self.queue.name)
         return await self.log.append_within(record, CLAIM_TIMEOUT_S)
 
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -1,8 +1,9 @@
 import msgspec
 import pytest
 
-from _gateway import config, job, route, text
+from _gateway import CALL_TIMEOUT_S, config, job, route, text
 from pomeloshift.dispatch import _peer_view
+from pomeloshift.gateway import _batch_loop
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway._peer_exchange import PeerExchange
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
@@ -309,6 +310,31 @@
     assert play(scenario) == (0, 1)
 
 
+def test_item_is_not_resumed_by_a_gateway_that_cannot_claim_it(play, monkeypatch):
+    monkeypatch.setattr(_batch_loop, "BODY_RETRY_S", 0.05)
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        await deployment.store_progress(gateway, "job1", events=2)
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(delay_s=CALL_TIMEOUT_S)
+        while not engine.requests:
+            await deployment.pause(0.01)
+        deployment.store.is_busy = True
+        while gateway.job_log.follower.is_reachable:
+            await deployment.pause(0.01)
+        gateway.batch_loop._tasks["job1", 0].cancel()
+        await deployment.pause(0.5)
+        unclaimed = len(engine.requests) - 1
+        deployment.store.is_busy = False
+        while len(engine.requests) < 2:
+            await deployment.pause(0.01)
+        return unclaimed
+
+    assert play(scenario) == 0
+
+
 def test_resumed_run_is_claimed_in_the_log_before_it_reaches_an_engine(play):
     async def scenario(deployment):
         gateway = await deployment.add_gateway()
