Hand off an item that is preempted while its gateway drains

Callers could see: an item was done later than it could have been.

Cause: a preempted item stays reserved for the gateway that ran it, which hands its progress off after 1.5 s. A gateway that drains skipped that step: it kept the claim until it ended, started the item no more, and lost its progress.

Evidence, before:

test_item_preempted_while_its_gateway_drains_is_handed_off E assert set() == {0} (items with stored progress)

Change: reserved items are released before the check for the drain.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -109,11 +109,11 @@
         engines = self._own_engines()
         self.slots.observe(engines, now)
         self.preempt_items()
+        self._release_reserved(now)
         if self._is_stopped:
             return
         routes = self._routes()
         self.cleaner.tick(routes, now)
-        self._release_reserved(now)
         self._start_items(engines, routes, now)
 
     def _own_engines(self) -> list[Engine]:
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -396,3 +396,26 @@
         return len(engine.requests)
 
     assert play(scenario) == 1
+
+
+def test_item_preempted_while_its_gateway_drains_is_handed_off(play, monkeypatch):
+    monkeypatch.setattr(_batch_loop, "HOLD_STOPPED_S", 0.05)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.02)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        loop = gateway.batch_loop
+        while not loop._runs or loop._runs["job1", 0].progress is None:
+            await deployment.pause(0.01)
+        job = gateway.job_log.table.jobs["job1"]
+        loop.stop_starting()
+        loop._stop(("job1", 0), loop._runs["job1", 0], loop.access.now(), "slot needed")
+        for _ in range(POLLS):
+            if job.progress:
+                break
+            await deployment.pause(0.01)
+        return set(job.progress)
+
+    assert play(scenario) == {0}
