Release the claim of a resumed item whose run has broken off or failed

Callers saw: an item waited, or ended as a dead letter, although engines that could complete it had free slots.

Cause: a gateway that resumed an item kept its claim for 4 s after its run had ended without a complete output, so that only it could place the item again. If its only engine with free slots was faulty, it resumed the item there about once a second and claimed it anew each time, so that no other gateway ever took it. The claim of resumed items and the wait of an item that failed at all engines of a gateway worked against each other.

Change: a run that claimed its item and ended without a complete output appends `ItemReleased`.

Why it works: the release follows the claim in the one order of the log, and releases only the claim of the process that wrote it.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -362,6 +362,9 @@
                 self.queue.defer(key, now + ITEM_RETRY_S)
             else:
                 self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
+        if end is not RunEnd.COMPLETE and run.is_claimed:
+            # Other gateways may have a better engine for the item.
+            self.item_writer.release(key)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -30,7 +30,8 @@
     """One run of an item, which resumes after the item's progress.
 
     ``claim`` records that this gateway resumes an item after an event and returns the
-    record's offset; ``claim_offset`` is that of the last claim known to this run.
+    record's offset; ``claim_offset`` is that of the last claim known to this run, and
+    ``is_claimed`` is set if this run claimed the item.
     ``progress`` grows with each event; a later run resumes after it. ``status`` is the
     engine's HTTP status, and ``why`` says why a run broke off.
     """
@@ -42,6 +43,7 @@
     progress: Progress | None
     claim: Callable[[WorkItem, int], Awaitable[int]]
     claim_offset: int = -1
+    is_claimed: bool = False
     status: int = 0
     why: str = ""
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
@@ -59,6 +61,7 @@
         if self.progress is not None:
             offset = await self.claim(self.work, self.progress.event_id)
             self.claim_offset = max(self.claim_offset, offset)
+            self.is_claimed = offset >= 0
         head = item_request(
             self.work.job.host,
             item.path,
--- a/src/pomeloshift/gateway/_item_writer.py
+++ b/src/pomeloshift/gateway/_item_writer.py
@@ -7,6 +7,7 @@
     ItemFailed,
     ItemKey,
     ItemProgress,
+    ItemReleased,
     ItemResumed,
     ItemSettled,
     Progress,
@@ -63,6 +64,11 @@
         record = ItemResumed(work.job.id, work.index, event_id, self.queue.name)
         return await self.log.append_within(record, CLAIM_TIMEOUT_S)
 
+    def release(self, key: ItemKey) -> None:
+        """Records that this process has ended a run that it claimed."""
+        record = ItemReleased(*key, self.queue.name)
+        spawn(self.log.append_within(record, CLAIM_TIMEOUT_S))
+
     def record_failure(self, key: ItemKey, engine: str) -> None:
         """Records the engine at which an item failed, before the item runs again."""
         self.queue.running.add(key)
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -16,6 +16,7 @@
 from ._records import (
     ItemFailed,
     ItemProgress,
+    ItemReleased,
     ItemResumed,
     ItemSettled,
     JobEnded,
@@ -41,6 +42,7 @@
     "ItemKey",
     "ItemPolicy",
     "ItemProgress",
+    "ItemReleased",
     "ItemResumed",
     "ItemSettled",
     "ItemState",
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -10,6 +10,7 @@
 from ._records import (
     ItemFailed,
     ItemProgress,
+    ItemReleased,
     ItemResumed,
     ItemSettled,
     JobEnded,
@@ -106,7 +107,8 @@
 
     @staticmethod
     def _change(
-        job: Job, record: ItemSettled | ItemFailed | ItemProgress | JobEnded
+        job: Job,
+        record: ItemSettled | ItemFailed | ItemProgress | ItemReleased | JobEnded,
     ) -> bool:
         if isinstance(record, ItemSettled):
             state = ItemState.DONE if record.is_done else ItemState.DEAD
@@ -116,6 +118,8 @@
         elif isinstance(record, ItemProgress):
             job.note_progress(record.index, record.event_id, record.text)
             job.release_item(record.index, record.by)
+        elif isinstance(record, ItemReleased):
+            job.release_item(record.index, record.by)
         else:
             job.is_ended = True
         return True
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -72,6 +72,14 @@
     by: str
 
 
+class ItemReleased(msgspec.Struct, tag="released", array_like=True):
+    """The process ``by`` has ended its run of an item and lets others resume it."""
+
+    job_id: str
+    index: int
+    by: str
+
+
 class JobEnded(msgspec.Struct, tag="ended", array_like=True):
     """The caller ended a job; its unfinished items no longer run."""
 
@@ -79,7 +87,13 @@
 
 
 JobRecord = (
-    JobSubmitted | ItemSettled | ItemFailed | ItemProgress | ItemResumed | JobEnded
+    JobSubmitted
+    | ItemSettled
+    | ItemFailed
+    | ItemProgress
+    | ItemResumed
+    | ItemReleased
+    | JobEnded
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/tests/test_gateway_holds.py
@@ -0,0 +1,55 @@
+"""Resumed items whose runs end early, at gateways that share the batch work."""
+
+import itertools
+
+import pytest
+
+from pomeloshift.jobs import ItemState
+from pomeloshift.standins.platform import Behaviour, EngineServer
+
+# More runs than an entry can make before its hold of a resumed item expires.
+MAX_FAULTY_RUNS = 8
+
+
+async def until_shared(deployment, gateways):
+    """Waits until the gateways share the engines' batch work."""
+    names = {gateway.peers._ip for gateway in gateways}
+    while any(g.batch_loop.ownership._zones.keys() != names for g in gateways):
+        await deployment.pause(0.01)
+
+
+def add_engine_of(deployment, gateway, behaviour):
+    """Adds an engine whose batch work belongs to this gateway."""
+    owns = gateway.batch_loop.ownership.owns
+    name = next(n for n in map("e-{}".format, itertools.count()) if owns(n, "a"))
+    engine = EngineServer(deployment.reactor, deployment.clock, name)
+    engine.behaviour = behaviour
+    engine.address = engine.listen()
+    deployment.register(engine)
+    deployment.engines.append(engine)
+    return engine
+
+
+@pytest.mark.parametrize(
+    "behaviour",
+    [Behaviour(status=500), Behaviour(reset_after_events=0)],
+    ids=["fails", "resets"],
+)
+def test_resumed_item_leaves_a_gateway_whose_only_engine_is_faulty(play, behaviour):
+    async def scenario(deployment):
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        await until_shared(deployment, [first, second])
+        await deployment.submit(first, "job1", [b"one"])
+        await deployment.store_progress(first, "job1", events=2)
+        faulty = add_engine_of(deployment, first, behaviour)
+        while not faulty.requests:
+            await deployment.pause(0.01)
+        add_engine_of(deployment, second, Behaviour())
+        job = first.job_log.table.jobs["job1"]
+        while not job.results and len(faulty.requests) < MAX_FAULTY_RUNS:
+            await deployment.pause(0.02)
+        return [result.state for result in job.results], len(faulty.requests)
+
+    states, faulty_runs = play(scenario)
+    assert states == [ItemState.DONE]
+    assert faulty_runs <= 2
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -21,6 +21,7 @@
     ItemFailed,
     ItemPolicy,
     ItemProgress,
+    ItemReleased,
     ItemResumed,
     ItemSettled,
     JobEnded,
@@ -233,24 +234,33 @@
     assert order(queue, table, now=10.0 + HOLD_VALID_S) == [("j1", 0)]
 
 
-@pytest.mark.parametrize("how", ["own", "released", "replaced"])
+@pytest.mark.parametrize("how", ["own", "stored", "released", "replaced"])
 def test_hold_that_excludes_nobody_delays_nothing(log, queue, how):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "other"))
     if how == "own":
         queue.name = "other"
-    elif how == "released":
+    elif how == "stored":
         log.add(ItemProgress("j1", 0, 6, ref(6), "other"))
+    elif how == "released":
+        log.add(ItemReleased("j1", 0, "other"))
     else:
         queue.has_ended = {"other"}.__contains__
     assert order(queue, log.replay(), now=1.0) == [("j1", 0)]
 
 
-def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(log, queue):
+@pytest.mark.parametrize(
+    "record",
+    [ItemProgress("j1", 0, 6, ref(6), "first"), ItemReleased("j1", 0, "first")],
+    ids=["stored", "released"],
+)
+def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(
+    log, queue, record
+):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "first"))
     log.add(ItemResumed("j1", 0, 4, "second"))
-    log.add(ItemProgress("j1", 0, 6, ref(6), "first"))
+    log.add(record)
     table = log.replay()
     assert table.jobs["j1"].holds[0].by == "second"
     assert order(queue, table, now=1.0) == []
