Compare an item's failures with the engines of its own route's services

Callers saw: an item ended as a dead letter after one faulty engine had failed it, although another gateway had a sound engine with free slots. It happened in deployments with several services.

Cause: a gateway leaves an item to others if it failed at all of the gateway's engines with free slots. It counted the engines of all services, so that a free engine of another service, which cannot run the item, made it place the item at the faulty engine again at once.

Evidence, before the change: test_gateway_with_engines_of_other_services_leaves_a_failing_item_to_others AssertionError: assert ('dead_letter', 4) == ('completed', 1) four runs at the faulty engine within 2.1 s, none at the other gateway's engine

Change: the engines are passed for each queue. The test of the queue passes them so and adds an engine of another queue; its cases are the same.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -139,7 +139,14 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
-            frozenset(e.record.id for e in open_engines),
+            {
+                name: frozenset(
+                    e.record.id
+                    for e in open_engines
+                    if e.record.service in route.services
+                )
+                for name, route in routes.items()
+            },
         )
         if pending:
             self._probe(healthy, now)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -109,7 +109,7 @@
         event_s: float,
         run_s: float,
         shares: dict[str, Share] | None = None,
-        engines: frozenset[str] = frozenset(),
+        engines: dict[str, frozenset[str]] | None = None,
     ) -> list[WorkItem]:
         """Returns the items to run, the most urgent first.
 
@@ -117,9 +117,10 @@
         its items are due. ``run_s`` is the typical duration of a whole run; each event
         that an item already has shortens the rest of its run by ``event_s``. ``shares``
         holds this entry's share of each queue; other items are returned once no entry
-        has run them for `TAKEOVER_DELAY_S` and a jitter. ``engines`` are this
-        entry's engines with free slots; items that failed at all of them are returned
-        once no entry has run them for `UNTRIED_DELAY_S`.
+        has run them for `TAKEOVER_DELAY_S` and a jitter. ``engines`` holds, for each
+        queue, this entry's engines with free slots that can run its items; items that
+        failed at all of them are returned once no entry has run them for
+        `UNTRIED_DELAY_S`.
         """
         items = []
         ready_since: dict[ItemKey, float] = {}
@@ -128,6 +129,7 @@
                 continue
             due = job.accepted_at + due_after_s.get(job.queue, 0.0)
             share = (shares or {}).get(job.queue, ALL_ITEMS)
+            usable = (engines or {}).get(job.queue, frozenset())
             for index in job.pending:
                 key = (job.id, index)
                 if not self._is_ready(key, now) or self._is_held(job, index, now):
@@ -137,7 +139,7 @@
                 is_own = share.holds(claim)
                 tie_break = claim ^ self.salt
                 delay_s = 0.0 if is_own else _takeover_s(tie_break)
-                if engines and engines.issubset(job.failures.get(index, ())):
+                if usable and usable.issubset(job.failures.get(index, ())):
                     delay_s = UNTRIED_DELAY_S
                 if now - ready_since[key] < delay_s:
                     continue
--- a/tests/test_gateway_holds.py
+++ b/tests/test_gateway_holds.py
@@ -1,9 +1,10 @@
-"""Resumed items whose runs end early, at gateways that share the batch work."""
+"""Items whose runs end early, at gateways that share the batch work."""
 
 import itertools
 
 import pytest
 
+from _gateway import SERVICE
 from pomeloshift.jobs import ItemState
 from pomeloshift.standins.platform import Behaviour, EngineServer
 
@@ -18,14 +19,16 @@
         await deployment.pause(0.01)
 
 
-def add_engine_of(deployment, gateway, behaviour):
+def add_engine_of(deployment, gateway, behaviour, service=SERVICE):
     """Adds an engine whose batch work belongs to this gateway."""
     owns = gateway.batch_loop.ownership.owns
-    name = next(n for n in map("e-{}".format, itertools.count()) if owns(n, "a"))
+    names = map(f"{service}-{{}}".format, itertools.count())
+    name = next(name for name in names if owns(name, "a"))
     engine = EngineServer(deployment.reactor, deployment.clock, name)
     engine.behaviour = behaviour
     engine.address = engine.listen()
-    deployment.register(engine)
+    record = engine.record(engine.address, service)
+    deployment.store.state.put("keyed.servers", engine.id, record)
     deployment.engines.append(engine)
     return engine
 
@@ -53,3 +56,19 @@
     states, faulty_runs = play(scenario)
     assert states == [ItemState.DONE]
     assert faulty_runs <= 2
+
+
+def test_gateway_with_engines_of_other_services_leaves_a_failing_item_to_others(play):
+    async def scenario(deployment):
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        await until_shared(deployment, [first, second])
+        await deployment.submit(first, "job1", [b"one"])
+        add_engine_of(deployment, first, Behaviour(), service="other")
+        faulty = add_engine_of(deployment, first, Behaviour(status=500))
+        while not faulty.requests:
+            await deployment.pause(0.01)
+        add_engine_of(deployment, second, Behaviour())
+        (row,) = await deployment.results(first, "job1", 1)
+        return row["state"], len(faulty.requests)
+
+    assert play(scenario) == ("completed", 1)
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -386,10 +386,9 @@
     log.add(ItemFailed("j1", 0, "a"))
     table = log.replay()
 
-    def is_chosen(now, engines):
-        return bool(
-            queue.pending(table, {}, now, 0.02, 4.0, engines=frozenset(engines))
-        )
+    def is_chosen(now, names):
+        engines = {"h/p/": frozenset(names), "other/": frozenset("z")}
+        return bool(queue.pending(table, {}, now, 0.02, 4.0, engines=engines))
 
     assert not is_chosen(1.0, "a")
     assert not is_chosen(1.9, "a")
