Keep a quarantine when a gateway's clock is wrong

Crashes that a gateway with a clock ten minutes behind had recorded counted at no other gateway.

Evidence, before the change: test_gateway_whose_clock_is_wrong_does_not_end_a_quarantine[1200.0] assert each.is_quarantined("f"): assert False test_gateway_whose_clock_is_wrong_does_not_end_a_quarantine[-1200.0] assert each.is_quarantined("g"): assert False

Change: a record that is read as it is appended counts from then on, by the monotonic clock. A gateway removes a record once it has known it for the length of a quarantine.

--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -60,7 +60,7 @@
     _clock: Any
     _tracker: SuspectTracker = attrs.field(init=False)
     _silent: SilentRuns = attrs.field(factory=SilentRuns, init=False)
-    # When the stored records expire, by key; monotonic seconds.
+    # When the stored records may be removed, by key; monotonic seconds.
     _stored: dict[str, float] = attrs.field(factory=dict, init=False)
     _unwritten: int = attrs.field(default=0, init=False)
     _started_at: float = attrs.field(default=0.0, init=False)
@@ -83,7 +83,7 @@
             self._reactor,
             self._clock,
             self._events,
-            TopicHandlers(self._take_record),
+            TopicHandlers(self._take_new, snapshot=self._take_snapshot),
             read_gap_s=CRASH_READ_GAP_S,
             poll_s=CRASH_POLL_S,
         )
@@ -183,7 +183,23 @@
     def _note_not_published(self, why: str) -> None:
         self._events.info("crash_not_published", why=why)
 
-    def _take_record(self, record: KeyedRecord) -> None:
+    def _take_new(self, record: KeyedRecord) -> None:
+        self._take_record(record, QUARANTINE_S)
+
+    def _take_snapshot(self, records: list[KeyedRecord], end: int) -> None:
+        for record in records:
+            self._take_record(record, self._remaining_s(record))
+
+    def _remaining_s(self, record: KeyedRecord) -> float:
+        """Returns how long a record of unknown age still counts."""
+        try:
+            wire = _DECODER.decode(record.value or b"")
+        except msgspec.DecodeError:
+            return 0.0
+        # The clocks of gateways differ: a crash in the future has just happened.
+        return QUARANTINE_S - max(0.0, self._clock.wall() - wire.at)
+
+    def _take_record(self, record: KeyedRecord, ttl_s: float) -> None:
         fingerprint, _, crash = record.key.partition("/")
         now = self._now()
         if record.value is None:
@@ -196,10 +212,8 @@
         except msgspec.DecodeError as exc:
             self._events.warn("crash_ignored", key=record.key, why=exc)
             return
-        # The clocks of gateways differ: a crash in the future has just happened.
-        age_s = max(0.0, self._clock.wall() - wire.at)
-        ttl_s = max(0.0, QUARANTINE_S - age_s)
-        self._stored[record.key] = now + ttl_s
+        # A gateway whose clock is wrong must not remove what others still need.
+        self._stored[record.key] = now + QUARANTINE_S
         if ttl_s <= 0 or crash in self._tracker.crashes(fingerprint, now):
             return
         learned = CrashRecord(fingerprint, frozenset({crash}), ttl_s=ttl_s)
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -68,6 +68,17 @@
             raise StoreUnreachableError("down")
 
 
+class SteppedClock(VirtualClock):
+    """A clock whose time of day is wrong by ``step_s``."""
+
+    def __init__(self, reactor, step_s):
+        super().__init__(reactor)
+        self.step_s = step_s
+
+    def wall(self):
+        return super().wall() + self.step_s
+
+
 class Owner:
     def owns(self, name):
         return True
@@ -80,11 +91,10 @@
         self.topic = Topic(self.reactor)
         self.tasks = PeriodicTasks(self.reactor)
 
-    def add(self):
-        events = EventLog(self.clock, GatewayMetrics("g"))
-        log = CrashLog(
-            self.topic, self.topic, Owner(), events, self.reactor, self.clock
-        )
+    def add(self, clock=None):
+        clock = clock or self.clock
+        events = EventLog(clock, GatewayMetrics("g"))
+        log = CrashLog(self.topic, self.topic, Owner(), events, self.reactor, clock)
         log.start(self.tasks)
         return log
 
@@ -162,6 +172,20 @@
     assert not logs.topic.live_keys()
 
 
+@pytest.mark.parametrize("step_s", [-2 * QUARANTINE_S, 2 * QUARANTINE_S])
+def test_gateway_whose_clock_is_wrong_does_not_end_a_quarantine(logs, step_s):
+    log, wrong = logs.add(), logs.add(SteppedClock(logs.reactor, step_s))
+    crash(log, "e1", "e2", "e3", request="f")
+    crash(wrong, "e1", "e2", "e3", request="g")
+    logs.advance(2.0)
+    for each in (log, wrong):
+        assert each.is_quarantined("f")
+        assert each.is_quarantined("g")
+    restarted = logs.add()
+    logs.advance(1.0)
+    assert restarted.is_quarantined("f")
+
+
 def test_crash_seen_during_an_outage_of_the_store_counts_here(logs):
     log = logs.add()
     logs.topic.is_down = True
