Forget crashes whose records were removed while history was lost

Cause: the removal of a crash's record is a record like others.

Evidence, before the change: test_gateway_that_lost_history_forgets_the_crashes_cleared_meanwhile assert second.count_crashes("f") == 0: assert 3 == 0

Crashes that this gateway saw and that are not stored yet still count, as the test checks.

--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -187,6 +187,9 @@
         self._take_record(record, QUARANTINE_S)
 
     def _take_snapshot(self, records: list[KeyedRecord], end: int) -> None:
+        # The removals of these keys were among the records that were lost.
+        for key in self._stored.keys() - {record.key for record in records}:
+            self._forget(key)
         for record in records:
             self._take_record(record, self._remaining_s(record))
 
@@ -200,13 +203,11 @@
         return QUARANTINE_S - max(0.0, self._clock.wall() - wire.at)
 
     def _take_record(self, record: KeyedRecord, ttl_s: float) -> None:
-        fingerprint, _, crash = record.key.partition("/")
-        now = self._now()
         if record.value is None:
-            self._stored.pop(record.key, None)
-            cleared = frozenset({crash})
-            self._tracker.merge((CrashRecord(fingerprint, cleared, cleared),), now)
+            self._forget(record.key)
             return
+        fingerprint, _, crash = record.key.partition("/")
+        now = self._now()
         try:
             wire = _DECODER.decode(record.value)
         except msgspec.DecodeError as exc:
@@ -221,6 +222,14 @@
         if crash in self._tracker.crashes(fingerprint, now):
             self._log_crash(fingerprint, wire, "")
 
+    def _forget(self, key: str) -> None:
+        """Clears a request of the crash whose record another gateway removed."""
+        self._stored.pop(key, None)
+        fingerprint, _, crash = key.partition("/")
+        cleared = frozenset({crash})
+        record = CrashRecord(fingerprint, cleared, cleared)
+        self._tracker.merge((record,), self._now())
+
     def _log_crash(self, fingerprint: str, crash: _Crash, request_id: str) -> None:
         self._events.info(
             "crash_recorded",
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -20,6 +20,7 @@
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 from pomeloshift.platform import (
+    HistoryLostError,
     KeyedRecord,
     NewestPage,
     Page,
@@ -37,6 +38,7 @@
         self.reactor = reactor
         self.records = []
         self.is_down = False
+        self.first = 0
 
     async def newest(self, topic, partition, after=""):
         self._check()
@@ -46,6 +48,8 @@
 
     async def read(self, topic, partition, offset, wait_s):
         self._check()
+        if offset < self.first:
+            raise HistoryLostError(self.first)
         if offset == len(self.records):
             await deferLater(self.reactor, STEP_S, lambda: None)
             self._check()
@@ -172,6 +176,22 @@
     assert not logs.topic.live_keys()
 
 
+def test_gateway_that_lost_history_forgets_the_crashes_cleared_meanwhile(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2", "e3")
+    logs.advance(1.0)
+    logs.topic.is_down = True
+    logs.advance(1.0)
+    crash(second, "e4", request="g")
+    logs.topic.records.pop()  # not yet in the store
+    first.note_answered("f")
+    logs.topic.first = len(logs.topic.records)
+    logs.topic.is_down = False
+    logs.advance(2.0)
+    assert second.count_crashes("f") == 0
+    assert second.count_crashes("g") == 1
+
+
 @pytest.mark.parametrize("step_s", [-2 * QUARANTINE_S, 2 * QUARANTINE_S])
 def test_gateway_whose_clock_is_wrong_does_not_end_a_quarantine(logs, step_s):
     log, wrong = logs.add(), logs.add(SteppedClock(logs.reactor, step_s))
