Do not resume an item on a claim that was confirmed late

Cause: the response to the claim waits in the socket while the process is frozen. When it wakes, it reads the response before the timer of the claim's time-out fires and before it replays the claims of others, and sends the item to an engine. Its own claim has expired by then, and another gateway may run the item.

Change: a claim that took longer than its time-out is not used; the item is released and tried again with a new claim. A suspension that the monotonic clock does not count is not recognised.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -13,7 +13,7 @@
 from ..platform import is_stamped, item_request, proves_not_run
 from ._blob_store import BlobStore
 from ._engine_access import EngineAccess, EngineRun
-from ._timing import BATCH_STALL_S, MAX_OUTPUT_BYTES
+from ._timing import BATCH_STALL_S, CLAIM_TIMEOUT_S, MAX_OUTPUT_BYTES
 
 
 class RunEnd(Enum):
@@ -59,9 +59,13 @@
         await self._load_progress()
         body = await self.blobs.get(item.body)
         if self.progress is not None:
+            claimed_at = self.access.now()
             offset = await self.claim(self.work, self.progress.event_id)
             self.claim_offset = max(self.claim_offset, offset)
             self.is_claimed = offset >= 0
+            if self.access.now() - claimed_at > CLAIM_TIMEOUT_S:
+                # The process was frozen: another one may have resumed the item since.
+                return RunEnd.NOT_RUN
         head = item_request(
             self.work.job.host,
             item.path,
--- a/tests/test_gateway_holds.py
+++ b/tests/test_gateway_holds.py
@@ -5,7 +5,9 @@
 import pytest
 
 from _gateway import SERVICE
-from pomeloshift.jobs import ItemState
+from pomeloshift.gateway._engine_access import EngineAccess
+from pomeloshift.gateway._item_writer import ItemWriter
+from pomeloshift.jobs import HOLD_VALID_S, ItemState
 from pomeloshift.standins.platform import Behaviour, EngineServer
 
 # More runs than an entry can make before its hold of a resumed item expires.
@@ -72,3 +74,29 @@
         return row["state"], len(faulty.requests)
 
     assert play(scenario) == ("completed", 1)
+
+
+def test_process_that_wakes_from_a_freeze_does_not_use_an_old_claim(play, monkeypatch):
+    """Another process may have resumed the item since the claim."""
+    now, claim = EngineAccess.now, ItemWriter.claim
+    claims = []
+
+    async def claim_and_freeze(self, work, event_id):
+        offset = await claim(self, work, event_id)
+        claims.append(offset)
+        return offset
+
+    monkeypatch.setattr(ItemWriter, "claim", claim_and_freeze)
+    monkeypatch.setattr(
+        EngineAccess, "now", lambda self: now(self) + HOLD_VALID_S * bool(claims)
+    )
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        await deployment.store_progress(gateway, "job1", events=2)
+        engine = deployment.add_engine()
+        await deployment.results(gateway, "job1", 1)
+        return len(claims), len(engine.requests)
+
+    assert play(scenario) == (2, 1)
