--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -138,7 +138,14 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
-            frozenset(e.record.id for e in open_engines),
+            {
+                name: frozenset(
+                    e.record.id
+                    for e in open_engines
+                    if e.record.service in route.services
+                )
+                for name, route in routes.items()
+            },
         )
         if pending:
             self._probe(healthy, now)
@@ -363,6 +370,9 @@
             else:
                 has_progressed = _events(run) > run.resumed_after
                 self.queue.record_broken_run(key, has_progressed, now)
+        if end is not RunEnd.COMPLETE and run.is_claimed:
+            # Other gateways may have a better engine for the item.
+            self.item_writer.release(key)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
