Count quarantined requests without copying all crash records

A scrape of the metrics held up all requests of a gateway after many engines had crashed: it copied the record of each request that had run there to count the few that are quarantined.

--- a/src/pomeloshift/attempts/_suspects.py
+++ b/src/pomeloshift/attempts/_suspects.py
@@ -135,9 +135,9 @@
     def quarantined(self, now: float) -> tuple[CrashRecord, ...]:
         """Returns the records of the quarantined requests."""
         return tuple(
-            record
-            for record in self.crash_records(now)
-            if record.count >= self._cfg.quarantine_crashes
+            attrs.evolve(record, ttl_s=until - now)
+            for record, until in self._records.values()
+            if until > now and record.count >= self._cfg.quarantine_crashes
         )
 
     def expire(self, now: float) -> None:
