Count a crash within a response without a length

Cause: the close is the end of such a response. The gateway noticed that it stopped within an event, but only broken connections and silent engines were recorded.

Evidence, before the change: test_crash_within_a_response_without_a_length_counts assert (0, 0) == (0, 1)

Change: such a run is watched like that of a silent engine, and counts once the engine is removed or replaced, because an engine that is alive may truncate a response too.

--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -210,6 +210,7 @@
                     self._note_answered(engine, head.status)
                 else:
                     self._note_failure(engine, "ended in the middle of an event")
+                    self._note_given_up(engine)
                 return
             if isinstance(event, Disconnected):
                 self._note_disconnected(engine, event)
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -3,8 +3,9 @@
 import itertools
 
 import pytest
+from twisted.internet.protocol import Factory, Protocol
 
-from _gateway import HOST, config, events, route
+from _gateway import HOST, SERVICE, config, events, route
 from pomeloshift.dispatch import fingerprint
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
@@ -14,6 +15,17 @@
 MAX_RUNS = 3 + 3
 FINGERPRINT = fingerprint("POST", HOST, b"/once/a", POISON)
 ENGINES = 2 * MAX_RUNS
+LOOPBACK = "127.0.0.1"
+POLLS = 100
+
+
+class CutEngine(Protocol):
+    """Closes each connection within an event of a response without a length."""
+
+    def dataReceived(self, data):  # noqa: N802
+        head = b"HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nConnection: close\r\n\r\n"
+        self.transport.write(head + events(1, 2) + b"id: 3\nda")
+        self.transport.loseConnection()
 
 
 @pytest.fixture
@@ -138,6 +150,26 @@
     assert play(scenario) == (504, 503, 3)
 
 
+def test_crash_within_a_response_without_a_length_counts(play, send, reactor):
+    async def scenario(deployment):
+        port = reactor.listenTCP(0, Factory.forProtocol(CutEngine), interface=LOOPBACK)
+        engine = deployment.add_engine()
+        record = engine.record(f"{LOOPBACK}:{port.getHost().port}", SERVICE)
+        deployment.store.state.put("keyed.servers", engine.id, record)
+        gateway = await deployment.add_gateway()
+        await send(deployment, gateway, "/once/a")
+        before = gateway.crashes.count_crashes(FINGERPRINT)
+        deployment.deregister(engine)
+        for _ in range(POLLS):
+            if gateway.crashes.count_crashes(FINGERPRINT):
+                break
+            await deployment.pause(0.02)
+        await port.stopListening()
+        return before, gateway.crashes.count_crashes(FINGERPRINT)
+
+    assert play(scenario) == (0, 1)
+
+
 def test_gateway_without_the_store_learns_of_crashes_after_the_outage(play, send):
     async def scenario(deployment):
         deployment.add_crashing_engines(ENGINES, POISON)
