Try a quarantined request once more, by one gateway

What callers saw: after three engines had crashed at once for another reason, a request that many callers share got 503 for ten minutes at every gateway.

Cause: only a complete response clears a request, and a quarantined one is never sent.

Change: the gateway that owns the fingerprint sends the request once, 30 s after its third crash. The platform allows three runs after the third crash; a fourth crash ends the trials, so a request that does crash engines costs one more.

--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -22,6 +22,7 @@
     MAX_UNWRITTEN_CRASHES,
     QUARANTINE_CRASHES,
     QUARANTINE_S,
+    QUARANTINE_TRIAL_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
@@ -62,6 +63,8 @@
     _silent: SilentRuns = attrs.field(factory=SilentRuns, init=False)
     # When the stored records may be removed, by key; monotonic seconds.
     _stored: dict[str, float] = attrs.field(factory=dict, init=False)
+    # When this gateway last tried a quarantined request, by fingerprint.
+    _tried_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _unwritten: int = attrs.field(default=0, init=False)
     _started_at: float = attrs.field(default=0.0, init=False)
     _follower: TopicFollower = attrs.field(init=False)
@@ -115,6 +118,25 @@
         state = self._tracker.quarantine_state(fingerprint, self._now())
         return state is QuarantineState.QUARANTINED
 
+    def take_trial(self, fingerprint: str) -> bool:
+        """Returns whether a quarantined request may be sent once all the same.
+
+        Engines that crash for another reason can quarantine a sound request, which
+        many callers may share. One gateway tries it again, `QUARANTINE_TRIAL_S` after
+        the last crash or trial. Another crash then ends the trials.
+        """
+        if self.count_crashes(fingerprint) > QUARANTINE_CRASHES:
+            return False
+        if not self._ownership.owns(fingerprint):
+            return False
+        now = self._now()
+        crashed_at = now - (QUARANTINE_S - self.quarantined_for(fingerprint))
+        last_at = max(crashed_at, self._tried_at.get(fingerprint, crashed_at))
+        if now - last_at < QUARANTINE_TRIAL_S:
+            return False
+        self._tried_at[fingerprint] = now
+        return True
+
     def quarantined_for(self, fingerprint: str) -> float:
         """Returns the seconds until a request's quarantine ends."""
         return self._tracker.quarantined_for(fingerprint, self._now())
@@ -154,6 +176,8 @@
         for run in self._silent.take_crashed(now):
             self.note_crash(run.fingerprint, run.engine, run.request_id)
         self._tracker.expire(now)
+        for fingerprint in [f for f in self._tried_at if not self.is_quarantined(f)]:
+            del self._tried_at[fingerprint]
         if self._ownership.owns(TOPIC):
             self._remove_expired(now)
 
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -76,6 +76,7 @@
     ),
     EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
     EventSpec("crash_ignored", "The record of a crash cannot be read."),
+    EventSpec("quarantine_trial", "A quarantined request is tried once more."),
     EventSpec("request_quarantined", "Three engines crashed during it: it is stopped."),
     EventSpec("request_answered", "An engine's complete response was relayed.", True),
     EventSpec("request_failed", "It was refused, expired or was cut.", True),
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -69,7 +69,7 @@
 
     async def _step(self) -> None:
         now = self.access.now()
-        if self.crashes.is_quarantined(self.fingerprint):
+        if self.crashes.is_quarantined(self.fingerprint) and not self._take_trial():
             self._stop_quarantined()
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
@@ -80,6 +80,14 @@
             return
         await self._attempt(engine)
 
+    def _take_trial(self) -> bool:
+        if self.plan.may_have_run or not self.crashes.take_trial(self.fingerprint):
+            return False
+        self.events.info(
+            "quarantine_trial", id=self.req.id, fingerprint=self.fingerprint
+        )
+        return True
+
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
         self.events.warn(
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -71,6 +71,9 @@
 # long after the last crash.
 QUARANTINE_CRASHES = 3
 QUARANTINE_S = 600.0
+# A quarantined request whose crashes may have had another cause is tried once this long
+# after the last of them, by one gateway. The platform allows three further runs.
+QUARANTINE_TRIAL_S = 30.0
 # Long poll of the crashes. An unresponsive connection is detected after this plus the
 # store client's time-out: a crash has to be known everywhere within four seconds.
 CRASH_POLL_S = 2.0
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -17,6 +17,7 @@
     MAX_UNWRITTEN_CRASHES,
     QUARANTINE_CRASHES,
     QUARANTINE_S,
+    QUARANTINE_TRIAL_S,
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 from pomeloshift.platform import (
@@ -84,8 +85,11 @@
 
 
 class Owner:
+    def __init__(self, is_owner=True):
+        self.is_owner = is_owner
+
     def owns(self, name):
-        return True
+        return self.is_owner
 
 
 class Fixture:
@@ -95,10 +99,11 @@
         self.topic = Topic(self.reactor)
         self.tasks = PeriodicTasks(self.reactor)
 
-    def add(self, clock=None):
+    def add(self, clock=None, is_owner=True):
         clock = clock or self.clock
         events = EventLog(clock, GatewayMetrics("g"))
-        log = CrashLog(self.topic, self.topic, Owner(), events, self.reactor, clock)
+        owner = Owner(is_owner)
+        log = CrashLog(self.topic, self.topic, owner, events, self.reactor, clock)
         log.start(self.tasks)
         return log
 
@@ -176,6 +181,31 @@
     assert not logs.topic.live_keys()
 
 
+def test_sound_request_is_tried_again_by_one_gateway_after_crashes_of_other_cause(logs):
+    owner, other = logs.add(), logs.add(is_owner=False)
+    crash(other, "e1", "e2", "e3")
+    logs.advance(QUARANTINE_TRIAL_S - 1.0)
+    assert not owner.take_trial("f")
+    logs.advance(2.0)
+    assert not other.take_trial("f")
+    assert owner.take_trial("f")
+    assert not owner.take_trial("f")
+    owner.note_answered("f")
+    logs.advance(1.0)
+    assert not other.is_quarantined("f")
+
+
+def test_request_whose_trial_crashes_another_engine_is_not_tried_again(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2", "e3")
+    logs.advance(QUARANTINE_TRIAL_S + 1.0)
+    assert first.take_trial("f")
+    crash(first, "e4")
+    logs.advance(2 * QUARANTINE_TRIAL_S)
+    assert not first.take_trial("f")
+    assert not second.take_trial("f")
+
+
 def test_gateway_that_lost_history_forgets_the_crashes_cleared_meanwhile(logs):
     first, second = logs.add(), logs.add()
     crash(first, "e1", "e2", "e3")
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -7,6 +7,7 @@
 
 from _gateway import HOST, SERVICE, config, events, route
 from pomeloshift.dispatch import fingerprint
+from pomeloshift.gateway import _crash_log
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
 
@@ -198,3 +199,25 @@
         return await deployment.results(gateway, "job1", 1)
 
     assert [row["state"] for row in play(scenario)] == ["completed"]
+
+
+def test_request_that_many_callers_share_is_served_after_an_unrelated_mass_crash(
+    play, send, monkeypatch
+):
+    monkeypatch.setattr(_crash_log, "QUARANTINE_TRIAL_S", 0.2)
+
+    async def scenario(deployment):
+        deployment.add_crashing_engines(3, b"shared")
+        gateway = await deployment.add_gateway()
+        for _ in range(3):
+            await send(deployment, gateway, "/unsafe/a", b"shared")
+        deployment.add_engine()
+        refused = await send(deployment, gateway, "/unsafe/a", b"shared")
+        await deployment.pause(0.4)
+        return refused, [
+            await send(deployment, gateway, "/unsafe/a", b"shared") for _ in range(2)
+        ]
+
+    refused, served = play(scenario)
+    assert refused.status == 503
+    assert [resp.status for resp in served] == [200, 200]
