Check in the tests of item runs that resumed ones are claimed

The tests came from a branch without claims, so that they failed once both were merged: ItemRun.__init__() missing 1 required positional argument: 'claim'.

--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -33,11 +33,19 @@
     response: list
     sent: list = attrs.field(factory=list)
     noted: list = attrs.field(factory=list)
+    claims: list = attrs.field(factory=list)
 
     @property
     def events(self):
         return self
 
+    def now(self):
+        return 0.0
+
+    def claim(self, work, event_id):
+        self.claims.append(event_id)
+        return succeed(0)
+
     def warn(self, event, **fields):
         self.noted.append(event)
 
@@ -72,9 +80,8 @@
         if stored is not None:
             job.note_progress(0, stored, BlobRef("lost", 7, 5, 1))
         record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1)
-        run = ItemRun(
-            Access(response), Blobs(), WorkItem(job, 0, 18.0), Engine(record), known
-        )
+        access, work = Access(response), WorkItem(job, 0, 18.0)
+        run = ItemRun(access, Blobs(), work, Engine(record), known, access.claim)
         return run, Deferred.fromCoroutine(run.run()).result
 
     return run_item
@@ -109,3 +116,4 @@
     expected = b"%d" % resumed_after if resumed_after else None
     assert sent.headers.get(b"last-event-id") == expected
     assert run.access.noted == ["progress_lost"]
+    assert run.access.claims == ([resumed_after] if resumed_after else [])
