--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -412,6 +412,7 @@
     log.add(submitted("j1", items=1))
     log.add(ItemFailed("j1", 0, "a"))
     table, first = log.replay(), {}
+    engines = {"h/p/": frozenset("a")}
     queues = [
         WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
         for n in range(5)
@@ -419,7 +420,7 @@
     for tick in range(60):
         now = 1.0 + tick * 0.025
         for number, queue in enumerate(queues):
-            if queue.pending(table, {}, now, 0.02, 4.0, engines=frozenset("a")):
+            if queue.pending(table, {}, now, 0.02, 4.0, engines=engines):
                 first.setdefault(number, tick)
     assert len(first) == 5
     assert len(set(first.values())) >= 3
