--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -32,7 +32,6 @@
     BATCH_TICK_S,
     BODY_RETRY_S,
     HOLD_STOPPED_S,
-    ITEM_RETRY_S,
     ITEM_RUN_S,
     PROBE_S,
 )
@@ -107,11 +106,11 @@
         engines = self._own_engines()
         self.slots.observe(engines, now)
         self.preempt_items()
+        self._release_reserved(now)
         if self._is_stopped:
             return
         routes = self._routes()
         self.cleaner.tick(routes, now)
-        self._release_reserved(now)
         self._start_items(engines, routes, now)
 
     def _own_engines(self) -> list[Engine]:
@@ -139,7 +138,14 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
-            frozenset(e.record.id for e in open_engines),
+            {
+                name: frozenset(
+                    e.record.id
+                    for e in open_engines
+                    if e.record.service in route.services
+                )
+                for name, route in routes.items()
+            },
         )
         if pending:
             self._probe(healthy, now)
@@ -243,7 +249,8 @@
     def _is_superseded(self, key: ItemKey, run: ItemRun) -> bool:
         job = self.log.table.jobs.get(key[0])
         hold = job.holds.get(key[1]) if job is not None else None
-        if hold is None:
+        # Until the run's own claim is durable, it may be the later one.
+        if hold is None or run.is_claiming:
             return False
         return hold.supersedes(self.queue.name, run.claim_offset)
 
@@ -310,7 +317,6 @@
 
     async def _run(self, key: ItemKey, run: ItemRun, route: Route) -> None:
         began = self.access.now()
-        begun_at_event = _events(run)
         item = run.work.job.items[run.work.index]
         try:
             end = await run.run()
@@ -344,12 +350,13 @@
             end=end.value,
             status=run.status,
             why=run.why,
+            resumed_after=run.resumed_after,
             events=_events(run),
             took_s=self.access.now() - began,
         )
         if end is RunEnd.COMPLETE:
             assert run.progress is not None
-            if begun_at_event == 0:
+            if run.resumed_after == 0:
                 self._update_run_times(self.access.now() - began, run.progress.event_id)
             self._progress.pop(key, None)
             self.item_writer.write_result(run.work, True, run.progress.text)
@@ -359,9 +366,13 @@
             self._save_progress(key, run)
             now = self.access.now()
             if end is RunEnd.NOT_RUN:
-                self.queue.defer(key, now + ITEM_RETRY_S)
+                self.queue.record_rejection(key, run.engine.record.id, now)
             else:
-                self.queue.record_broken_run(key, _events(run) > begun_at_event, now)
+                has_progressed = _events(run) > run.resumed_after
+                self.queue.record_broken_run(key, has_progressed, now)
+        if end is not RunEnd.COMPLETE and run.is_claimed:
+            # Other gateways may have a better engine for the item.
+            self.item_writer.release(key)
 
     def _update_run_times(self, took_s: float, events: int) -> None:
         self._run_s += SMOOTHING * (took_s - self._run_s)
@@ -379,7 +390,7 @@
             return
         if after is AfterRun.COUNT_FAILURE:
             self.item_writer.record_failure(run.work.key, engine.id)
-        self.queue.defer(run.work.key, self.access.now() + ITEM_RETRY_S)
+        self.queue.record_rejection(run.work.key, engine.id, self.access.now())
 
     def _save_progress(self, key: ItemKey, run: ItemRun) -> None:
         if run.progress is None:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -76,6 +76,7 @@
     ),
     EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
     EventSpec("crash_ignored", "The record of a crash cannot be read."),
+    EventSpec("quarantine_trial", "A quarantined request is tried once more."),
     EventSpec("request_quarantined", "Three engines crashed during it: it is stopped."),
     EventSpec("request_answered", "An engine's complete response was relayed.", True),
     EventSpec("request_failed", "It was refused, expired or was cut.", True),
@@ -91,6 +92,9 @@
     EventSpec("job_forgotten", "An old job's records are being removed."),
     EventSpec("item_started", "An item was given a slot at an engine."),
     EventSpec("item_not_run", "An item's body could not be read."),
+    EventSpec(
+        "progress_lost", "The stored progress of an item is lost; it starts again."
+    ),
     EventSpec("item_yielded", "An item was preempted or stopped."),
     EventSpec("item_stopped", "This gateway ended a run of an item."),
     EventSpec("item_run", "A run of an item ended."),
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -33,8 +33,6 @@
 from ._response_relay import ResponseRelay
 from ._timing import FIRST_EVENT_OBJECTIVES, STALL_S
 
-# Reasons of `Disconnected` for which the engine may have crashed.
-CRASH_REASONS = frozenset({"closed by the server", "reset"})
 # Statuses which guarantee to the caller that a request has not run. A response of an
 # engine with one of them is never relayed: with the engine's proof the attempt counts
 # as not run, without it as failed.
@@ -71,7 +69,7 @@
 
     async def _step(self) -> None:
         now = self.access.now()
-        if self.crashes.is_quarantined(self.fingerprint):
+        if self.crashes.is_quarantined(self.fingerprint) and not self._take_trial():
             self._stop_quarantined()
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
@@ -82,6 +80,14 @@
             return
         await self._attempt(engine)
 
+    def _take_trial(self) -> bool:
+        if self.plan.may_have_run or not self.crashes.take_trial(self.fingerprint):
+            return False
+        self.events.info(
+            "quarantine_trial", id=self.req.id, fingerprint=self.fingerprint
+        )
+        return True
+
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
         self.events.warn(
@@ -210,6 +216,7 @@
                     self._note_answered(engine, head.status)
                 else:
                     self._note_failure(engine, "ended in the middle of an event")
+                    self._note_given_up(engine)
                 return
             if isinstance(event, Disconnected):
                 self._note_disconnected(engine, event)
@@ -228,12 +235,28 @@
         at the request's deadline.
         """
         try:
-            return await run.next(self._read_timeout_s())
+            return await self._next_in_time(run)
         except CallTimeoutError:
             if self._has_alternative(run.engine):
                 raise
         return await run.next(max(0.0, self.plan.deadline - self.access.now()))
 
+    async def _next_in_time(
+        self, run: EngineRun
+    ) -> ResponseHead | Chunk | ResponseEnd | Disconnected:
+        """Returns the next event, or raises `CallTimeoutError` after the time-out.
+
+        The engine is not to blame for the time in which its caller reads too slowly.
+        """
+        while True:
+            try:
+                return await run.next(self._read_timeout_s())
+            except CallTimeoutError:
+                now = self.access.now()
+                if not self.exchange.is_paused or now >= self.plan.deadline:
+                    raise
+                self.relay.progressed_at = now
+
     def _has_alternative(self, engine: Engine) -> bool:
         now = self.access.now()
         excluded = self.plan.excluded | {engine.record.id}
@@ -267,7 +290,7 @@
 
     def _note_disconnected(self, engine: Engine, event: Disconnected) -> None:
         self._note_failure(engine, event.reason)
-        if event.reason in CRASH_REASONS:
+        if event.by_server:
             self.crashes.note_crash(self.fingerprint, engine, self.req.id)
 
     def _note_given_up(self, engine: Engine) -> None:
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -51,8 +51,6 @@
 BATCH_STALL_S = 2.5
 # Limit of an item's output: what the platform reads of a job's results in one call.
 MAX_OUTPUT_BYTES = 1024 * 1024
-# Delay before an item whose run failed is retried.
-ITEM_RETRY_S = 0.3
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
@@ -73,6 +71,9 @@
 # long after the last crash.
 QUARANTINE_CRASHES = 3
 QUARANTINE_S = 600.0
+# A quarantined request whose crashes may have had another cause is tried once this long
+# after the last of them, by one gateway. The platform allows three further runs.
+QUARANTINE_TRIAL_S = 30.0
 # Long poll of the crashes. An unresponsive connection is detected after this plus the
 # store client's time-out: a crash has to be known everywhere within four seconds.
 CRASH_POLL_S = 2.0
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -17,9 +17,11 @@
     MAX_UNWRITTEN_CRASHES,
     QUARANTINE_CRASHES,
     QUARANTINE_S,
+    QUARANTINE_TRIAL_S,
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 from pomeloshift.platform import (
+    HistoryLostError,
     KeyedRecord,
     NewestPage,
     Page,
@@ -37,6 +39,7 @@
         self.reactor = reactor
         self.records = []
         self.is_down = False
+        self.first = 0
 
     async def newest(self, topic, partition, after=""):
         self._check()
@@ -46,6 +49,8 @@
 
     async def read(self, topic, partition, offset, wait_s):
         self._check()
+        if offset < self.first:
+            raise HistoryLostError(self.first)
         if offset == len(self.records):
             await deferLater(self.reactor, STEP_S, lambda: None)
             self._check()
@@ -68,9 +73,23 @@
             raise StoreUnreachableError("down")
 
 
+class SteppedClock(VirtualClock):
+    """A clock whose time of day is wrong by ``step_s``."""
+
+    def __init__(self, reactor, step_s):
+        super().__init__(reactor)
+        self.step_s = step_s
+
+    def wall(self):
+        return super().wall() + self.step_s
+
+
 class Owner:
+    def __init__(self, is_owner=True):
+        self.is_owner = is_owner
+
     def owns(self, name):
-        return True
+        return self.is_owner
 
 
 class Fixture:
@@ -80,11 +99,11 @@
         self.topic = Topic(self.reactor)
         self.tasks = PeriodicTasks(self.reactor)
 
-    def add(self):
-        events = EventLog(self.clock, GatewayMetrics("g"))
-        log = CrashLog(
-            self.topic, self.topic, Owner(), events, self.reactor, self.clock
-        )
+    def add(self, clock=None, is_owner=True):
+        clock = clock or self.clock
+        events = EventLog(clock, GatewayMetrics("g"))
+        owner = Owner(is_owner)
+        log = CrashLog(self.topic, self.topic, owner, events, self.reactor, clock)
         log.start(self.tasks)
         return log
 
@@ -162,6 +181,61 @@
     assert not logs.topic.live_keys()
 
 
+def test_sound_request_is_tried_again_by_one_gateway_after_crashes_of_other_cause(logs):
+    owner, other = logs.add(), logs.add(is_owner=False)
+    crash(other, "e1", "e2", "e3")
+    logs.advance(QUARANTINE_TRIAL_S - 1.0)
+    assert not owner.take_trial("f")
+    logs.advance(2.0)
+    assert not other.take_trial("f")
+    assert owner.take_trial("f")
+    assert not owner.take_trial("f")
+    owner.note_answered("f")
+    logs.advance(1.0)
+    assert not other.is_quarantined("f")
+
+
+def test_request_whose_trial_crashes_another_engine_is_not_tried_again(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2", "e3")
+    logs.advance(QUARANTINE_TRIAL_S + 1.0)
+    assert first.take_trial("f")
+    crash(first, "e4")
+    logs.advance(2 * QUARANTINE_TRIAL_S)
+    assert not first.take_trial("f")
+    assert not second.take_trial("f")
+
+
+def test_gateway_that_lost_history_forgets_the_crashes_cleared_meanwhile(logs):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2", "e3")
+    logs.advance(1.0)
+    logs.topic.is_down = True
+    logs.advance(1.0)
+    crash(second, "e4", request="g")
+    logs.topic.records.pop()  # not yet in the store
+    first.note_answered("f")
+    logs.topic.first = len(logs.topic.records)
+    logs.topic.is_down = False
+    logs.advance(2.0)
+    assert second.count_crashes("f") == 0
+    assert second.count_crashes("g") == 1
+
+
+@pytest.mark.parametrize("step_s", [-2 * QUARANTINE_S, 2 * QUARANTINE_S])
+def test_gateway_whose_clock_is_wrong_does_not_end_a_quarantine(logs, step_s):
+    log, wrong = logs.add(), logs.add(SteppedClock(logs.reactor, step_s))
+    crash(log, "e1", "e2", "e3", request="f")
+    crash(wrong, "e1", "e2", "e3", request="g")
+    logs.advance(2.0)
+    for each in (log, wrong):
+        assert each.is_quarantined("f")
+        assert each.is_quarantined("g")
+    restarted = logs.add()
+    logs.advance(1.0)
+    assert restarted.is_quarantined("f")
+
+
 def test_crash_seen_during_an_outage_of_the_store_counts_here(logs):
     log = logs.add()
     logs.topic.is_down = True
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -1,7 +1,9 @@
 import msgspec
 import pytest
 
-from _gateway import config, job, route, text
+from _gateway import CALL_TIMEOUT_S, config, job, route, text
+from pomeloshift.dispatch import _peer_view
+from pomeloshift.gateway import _batch_loop
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway._peer_exchange import PeerExchange
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
@@ -111,6 +113,25 @@
     assert failed > 0
 
 
+def test_engine_that_rejects_everything_does_not_keep_an_item_from_others(play):
+    async def scenario(deployment):
+        rejecting = deployment.add_engine(slots=8)
+        rejecting.behaviour = Behaviour(is_full=True)
+        deployment.add_engine(slots=4)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        rows = []
+        while not rows and len(rejecting.requests) < 5:
+            await deployment.pause(0.02)
+            resp = await deployment.call(gateway, "GET", "/api/lots/job1?after=0")
+            rows = msgspec.json.decode(resp.body)["results"]
+        return rows, len(rejecting.requests)
+
+    rows, rejections = play(scenario)
+    assert [row["state"] for row in rows] == ["completed"]
+    assert rejections == 1
+
+
 def test_new_gateway_knows_all_jobs_after_a_loss_of_history(play):
     async def scenario(deployment):
         deployment.add_engine()
@@ -287,6 +308,7 @@
     play, monkeypatch
 ):
     monkeypatch.setattr(PeerExchange, "datagramReceived", lambda *args: None)
+    monkeypatch.setattr(_peer_view, "ALONE_S", 0.0)
 
     async def scenario(deployment):
         gateways = [await deployment.add_gateway() for _ in range(2)]
@@ -321,6 +343,31 @@
     assert play(scenario) == (0, 1)
 
 
+def test_item_is_not_resumed_by_a_gateway_that_cannot_claim_it(play, monkeypatch):
+    monkeypatch.setattr(_batch_loop, "BODY_RETRY_S", 0.05)
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        await deployment.store_progress(gateway, "job1", events=2)
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(delay_s=CALL_TIMEOUT_S)
+        while not engine.requests:
+            await deployment.pause(0.01)
+        deployment.store.is_busy = True
+        while gateway.job_log.follower.is_reachable:
+            await deployment.pause(0.01)
+        gateway.batch_loop._tasks["job1", 0].cancel()
+        await deployment.pause(0.5)
+        unclaimed = len(engine.requests) - 1
+        deployment.store.is_busy = False
+        while len(engine.requests) < 2:
+            await deployment.pause(0.01)
+        return unclaimed
+
+    assert play(scenario) == 0
+
+
 def test_resumed_run_is_claimed_in_the_log_before_it_reaches_an_engine(play):
     async def scenario(deployment):
         gateway = await deployment.add_gateway()
@@ -358,3 +405,50 @@
         return first.peers.zone_of("127.0.0.2")
 
     assert play(scenario) == "a"
+
+
+def test_gateway_that_starts_again_runs_nothing_that_its_peers_run(play, monkeypatch):
+    """The peers' heartbeats arrive 0.5 s late, after the log has been replayed."""
+    send = PeerExchange._send
+
+    def send_later(exchange, *args):
+        exchange._reactor.callLater(0.5, send, exchange, *args)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        first = await deployment.add_gateway()
+        await deployment.submit(first, "job1", [b"one"])
+        while not engine.running:
+            await deployment.pause(0.01)
+        monkeypatch.setattr(PeerExchange, "_send", send_later)
+        second = await deployment.add_gateway()
+        while not second.peers.loads.states:
+            await deployment.pause(0.01)
+        await deployment.pause(0.3)
+        return len(engine.requests)
+
+    assert play(scenario) == 1
+
+
+def test_item_preempted_while_its_gateway_drains_is_handed_off(play, monkeypatch):
+    monkeypatch.setattr(_batch_loop, "HOLD_STOPPED_S", 0.05)
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(events=1000, event_gap_s=0.02)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"one"])
+        loop = gateway.batch_loop
+        while not loop._runs or loop._runs["job1", 0].progress is None:
+            await deployment.pause(0.01)
+        job = gateway.job_log.table.jobs["job1"]
+        loop.stop_starting()
+        loop._stop(("job1", 0), loop._runs["job1", 0], loop.access.now(), "slot needed")
+        for _ in range(POLLS):
+            if job.progress:
+                break
+            await deployment.pause(0.01)
+        return set(job.progress)
+
+    assert play(scenario) == {0}
