--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -22,6 +22,7 @@
     MAX_UNWRITTEN_CRASHES,
     QUARANTINE_CRASHES,
     QUARANTINE_S,
+    QUARANTINE_TRIAL_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
@@ -60,8 +61,10 @@
     _clock: Any
     _tracker: SuspectTracker = attrs.field(init=False)
     _silent: SilentRuns = attrs.field(factory=SilentRuns, init=False)
-    # When the stored records expire, by key; monotonic seconds.
+    # When the stored records may be removed, by key; monotonic seconds.
     _stored: dict[str, float] = attrs.field(factory=dict, init=False)
+    # When this gateway last tried a quarantined request, by fingerprint.
+    _tried_at: dict[str, float] = attrs.field(factory=dict, init=False)
     _unwritten: int = attrs.field(default=0, init=False)
     _started_at: float = attrs.field(default=0.0, init=False)
     _follower: TopicFollower = attrs.field(init=False)
@@ -83,7 +86,7 @@
             self._reactor,
             self._clock,
             self._events,
-            TopicHandlers(self._take_record),
+            TopicHandlers(self._take_new, snapshot=self._take_snapshot),
             read_gap_s=CRASH_READ_GAP_S,
             poll_s=CRASH_POLL_S,
         )
@@ -115,6 +118,25 @@
         state = self._tracker.quarantine_state(fingerprint, self._now())
         return state is QuarantineState.QUARANTINED
 
+    def take_trial(self, fingerprint: str) -> bool:
+        """Returns whether a quarantined request may be sent once all the same.
+
+        Engines that crash for another reason can quarantine a sound request, which
+        many callers may share. One gateway tries it again, `QUARANTINE_TRIAL_S` after
+        the last crash or trial. Another crash then ends the trials.
+        """
+        if self.count_crashes(fingerprint) > QUARANTINE_CRASHES:
+            return False
+        if not self._ownership.owns(fingerprint):
+            return False
+        now = self._now()
+        crashed_at = now - (QUARANTINE_S - self.quarantined_for(fingerprint))
+        last_at = max(crashed_at, self._tried_at.get(fingerprint, crashed_at))
+        if now - last_at < QUARANTINE_TRIAL_S:
+            return False
+        self._tried_at[fingerprint] = now
+        return True
+
     def quarantined_for(self, fingerprint: str) -> float:
         """Returns the seconds until a request's quarantine ends."""
         return self._tracker.quarantined_for(fingerprint, self._now())
@@ -154,6 +176,8 @@
         for run in self._silent.take_crashed(now):
             self.note_crash(run.fingerprint, run.engine, run.request_id)
         self._tracker.expire(now)
+        for fingerprint in [f for f in self._tried_at if not self.is_quarantined(f)]:
+            del self._tried_at[fingerprint]
         if self._ownership.owns(TOPIC):
             self._remove_expired(now)
 
@@ -183,23 +207,38 @@
     def _note_not_published(self, why: str) -> None:
         self._events.info("crash_not_published", why=why)
 
-    def _take_record(self, record: KeyedRecord) -> None:
-        fingerprint, _, crash = record.key.partition("/")
-        now = self._now()
+    def _take_new(self, record: KeyedRecord) -> None:
+        self._take_record(record, QUARANTINE_S)
+
+    def _take_snapshot(self, records: list[KeyedRecord], end: int) -> None:
+        # The removals of these keys were among the records that were lost.
+        for key in self._stored.keys() - {record.key for record in records}:
+            self._forget(key)
+        for record in records:
+            self._take_record(record, self._remaining_s(record))
+
+    def _remaining_s(self, record: KeyedRecord) -> float:
+        """Returns how long a record of unknown age still counts."""
+        try:
+            wire = _DECODER.decode(record.value or b"")
+        except msgspec.DecodeError:
+            return 0.0
+        # The clocks of gateways differ: a crash in the future has just happened.
+        return QUARANTINE_S - max(0.0, self._clock.wall() - wire.at)
+
+    def _take_record(self, record: KeyedRecord, ttl_s: float) -> None:
         if record.value is None:
-            self._stored.pop(record.key, None)
-            cleared = frozenset({crash})
-            self._tracker.merge((CrashRecord(fingerprint, cleared, cleared),), now)
+            self._forget(record.key)
             return
+        fingerprint, _, crash = record.key.partition("/")
+        now = self._now()
         try:
             wire = _DECODER.decode(record.value)
         except msgspec.DecodeError as exc:
             self._events.warn("crash_ignored", key=record.key, why=exc)
             return
-        # The clocks of gateways differ: a crash in the future has just happened.
-        age_s = max(0.0, self._clock.wall() - wire.at)
-        ttl_s = max(0.0, QUARANTINE_S - age_s)
-        self._stored[record.key] = now + ttl_s
+        # A gateway whose clock is wrong must not remove what others still need.
+        self._stored[record.key] = now + QUARANTINE_S
         if ttl_s <= 0 or crash in self._tracker.crashes(fingerprint, now):
             return
         learned = CrashRecord(fingerprint, frozenset({crash}), ttl_s=ttl_s)
@@ -207,6 +246,14 @@
         if crash in self._tracker.crashes(fingerprint, now):
             self._log_crash(fingerprint, wire, "")
 
+    def _forget(self, key: str) -> None:
+        """Clears a request of the crash whose record another gateway removed."""
+        self._stored.pop(key, None)
+        fingerprint, _, crash = key.partition("/")
+        cleared = frozenset({crash})
+        record = CrashRecord(fingerprint, cleared, cleared)
+        self._tracker.merge((record,), self._now())
+
     def _log_crash(self, fingerprint: str, crash: _Crash, request_id: str) -> None:
         self._events.info(
             "crash_recorded",
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -13,7 +13,7 @@
 from ..platform import is_stamped, item_request, proves_not_run
 from ._blob_store import BlobLostError, BlobStore
 from ._engine_access import EngineAccess, EngineRun
-from ._timing import BATCH_STALL_S, MAX_OUTPUT_BYTES
+from ._timing import BATCH_STALL_S, CLAIM_TIMEOUT_S, MAX_OUTPUT_BYTES
 
 
 class RunEnd(Enum):
@@ -31,10 +31,10 @@
 
     ``claim`` records that this gateway resumes an item after an event and returns the
     record's offset; ``claim_offset`` is that of the last claim known to this run, and
-    ``is_claiming`` is set until its own is durable.
-    ``progress`` grows with each event; a later run resumes after it. ``resumed_after``
-    is the event after which this run resumes, 0 for a whole run. ``status`` is the
-    engine's HTTP status, and ``why`` says why a run broke off.
+    ``is_claiming`` is set until its own is durable. ``is_claimed`` is set if this run
+    claimed the item. ``progress`` grows with each event; a later run resumes after it.
+    ``resumed_after`` is the event after which this run resumes, 0 for a whole run.
+    ``status`` is the engine's HTTP status, and ``why`` says why a run broke off.
     """
 
     access: EngineAccess
@@ -45,6 +45,7 @@
     claim: Callable[[WorkItem, int], Awaitable[int]]
     claim_offset: int = -1
     is_claiming: bool = False
+    is_claimed: bool = False
     resumed_after: int = 0
     status: int = 0
     why: str = ""
@@ -62,7 +63,11 @@
         self.resumed_after = self.progress.event_id if self.progress else 0
         body = await self.blobs.get(item.body)
         if self.progress is not None:
+            claimed_at = self.access.now()
             await self._claim(self.progress.event_id)
+            if self.access.now() - claimed_at > CLAIM_TIMEOUT_S:
+                # The process was frozen: another one may have resumed the item since.
+                return RunEnd.NOT_RUN
         head = item_request(
             self.work.job.host,
             item.path,
@@ -88,10 +93,10 @@
     async def _claim(self, event_id: int) -> None:
         self.is_claiming = True
         try:
-            offset = await self.claim(self.work, event_id)
+            self.claim_offset = await self.claim(self.work, event_id)
+            self.is_claimed = True
         finally:
             self.is_claiming = False
-        self.claim_offset = max(self.claim_offset, offset)
 
     async def _load_progress(self) -> None:
         """Loads the progress that another gateway stored, if it is further."""
@@ -114,7 +119,10 @@
             return self._broken(event.reason)
         self.status = event.status
         if proves_not_run(event):
-            self.access.note_full(self.engine)
+            if event.status == MISDIRECTED:
+                self.access.note_replaced(self.engine)
+            else:
+                self.access.note_full(self.engine)
             return RunEnd.NOT_RUN
         if not is_stamped(event):
             return self._broken(f"unusable response, status {event.status}")
@@ -166,6 +174,7 @@
 
 
 FIRST_EVENT_ID = 1
+MISDIRECTED = 421
 
 
 def _is_text(data: bytes) -> bool:
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -13,6 +13,10 @@
 STAMPED = Headers([(b"X-Response-Stamp", b"s.1")])
 
 
+def head(status, *fields):
+    return ResponseHead(status, Headers([*STAMPED, *fields]))
+
+
 class Blobs:
     """Holds the bodies of items; all other blobs are lost."""
 
@@ -29,11 +33,19 @@
     response: list
     sent: list = attrs.field(factory=list)
     noted: list = attrs.field(factory=list)
+    claims: list = attrs.field(factory=list)
 
     @property
     def events(self):
         return self
 
+    def now(self):
+        return 0.0
+
+    def claim(self, work, event_id):
+        self.claims.append(event_id)
+        return succeed(0)
+
     def warn(self, event, **fields):
         self.noted.append(event)
 
@@ -47,6 +59,15 @@
     def close(self):
         pass
 
+    def note_full(self, engine):
+        self.noted.append("full")
+
+    def note_replaced(self, engine):
+        self.noted.append("replaced")
+
+    def note_failed(self, engine, why, request_id):
+        self.noted.append("failed")
+
 
 @pytest.fixture
 def run_item():
@@ -59,20 +80,34 @@
         if stored is not None:
             job.note_progress(0, stored, BlobRef("lost", 7, 5, 1))
         record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1)
-        run = ItemRun(
-            Access(response), Blobs(), WorkItem(job, 0, 18.0), Engine(record), known
-        )
+        access, work = Access(response), WorkItem(job, 0, 18.0)
+        run = ItemRun(access, Blobs(), work, Engine(record), known, access.claim)
         return run, Deferred.fromCoroutine(run.run()).result
 
     return run_item
 
 
+@pytest.mark.parametrize(
+    ("response", "noted"),
+    [
+        (head(421, (b"X-Instance-Id", b"e2")), "replaced"),
+        (head(503, (b"X-Not-Executed", b"1")), "full"),
+    ],
+)
+def test_engine_at_whose_address_another_one_responds_is_not_just_full(
+    run_item, response, noted
+):
+    run, end = run_item([response])
+    assert end is RunEnd.NOT_RUN
+    assert run.access.noted == [noted]
+
+
 @pytest.mark.parametrize(
     ("known", "resumed_after"), [(None, 0), (Progress(2, b"word1\nword2"), 2)]
 )
 def test_item_whose_stored_progress_is_lost_still_runs(run_item, known, resumed_after):
     data = events(resumed_after + 1, 4)
-    response = [ResponseHead(200, STAMPED), Chunk(data), ResponseEnd()]
+    response = [head(200), Chunk(data), ResponseEnd()]
     run, end = run_item(response, stored=3, known=known)
     assert end is RunEnd.COMPLETE
     assert run.progress == Progress(4, b"word1\nword2\nword3\nword4")
@@ -81,3 +116,4 @@
     expected = b"%d" % resumed_after if resumed_after else None
     assert sent.headers.get(b"last-event-id") == expected
     assert run.access.noted == ["progress_lost"]
+    assert run.access.claims == ([resumed_after] if resumed_after else [])
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -21,6 +21,7 @@
     ItemFailed,
     ItemPolicy,
     ItemProgress,
+    ItemReleased,
     ItemResumed,
     ItemSettled,
     JobEnded,
@@ -233,24 +234,33 @@
     assert order(queue, table, now=10.0 + HOLD_VALID_S) == [("j1", 0)]
 
 
-@pytest.mark.parametrize("how", ["own", "released", "replaced"])
+@pytest.mark.parametrize("how", ["own", "stored", "released", "replaced"])
 def test_hold_that_excludes_nobody_delays_nothing(log, queue, how):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "other"))
     if how == "own":
         queue.name = "other"
-    elif how == "released":
+    elif how == "stored":
         log.add(ItemProgress("j1", 0, 6, ref(6), "other"))
+    elif how == "released":
+        log.add(ItemReleased("j1", 0, "other"))
     else:
         queue.has_ended = {"other"}.__contains__
     assert order(queue, log.replay(), now=1.0) == [("j1", 0)]
 
 
-def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(log, queue):
+@pytest.mark.parametrize(
+    "record",
+    [ItemProgress("j1", 0, 6, ref(6), "first"), ItemReleased("j1", 0, "first")],
+    ids=["stored", "released"],
+)
+def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(
+    log, queue, record
+):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "first"))
     log.add(ItemResumed("j1", 0, 4, "second"))
-    log.add(ItemProgress("j1", 0, 6, ref(6), "first"))
+    log.add(record)
     table = log.replay()
     assert table.jobs["j1"].holds[0].by == "second"
     assert order(queue, table, now=1.0) == []
@@ -388,15 +398,31 @@
     log.add(ItemFailed("j1", 0, "a"))
     table = log.replay()
 
-    def is_chosen(now, engines):
-        return bool(
-            queue.pending(table, {}, now, 0.02, 4.0, engines=frozenset(engines))
-        )
+    def is_chosen(now, names):
+        engines = {"h/p/": frozenset(names), "other/": frozenset("z")}
+        return bool(queue.pending(table, {}, now, 0.02, 4.0, engines=engines))
 
     assert not is_chosen(1.0, "a")
-    assert not is_chosen(1.9, "a")
-    assert is_chosen(1.9, "ab")
-    assert is_chosen(2.1, "a")
+    assert not is_chosen(2.1, "a")
+    assert is_chosen(2.1, "ab")
+    assert is_chosen(2.4, "a")
+
+
+def test_entries_do_not_all_return_at_once_to_engines_where_an_item_failed(log):
+    log.add(submitted("j1", items=1))
+    log.add(ItemFailed("j1", 0, "a"))
+    table, first = log.replay(), {}
+    queues = [
+        WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
+        for n in range(5)
+    ]
+    for tick in range(60):
+        now = 1.0 + tick * 0.025
+        for number, queue in enumerate(queues):
+            if queue.pending(table, {}, now, 0.02, 4.0, engines=frozenset("a")):
+                first.setdefault(number, tick)
+    assert len(first) == 5
+    assert len(set(first.values())) >= 3
 
 
 def test_each_name_has_one_owner_in_its_zone_and_few_names_move():
