--- a/src/pomeloshift/dispatch/_event_stream.py
+++ b/src/pomeloshift/dispatch/_event_stream.py
@@ -6,11 +6,11 @@
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
 
-# Limit of an event that is incomplete: far above the few tokens of an event.
+# Limit of the bytes of an incomplete event, which holds a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
 MAX_EVENT_END_BYTES = 4
-# Ids with more digits are no counts of events.
+# `int()` rejects very long numbers; an id with more digits is ignored.
 MAX_ID_DIGITS = 18
 
 
--- a/src/pomeloshift/dispatch/_peer_view.py
+++ b/src/pomeloshift/dispatch/_peer_view.py
@@ -7,17 +7,17 @@
 from ._peer_loads import PEER_VALID_S
 
 # How long an entry that hears no peer, though others exist, assumes that the fault is
-# its own. It is longer than most restarts, and short against a job's deadline.
+# its own and not a loss of all others.
 ALONE_S = 5.0
 
 
 @attrs.define
 class PeerView:
-    """Tracks since when an entry has heard any peer.
+    """Tracks whether an entry knows what its peers run.
 
-    Until an entry knows what its peers run it would start the same batch items. It
-    waits for all published peers, or for the time in which each that is alive sends a
-    heartbeat.
+    An entry that does not know it would start the same batch items. It therefore waits
+    until it has heard all published peers, but no longer than `PEER_VALID_S`, in which
+    each live peer sends a heartbeat, or `ALONE_S` if it hears none.
 
         view = PeerView()
         view.is_complete({"10.1.0.10"}, set(), now=3.0)  # False until 8.0
--- a/src/pomeloshift/dispatch/_silent_runs.py
+++ b/src/pomeloshift/dispatch/_silent_runs.py
@@ -1,4 +1,4 @@
-"""Finds the engines that crashed without closing their connections."""
+"""Finds runs whose engines crashed without closing the connection."""
 
 from collections import deque
 
@@ -6,8 +6,8 @@
 
 from ._engine import Engine
 
-# How long a silent run is kept: an engine that crashed is out of the list after three
-# missed heartbeats.
+# How long a silent run is kept: longer than the three missed heartbeats after which a
+# crashed engine is removed from the list.
 WATCH_S = 10.0
 MAX_SILENT_RUNS = 5000
 
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -30,9 +30,9 @@
 from ._job_log import JobLog
 from ._timing import (
     BATCH_TICK_S,
-    BODY_RETRY_S,
     HOLD_STOPPED_S,
     ITEM_RUN_S,
+    ITEM_STORE_RETRY_S,
     PROBE_S,
 )
 
@@ -101,8 +101,8 @@
         now = self.access.now()
         self._stop_ended()
         self._stop_duplicates(now)
-        for job_id in {key[0] for key in self._runs}:
-            self.job_changed(job_id)
+        # Includes the runs whose own claim has become durable since the last pass.
+        self._stop_superseded(list(self._runs.items()))
         engines = self._own_engines()
         self.slots.observe(engines, now)
         self.preempt_items()
@@ -138,14 +138,7 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
-            {
-                name: frozenset(
-                    e.record.id
-                    for e in open_engines
-                    if e.record.service in route.services
-                )
-                for name, route in routes.items()
-            },
+            _usable_engines(open_engines, routes),
         )
         if pending:
             self._probe(healthy, now)
@@ -240,19 +233,24 @@
 
     def job_changed(self, job_id: str) -> None:
         """Stops items of a job that another gateway has resumed."""
+        self._stop_superseded(
+            [(key, run) for key, run in self._runs.items() if key[0] == job_id]
+        )
+
+    def _stop_superseded(self, runs: list[tuple[ItemKey, ItemRun]]) -> None:
         now = self.access.now()
-        for key, run in list(self._runs.items()):
-            if key[0] == job_id and self._is_superseded(key, run):
+        for key, run in runs:
+            if self._is_superseded(key, run):
                 self._stop(key, run, now, "resumed by another gateway")
                 self.queue.reserved.pop(key, None)
 
     def _is_superseded(self, key: ItemKey, run: ItemRun) -> bool:
         job = self.log.table.jobs.get(key[0])
-        hold = job.holds.get(key[1]) if job is not None else None
+        claim = job.claims.get(key[1]) if job is not None else None
         # Until the run's own claim is durable, it may be the later one.
-        if hold is None or run.is_claiming:
+        if claim is None or run.is_claiming:
             return False
-        return hold.supersedes(self.queue.name, run.claim_offset)
+        return claim.supersedes(self.queue.name, run.claim_offset)
 
     def _stop(self, key: ItemKey, run: ItemRun, now: float, why: str) -> None:
         """Stops an item.
@@ -290,15 +288,15 @@
     def _begin(self, work: WorkItem, engine: Engine, route: Route) -> None:
         key = work.key
         self.queue.reserved.pop(key, None)
-        progress, hold = self._progress.get(key), work.job.holds.get(work.index)
+        claim = work.job.claims.get(work.index)
         run = ItemRun(
             self.access,
             self.blobs,
             work,
             engine,
-            progress,
+            self._progress.get(key),
             self.item_writer.claim,
-            hold.offset if hold is not None else -1,
+            claim_offset=claim.offset if claim is not None else -1,
         )
         self.events.info(
             "item_started",
@@ -334,7 +332,7 @@
             raise
         except PomeloshiftError as exc:
             self.events.warn("item_not_run", id=item.id, why=exc.message)
-            self.queue.defer(key, self.access.now() + BODY_RETRY_S)
+            self.queue.defer(key, self.access.now() + ITEM_STORE_RETRY_S)
             return
         finally:
             run.engine.release_slot()
@@ -415,3 +413,17 @@
 
 def _events(run: ItemRun) -> int:
     return run.progress.event_id if run.progress else 0
+
+
+def _usable_engines(
+    engines: list[Engine], routes: dict[str, Route]
+) -> dict[str, frozenset[str]]:
+    """Returns, for each queue, the ids of the engines that can run its items."""
+    return {
+        name: frozenset(
+            engine.record.id
+            for engine in engines
+            if engine.record.service in route.services
+        )
+        for name, route in routes.items()
+    }
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -121,9 +121,9 @@
     def take_trial(self, fingerprint: str) -> bool:
         """Returns whether a quarantined request may be sent once all the same.
 
-        Engines that crash for another reason can quarantine a sound request, which
+        Engines that crash for another reason can quarantine a harmless request, which
         many callers may share. One gateway tries it again, `QUARANTINE_TRIAL_S` after
-        the last crash or trial. Another crash then ends the trials.
+        the last crash or trial. Another crash ends the trials.
         """
         if self.count_crashes(fingerprint) > QUARANTINE_CRASHES:
             return False
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -91,9 +91,9 @@
     ),
     EventSpec("job_forgotten", "An old job's records are being removed."),
     EventSpec("item_started", "An item was given a slot at an engine."),
-    EventSpec("item_not_run", "An item's body could not be read."),
+    EventSpec("item_not_run", "Its body could not be read, or its claim stored."),
     EventSpec(
-        "progress_lost", "The stored progress of an item is lost; it starts again."
+        "progress_lost", "The stored progress of an item is lost; it runs without it."
     ),
     EventSpec("item_yielded", "An item was preempted or stopped."),
     EventSpec("item_stopped", "This gateway ended a run of an item."),
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -107,7 +107,7 @@
         try:
             text = await self.blobs.get(stored.text)
         except BlobLostError as exc:
-            # The item is still owed: it runs from the progress known here.
+            # The output up to here only saves work; the item runs without it.
             item = self.work.job.items[self.work.index]
             self.access.events.warn("progress_lost", id=item.id, why=exc.message)
             return
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -54,14 +54,14 @@
 # How long a stopped item is reserved for the gateway that ran it, which can resume it
 # at no cost. After this its progress is stored for other gateways.
 HOLD_STOPPED_S = 1.5
-# How long a gateway waits for the record with which it claims an item that it resumes;
-# without it the item waits for `BODY_RETRY_S` and is then tried again.
+# How long a gateway waits until the claim of an item that it resumes is durable.
+# Without the claim the item is tried again after `ITEM_STORE_RETRY_S`.
 CLAIM_TIMEOUT_S = 1.0
 # Time after which all gateways have replayed a durable record: several times the sum of
 # a long poll's response, the pause between reads and the latency across regions.
 REPLAY_LAG_S = 0.6
-# Delay before an item is retried whose body the store did not deliver.
-BODY_RETRY_S = 1.0
+# Delay before an item is retried whose body or claim failed because of the store.
+ITEM_STORE_RETRY_S = 1.0
 # Expected run time of an item before any has been measured.
 ITEM_RUN_S = 4.0
 # Interval at which the gateways that share the batch work are determined.
@@ -83,7 +83,8 @@
 CRASH_TICK_S = 0.5
 # After this time a new gateway is ready although it could not read the crashes.
 CRASHES_WAIT_S = 5.0
-# Largest number of crash records that wait for the store: those of a hundred engines.
+# Largest number of crash records that wait for the store: 100 crashes of engines
+# with 20 requests each.
 MAX_UNWRITTEN_CRASHES = 2000
 
 # Time from SIGTERM until new requests are refused: callers are sent to other gateways
@@ -103,16 +104,14 @@
 # Interval at which a gateway checks whether heartbeats to others are due.
 PEER_TICK_S = 0.04
 # Least time between two heartbeats to a gateway: for a changed state; for an unchanged
-# one, short enough for `PEER_VALID_S`; and for a gateway from which nothing has been
-# received for that long. The last is below `PEER_VALID_S` too, because that gateway may
-# receive what this one sends.
+# one; and for a gateway that has not been heard for `PEER_VALID_S`. The last two are
+# below `PEER_VALID_S`, also for an unheard gateway, because it may hear this one.
 PEER_SEND_GAP_S = 0.03
 PEER_HEARTBEAT_S = 0.5
 PEER_LOST_HEARTBEAT_S = 1.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
-# Interval at which they are read without waiting while a gateway is heard whose address
-# is missing.
+# Interval of reads of the addresses while that of a heard gateway is missing.
 PEER_REFRESH_S = 1.0
 
 # Port that serves metrics; deploy/system.toml names the same port.
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -6,8 +6,8 @@
 from ._batch_slots import PEAK_S, BatchSlots
 from ._blob_ref import BlobRef
 from ._fragments import Assembler, base_key, split
-from ._hold import HOLD_VALID_S, Hold
 from ._item import Item, ItemKey, ItemState, NewItem, Result
+from ._item_claim import CLAIM_VALID_S, ItemClaim
 from ._item_outcome import AfterRun, ItemPolicy
 from ._job import DurableProgress, Job
 from ._job_table import JobTable
@@ -29,15 +29,15 @@
 from ._work_queue import WorkItem, WorkQueue
 
 __all__ = [
-    "HOLD_VALID_S",
+    "CLAIM_VALID_S",
     "PEAK_S",
     "AfterRun",
     "Assembler",
     "BatchSlots",
     "BlobRef",
     "DurableProgress",
-    "Hold",
     "Item",
+    "ItemClaim",
     "ItemFailed",
     "ItemKey",
     "ItemPolicy",
--- a/src/pomeloshift/jobs/_item_outcome.py
+++ b/src/pomeloshift/jobs/_item_outcome.py
@@ -7,9 +7,9 @@
 
 UNPROCESSABLE = 422
 FAILED = 500
-# An item is given up after this multiple of the allowed failures even if few engines
-# caused them: below the platform's limit of three, as an entry may stop before it has
-# recorded a failure.
+# An item becomes a dead letter after this multiple of the allowed failures even if few
+# engines caused them. The platform allows three; entries that end before they have
+# recorded a failure need a reserve.
 FAILURES_FACTOR = 2
 
 
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -3,8 +3,8 @@
 import attrs
 
 from ._blob_ref import BlobRef
-from ._hold import Hold
 from ._item import Item, ItemState, Result
+from ._item_claim import ItemClaim
 
 
 @attrs.frozen
@@ -21,10 +21,10 @@
 
     ``accepted_at`` is in monotonic seconds. ``results`` are in the order in which the
     items finished, which never changes. ``keys`` are those of the job's log records.
-    ``events_done`` maps items to their last known event, and ``holds`` those that were
-    resumed to the process that did so last. ``pending`` holds the indexes of the
-    unfinished items, and ``waiting_tokens`` is the sum of their tokens. ``failures``
-    maps items to the engine of each run that failed.
+    ``events_done`` maps items to their last known event, ``claims`` resumed items to
+    the claim in force, and ``failures`` items to the engine of each run that failed.
+    ``pending`` holds the indexes of the unfinished items, and ``waiting_tokens`` is the
+    sum of their tokens.
     """
 
     id: str
@@ -39,7 +39,7 @@
     failures: dict[int, list[str]] = attrs.field(factory=dict)
     progress: dict[int, DurableProgress] = attrs.field(factory=dict)
     events_done: dict[int, int] = attrs.field(factory=dict)
-    holds: dict[int, Hold] = attrs.field(factory=dict)
+    claims: dict[int, ItemClaim] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
 
@@ -59,7 +59,7 @@
         item = self.items[index]
         self.pending.discard(index)
         self.progress.pop(index, None)
-        self.holds.pop(index, None)
+        self.claims.pop(index, None)
         self.waiting_tokens -= item.tokens
         self.results.append(Result(item.id, state, text))
         return True
@@ -71,16 +71,16 @@
             self.progress[index] = DurableProgress(event_id, text)
             self.events_done[index] = max(event_id, self.events_done.get(index, 0))
 
-    def hold_item(self, index: int, hold: Hold) -> None:
+    def claim_item(self, index: int, claim: ItemClaim) -> None:
         """Records that a process resumed an unfinished item."""
         if index in self.pending:
-            self.holds[index] = hold
+            self.claims[index] = claim
 
     def release_item(self, index: int, by: str) -> None:
-        """Records that a process ended its run of an item and holds it no longer."""
-        hold = self.holds.get(index)
-        if hold is not None and hold.by == by:
-            del self.holds[index]
+        """Removes the claim of a process that has ended its run of an item."""
+        claim = self.claims.get(index)
+        if claim is not None and claim.by == by:
+            del self.claims[index]
 
     def blobs(self) -> list[BlobRef]:
         """Returns all blobs that the job's records refer to."""
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -4,8 +4,8 @@
 import msgspec
 
 from ._fragments import Assembler, base_key
-from ._hold import Hold
 from ._item import Item, ItemState
+from ._item_claim import ItemClaim
 from ._job import Job
 from ._records import (
     ItemFailed,
@@ -73,7 +73,7 @@
         job.keys.extend(keys)
         if isinstance(record, ItemResumed):
             offset = self.next_offset - 1
-            job.hold_item(record.index, Hold(record.by, offset, now))
+            job.claim_item(record.index, ItemClaim(record.by, offset, now))
             return job.id
         return job.id if self._change(job, record) else None
 
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -64,7 +64,7 @@
 
 
 class ItemResumed(msgspec.Struct, tag="resumed", array_like=True):
-    """The process ``by`` resumes an item after an event; all others stop theirs."""
+    """The process ``by`` claims an item to resume it; all others stop their runs."""
 
     job_id: str
     index: int
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -33,7 +33,7 @@
 
 
 def _never(name: str) -> bool:
-    """The default for queues without a list of processes."""
+    """The default of ``has_ended``: no process is known to have been replaced."""
     return False
 
 
@@ -102,12 +102,12 @@
         self._not_before[key] = until
 
     def record_broken_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
-        """Records a run that broke off; without progress the item waits shortly."""
+        """Records a run that broke off; without progress the item is deferred."""
         if not has_progressed:
             self.defer(key, now + RETRY_DELAY_S)
 
     def record_rejection(self, key: ItemKey, engine: str, now: float) -> None:
-        """Defers an item that an engine rejected; others are preferred next."""
+        """Defers an item that an engine rejected; other engines are preferred next."""
         self._rejected_at.setdefault(key, {})[engine] = now
         self.defer(key, now + RETRY_DELAY_S)
 
@@ -146,7 +146,9 @@
             usable = (engines or {}).get(job.queue, frozenset())
             for index in job.pending:
                 key = (job.id, index)
-                if not self._is_ready(key, now) or self._is_held(job, index, now):
+                if not self._is_ready(key, now):
+                    continue
+                if self._is_claimed_in_log(job, index, now):
                     continue
                 ready_since[key] = self._ready_since.get(key, now)
                 claim = claim_of(*key)
@@ -187,11 +189,11 @@
             del self._not_before[key]
         return not self.is_claimed(claim_of(*key))
 
-    def _is_held(self, job: Job, index: int, now: float) -> bool:
-        hold = job.holds.get(index)
-        if hold is None or not hold.excludes(self.name, now):
+    def _is_claimed_in_log(self, job: Job, index: int, now: float) -> bool:
+        claim = job.claims.get(index)
+        if claim is None or not claim.excludes(self.name, now):
             return False
-        return not self.has_ended(hold.by)
+        return not self.has_ended(claim.by)
 
     def _rank(self, work: WorkItem) -> tuple[bool, int, int, bool, int]:
         events = work.job.events_done.get(work.index, 0)
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -21,7 +21,8 @@
     ``reset_after_events`` the engine sends that many events and a part of the next
     one, then resets the connection. A ``status`` other than 200 is sent without a
     stream. With ``endless`` it sends ``endless_after`` events, then these bytes again
-    and again until its caller disconnects.
+    and again until its caller disconnects. A request with the body ``crash_body``
+    crashes the engine, at once or after ``reset_after_events``; others run normally.
 
     With ``is_full`` the engine rejects requests with 503 and does not run them. With
     ``is_silent`` it never responds. Without ``has_stamp`` its responses lack the
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,3 +1,4 @@
+import asyncio
 from functools import partial
 from pathlib import Path
 
@@ -15,6 +16,9 @@
 REACTOR = install_reactor()
 
 
+# Turns a hang into a failure; far longer than any test takes beside load, in seconds.
+HANG_S = 300.0
+
 KNOWN_RED = Path(__file__).parents[1] / "KNOWN-RED.txt"
 TEST_FIELD = "test: "
 
@@ -54,11 +58,15 @@
 
 @pytest.fixture
 def run_async(reactor):
-    """Runs a coroutine that awaits deferreds on the asyncio reactor's loop."""
+    """Runs a coroutine that awaits deferreds on the asyncio reactor's loop.
+
+    A coroutine that hangs fails after `HANG_S`.
+    """
 
     def run(coroutine):
         loop = reactor._asyncioEventloop
-        return loop.run_until_complete(Deferred.fromCoroutine(coroutine).asFuture(loop))
+        future = Deferred.fromCoroutine(coroutine).asFuture(loop)
+        return loop.run_until_complete(asyncio.wait_for(future, HANG_S))
 
     return run
 
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -181,7 +181,7 @@
     assert not logs.topic.live_keys()
 
 
-def test_sound_request_is_tried_again_by_one_gateway_after_crashes_of_other_cause(logs):
+def test_harmless_request_is_tried_again_after_crashes_of_another_cause(logs):
     owner, other = logs.add(), logs.add(is_owner=False)
     crash(other, "e1", "e2", "e3")
     logs.advance(QUARANTINE_TRIAL_S - 1.0)
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -344,7 +344,7 @@
 
 
 def test_item_is_not_resumed_by_a_gateway_that_cannot_claim_it(play, monkeypatch):
-    monkeypatch.setattr(_batch_loop, "BODY_RETRY_S", 0.05)
+    monkeypatch.setattr(_batch_loop, "ITEM_STORE_RETRY_S", 0.05)
 
     async def scenario(deployment):
         gateway = await deployment.add_gateway()
@@ -380,8 +380,8 @@
             await deployment.pause(0.01)
         appends = deployment.store.appends
         await gateway.job_log.follower.catch_up()
-        hold = gateway.job_log.table.jobs["job1"].holds[0]
-        return hold.by == gateway.batch_loop.queue.name, appends
+        claim = gateway.job_log.table.jobs["job1"].claims[0]
+        return claim.by == gateway.batch_loop.queue.name, appends
 
     # A body, the job, a text, its progress, and the claim, which is tried three times,
     # beside the gateway's address.
--- a/tests/test_gateway_holds.py
+++ b/tests/test_gateway_claims.py
@@ -7,10 +7,10 @@
 from _gateway import SERVICE
 from pomeloshift.gateway._engine_access import EngineAccess
 from pomeloshift.gateway._item_writer import ItemWriter
-from pomeloshift.jobs import HOLD_VALID_S, ItemState
+from pomeloshift.jobs import CLAIM_VALID_S, ItemState
 from pomeloshift.standins.platform import Behaviour, EngineServer
 
-# More runs than an entry can make before its hold of a resumed item expires.
+# More runs than an entry can make before its claim of a resumed item expires.
 MAX_FAULTY_RUNS = 8
 
 
@@ -88,7 +88,7 @@
 
     monkeypatch.setattr(ItemWriter, "claim", claim_and_freeze)
     monkeypatch.setattr(
-        EngineAccess, "now", lambda self: now(self) + HOLD_VALID_S * bool(claims)
+        EngineAccess, "now", lambda self: now(self) + CLAIM_VALID_S * bool(claims)
     )
 
     async def scenario(deployment):
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -108,8 +108,8 @@
         for _ in range(8):
             await send(deployment, gateway, "/plain/a")
         return [
-            await send(deployment, gateway, "/plain/a", b"sound"),
-            await send(deployment, gateway, "/plain/b", b"sound"),
+            await send(deployment, gateway, "/plain/a", b"harmless"),
+            await send(deployment, gateway, "/plain/b", b"harmless"),
         ]
 
     assert [resp.body for resp in play(scenario)] == [events(1, 4)] * 2
--- a/tests/test_gateway_endless.py
+++ b/tests/test_gateway_endless.py
@@ -110,7 +110,7 @@
 
 
 async def run_items(deployment, bad):
-    """Runs items at an engine that behaves as given and at a sound one."""
+    """Runs items at an engine that behaves as given and at a healthy one."""
     for behaviour in (bad, Behaviour()):
         deployment.add_engine().behaviour = behaviour
     gateway = await deployment.add_gateway()
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -12,7 +12,7 @@
     RequestCounts,
 )
 from pomeloshift.jobs import (
-    HOLD_VALID_S,
+    CLAIM_VALID_S,
     PEAK_S,
     AfterRun,
     Assembler,
@@ -226,16 +226,16 @@
     assert set(order(queue, table, now=6.0)) == {("j1", 2), ("j1", 3)}
 
 
-def test_resumed_item_is_left_to_its_holder_until_the_hold_expires(log, queue):
+def test_resumed_item_is_left_to_its_process_until_the_claim_expires(log, queue):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "other"))
     table = log.replay(now=10.0)
-    assert order(queue, table, now=10.0 + HOLD_VALID_S - 0.1) == []
-    assert order(queue, table, now=10.0 + HOLD_VALID_S) == [("j1", 0)]
+    assert order(queue, table, now=10.0 + CLAIM_VALID_S - 0.1) == []
+    assert order(queue, table, now=10.0 + CLAIM_VALID_S) == [("j1", 0)]
 
 
 @pytest.mark.parametrize("how", ["own", "stored", "released", "replaced"])
-def test_hold_that_excludes_nobody_delays_nothing(log, queue, how):
+def test_claim_that_excludes_nobody_delays_nothing(log, queue, how):
     log.add(submitted("j1", items=1))
     log.add(ItemResumed("j1", 0, 4, "other"))
     if how == "own":
@@ -254,7 +254,7 @@
     [ItemProgress("j1", 0, 6, ref(6), "first"), ItemReleased("j1", 0, "first")],
     ids=["stored", "released"],
 )
-def test_process_that_lost_an_item_does_not_release_the_hold_of_the_next(
+def test_process_that_lost_an_item_does_not_release_the_claim_of_the_next(
     log, queue, record
 ):
     log.add(submitted("j1", items=1))
@@ -262,7 +262,7 @@
     log.add(ItemResumed("j1", 0, 4, "second"))
     log.add(record)
     table = log.replay()
-    assert table.jobs["j1"].holds[0].by == "second"
+    assert table.jobs["j1"].claims[0].by == "second"
     assert order(queue, table, now=1.0) == []
 
 
@@ -272,9 +272,9 @@
     for name in ("first", "second"):
         offsets[name] = len(log.rows)
         log.add(ItemResumed("j1", 0, 4, name))
-    hold = log.replay().jobs["j1"].holds[0]
-    assert hold.supersedes("first", offsets["first"])
-    assert not hold.supersedes("second", offsets["second"])
+    claim = log.replay().jobs["j1"].claims[0]
+    assert claim.supersedes("first", offsets["first"])
+    assert not claim.supersedes("second", offsets["second"])
 
 
 def test_each_run_that_breaks_off_delays_its_item_by_the_same_short_time(log, queue):
--- a/tests/test_jobs_owner.py
+++ b/tests/test_jobs_owner.py
@@ -98,7 +98,7 @@
     assert owner.state.jobs[job_id].waiting == 0
 
 
-def test_sound_item_under_which_servers_crashed_is_still_owed(partition, owner):
+def test_item_does_not_fail_because_servers_crashed_under_it(partition, owner):
     job_id = partition.add_job("k", items=1)
     for number in range(3):
         partition.pull(owner, instance=f"s{number}")
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -50,7 +50,7 @@
 
 @pytest.mark.parametrize("count", [1, 3, 12])
 @pytest.mark.parametrize("crashes", [1, 3, 8, 20])
-def test_sound_item_under_which_engines_crashed_is_placed_again(crashes, count):
+def test_item_under_which_engines_crashed_is_started_again(crashes, count):
     log = Log()
     log.add(submitted("j1", items=1))
     table, entries = log.replay(), []
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -60,12 +60,12 @@
 def test_gateway_that_hears_nothing_keeps_its_claims_known_to_its_peers(
     exchange, network, reactor
 ):
-    deaf = exchange("10.0.0.1", ["10.0.0.2"])
+    unhearing = exchange("10.0.0.1", ["10.0.0.2"])
     hearing = exchange("10.0.0.2", ["10.0.0.1"])
     network.reachable = {"10.0.0.2"}
     known = []
     for _ in range(round(10.0 / PEER_TICK_S)):
-        deaf.tick()
+        unhearing.tick()
         hearing.tick()
         known.append(hearing.loads.is_claimed(CLAIM))
         reactor.advance(PEER_TICK_S)
