--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -163,6 +163,7 @@
             occupancy=engine.occupancy(self.access.now()),
             load_age_s=engine.load_age(self.access.now()),
             resume_from=self.relay.resume_from,
+            parts=",".join(self.req.parts),
         )
         self.exchange.on_pause = run.pause
         self.relay.begin_run()
--- a/src/pomeloshift/platform/_caller_request.py
+++ b/src/pomeloshift/platform/_caller_request.py
@@ -5,7 +5,15 @@
 import attrs
 
 from ..http1 import RequestHead
-from ._names import DEADLINE_MS, ITEM_PATH, JOB_PATH, REQUEST_ID, WAIT_MS
+from ._names import (
+    DEADLINE_MS,
+    ITEM_PATH,
+    JOB_PATH,
+    PROMPT_PARTS,
+    REQUEST_ID,
+    WAIT_MS,
+)
+from ._prompt_parts import shared_parts
 
 
 @attrs.frozen
@@ -14,7 +22,8 @@
 
     ``deadline_s`` is how many seconds the caller waits for the response, `None` if the
     request states no deadline. ``wait_s`` is how long a read of results may wait for
-    new ones.
+    new ones. ``parts`` holds the ids of the parts of its prompt that other requests may
+    share, the first one first.
     """
 
     id: str
@@ -24,6 +33,7 @@
     query: str
     deadline_s: float | None
     wait_s: float
+    parts: tuple[str, ...] = ()
 
 
 @attrs.frozen
@@ -66,6 +76,7 @@
         query=url.query,
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
         wait_s=(wait_ms or 0) / 1000,
+        parts=shared_parts(headers.text(PROMPT_PARTS)),
     )
 
 
--- a/src/pomeloshift/platform/_names.py
+++ b/src/pomeloshift/platform/_names.py
@@ -10,6 +10,7 @@
 DEADLINE_MS = b"x-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
 WAIT_MS = b"x-wait-ms"
+PROMPT_PARTS = b"x-prompt-prefix"
 
 EXPECT_ENGINE = b"x-expect-instance"
 RESPONSE_STAMP = b"x-response-stamp"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -187,6 +187,29 @@
     assert read_batch_call(read_caller_request(request(target, method))) == call
 
 
+@pytest.mark.parametrize(
+    ("value", "parts"),
+    [
+        ("", ()),
+        ("e4402b7d:250", ()),
+        ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        (" 5C1E07A2:800 , 5c1e07a2:8,e4402b7d:250", ("5c1e07a2",)),
+        ("5c1e07a2,,:9,e4402b7d", ("5c1e07a2",)),
+    ],
+)
+def test_parts_of_a_prompt_that_others_may_share_are_all_but_the_last(value, parts):
+    head = request(b"/a/1", b"POST", X_Prompt_Prefix=value)
+    assert read_caller_request(head).parts == parts
+
+
+def test_parts_of_a_prompt_are_bounded_in_number_and_length():
+    ids = [f"{number:x}" for number in range(1000)]
+    head = request(b"/a/1", X_Prompt_Prefix=",".join([10000 * "f", "not hex", *ids]))
+    parts = read_caller_request(head).parts
+    assert len(parts) == 32
+    assert {len(part) for part in parts[:2]} == {32}
+
+
 def test_request_to_an_engine_has_the_remaining_time_and_its_name():
     head = request(
         b"/a/1?x=1",
