--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -21,8 +21,9 @@
     ``reset_after_events`` the engine sends that many events and a part of the next
     one, then resets the connection. A ``status`` other than 200 is sent without a
     stream. With ``endless`` it sends ``endless_after`` events, then these bytes again
-    and again until its caller disconnects. A request with the body ``crash_body``
-    crashes the engine, at once or after ``reset_after_events``; others run normally.
+    and again until its caller disconnects. A request with the body ``crash_body``, or
+    with the part ``crash_part`` in its prompt, crashes the engine, at once or after
+    ``reset_after_events``; others run normally.
 
     With ``is_full`` the engine rejects requests with 503 and does not run them. With
     ``is_silent`` it never responds. Without ``has_stamp`` its responses lack the
@@ -36,6 +37,7 @@
     endless: bytes = b""
     endless_after: int = 0
     crash_body: bytes | None = None
+    crash_part: str | None = None
     status: int = 200
     is_full: bool = False
     is_silent: bool = False
@@ -112,12 +114,15 @@
         self.requests.append(
             ReceivedRequest(request_id, target, headers, exchange.body)
         )
-        self._run(exchange, request_id, int(headers.get("last-event-id", 0)))
+        self._run(exchange, request_id, headers)
 
-    def _run(self, exchange: Exchange, request_id: str, last_id: int) -> None:
+    def _run(
+        self, exchange: Exchange, request_id: str, headers: dict[str, str]
+    ) -> None:
+        last_id = int(headers.get("last-event-id", 0))
         behaviour = self.behaviour
-        if behaviour.crash_body is not None:
-            if exchange.body != behaviour.crash_body:
+        if behaviour.crash_body is not None or behaviour.crash_part is not None:
+            if not _is_crash(behaviour, exchange.body, headers):
                 behaviour = attrs.evolve(behaviour, reset_after_events=None)
             elif behaviour.reset_after_events is None:
                 self._crash(exchange)
@@ -192,3 +197,9 @@
     def _on_disconnect(self) -> None:
         self.running -= 1
         self.aborted += 1
+
+
+def _is_crash(behaviour: Behaviour, body: bytes, headers: dict[str, str]) -> bool:
+    entries = headers.get("x-prompt-prefix", "").split(",")
+    parts = [entry.partition(":")[0] for entry in entries]
+    return body == behaviour.crash_body or behaviour.crash_part in parts
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -117,8 +117,8 @@
         record = engine.record(engine.address, SERVICE, **fields)
         self.store.state.put("keyed.servers", engine.id, record)
 
-    def add_crashing_engines(self, count, body, **behaviour):
-        """Adds engines that a request with this body crashes for good."""
+    def add_crashing_engines(self, count, body=None, **behaviour):
+        """Adds engines that a request with this body or part crashes for good."""
         for _ in range(count):
             engine = self.add_engine()
             engine.behaviour = Behaviour(crash_body=body, **behaviour)
@@ -133,6 +133,14 @@
             seen.body == body for engine in self.engines for seen in engine.requests
         )
 
+    def runs_with(self, part):
+        """The number of requests with this prompt part that reached engines."""
+        return sum(
+            f"{part}:" in seen.headers.get("x-prompt-prefix", "")
+            for engine in self.engines
+            for seen in engine.requests
+        )
+
     async def add_gateway(self, **bounds):
         ip = f"127.0.0.{len(self.gateways) + 1}"
         settings = parse_platform_settings(
