Stop requests with a prompt part that crashes engines

Cause: the memory of crashes had one key, the fingerprint of the whole request, in which each of these requests differs. Their crashes never added up. It is state kept for each request where the limit holds for what requests share.

Change: a crash counts for each part, but the last, of each request that it cut, online or item, under the same kind of record in the store. find_causes names the parts that explain the crashes: the one with the most crashes first, and only what it does not explain counts against the others, so that a first part that sound and fatal requests share stays in use. A complete response clears its parts. A part that was completed before needs five crashes, others three. Requests with such a part get 503 at once at every gateway; items with it wait. One gateway tries the part again, at most until its eighth crash.

Why it works: the fatal part is in every crash that it causes, so no part beside it has more crashes.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -8,6 +8,8 @@
 from ._admission import OnlineAdmission
 from ._attempt_plan import AttemptPlan, Step
 from ._config_holder import ConfigHolder
+from ._crash_causes import SuspectPart, find_causes
+from ._crash_keys import CrashKeys, is_part
 from ._engine import Engine
 from ._engine_load import EngineLoad
 from ._engine_record import EngineRecord
@@ -29,6 +31,7 @@
 )
 from ._peer_view import PeerView
 from ._placement import Placement, PlacementConfig
+from ._quarantine import Quarantine, QuarantineConfig
 from ._retry_after import RetryAfter
 from ._route import Route, RouteKind, Split
 from ._serving_config import HttpLimits, Service, ServingConfig
@@ -42,6 +45,7 @@
     "NO_REQUESTS",
     "AttemptPlan",
     "ConfigHolder",
+    "CrashKeys",
     "Engine",
     "EngineLoad",
     "EngineRecord",
@@ -56,6 +60,8 @@
     "PeerView",
     "Placement",
     "PlacementConfig",
+    "Quarantine",
+    "QuarantineConfig",
     "RequestCounts",
     "RetryAfter",
     "Route",
@@ -68,6 +74,9 @@
     "Step",
     "StorePath",
     "StreamEvent",
+    "SuspectPart",
+    "find_causes",
     "fingerprint",
     "is_isolated",
+    "is_part",
 ]
--- a/src/pomeloshift/dispatch/_silent_runs.py
+++ b/src/pomeloshift/dispatch/_silent_runs.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ._crash_keys import CrashKeys
 from ._engine import Engine
 
 # How long a silent run is kept: longer than the three missed heartbeats after which a
@@ -16,7 +17,7 @@
 class SilentRun:
     """A run of a request that was given up at ``ended_at``, in monotonic seconds."""
 
-    fingerprint: str
+    keys: CrashKeys
     request_id: str
     engine: Engine
     ended_at: float
--- a/src/pomeloshift/explain/_explain.py
+++ b/src/pomeloshift/explain/_explain.py
@@ -6,6 +6,9 @@
 
 from ._log_line import LogLine
 
+# Events that say because of which prompt part a request or item was not sent.
+QUARANTINE_EVENTS = frozenset({"request_quarantined", "item_held"})
+
 
 @attrs.frozen
 class Explanation:
@@ -24,10 +27,10 @@
     """Returns the lines about the request, job or item with the id ``wanted``.
 
     For an item, the lines of its job's own events are included; for a job, the lines
-    of its items; for a request, the crashes of engines under its retries. The lines of
-    one file keep their order, also where its clock was set back. Files are merged by
-    the times in their lines, so clocks that differ by seconds can change the order
-    between files.
+    of its items; for a request, the crashes of engines under its retries and under the
+    prompt part because of which it was stopped. The lines of one file keep their order,
+    also where its clock was set back. Files are merged by the times in their lines, so
+    clocks that differ by seconds can change the order between files.
 
     ``decisive_events`` are the events that state an outcome.
     """
@@ -42,7 +45,14 @@
         for line in known
         if line.fields.get("id") == wanted and "fingerprint" in line.fields
     }
-    ids = {wanted, *fingerprints}
+    parts = {
+        line.fields["part"]
+        for line in known
+        if line.fields.get("id") == wanted
+        and line.event in QUARANTINE_EVENTS
+        and "part" in line.fields
+    }
+    ids = {wanted, *fingerprints, *parts}
     found = [line for line in known if _belongs(line, ids, jobs)]
     ordered = _merge(found)
     about = [line for line in ordered if line.fields.get("id") == wanted] or ordered
--- a/src/pomeloshift/explain/_log_line.py
+++ b/src/pomeloshift/explain/_log_line.py
@@ -5,7 +5,7 @@
 import attrs
 
 # Fields that name what a line is about.
-ID_FIELDS = ("id", "job", "fingerprint")
+ID_FIELDS = ("id", "job", "fingerprint", "part")
 
 PAIR = re.compile(r'(\w+)=("[^"]*"|\S*)')
 
@@ -30,7 +30,7 @@
         return self.fields.get("time", "")
 
     def mentions(self, ids: set[str]) -> bool:
-        """Whether one of the ids is the line's own, its job's or its fingerprint."""
+        """Whether one of the ids is in a field that names what the line is about."""
         return any(self.fields.get(name) in ids for name in ID_FIELDS)
 
 
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -5,7 +5,7 @@
 import attrs
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..dispatch import ConfigHolder, Engine, Route
+from ..dispatch import ConfigHolder, CrashKeys, Engine, Route
 from ..errors import PomeloshiftError
 from ..jobs import (
     AfterRun,
@@ -20,8 +20,10 @@
     claim_of,
 )
 from ..net._periodic_tasks import PeriodicTasks, spawn
+from ..platform import item_parts
 from ._batch_api import queue_name
 from ._blob_store import BlobStore
+from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._item_run import ItemRun, RunEnd
@@ -56,6 +58,7 @@
     ownership: Ownership
     config: ConfigHolder
     slots: BatchSlots
+    crashes: CrashLog
     events: EventLog
     _run_s: float = ITEM_RUN_S
     _event_s: float = 0.0
@@ -63,6 +66,8 @@
     _tasks: dict[ItemKey, Deferred[Any]] = attrs.field(factory=dict)
     _progress: dict[ItemKey, Progress] = attrs.field(factory=dict)
     _probed_at: dict[str, float] = attrs.field(factory=dict)
+    # The items that wait because of a quarantined part of their prompts.
+    _held: set[ItemKey] = attrs.field(factory=set)
     _is_stopped: bool = False
 
     def start(self, periodic_tasks: PeriodicTasks) -> None:
@@ -143,7 +148,7 @@
         if pending:
             self._probe(healthy, now)
         has_preempted = False
-        for work in pending:
+        for work in self._without_held(pending):
             route = routes.get(work.job.queue)
             service = self._pick_service(route)
             fitting = [e for e in open_engines if e.record.service == service]
@@ -152,6 +157,8 @@
                     has_preempted = True
                     self._stop_late(service, now)
                 continue
+            if not self._may_send(work):
+                continue
             chosen = work.choose({e.record.id: free[e.record.id] for e in fitting})
             engine = self.access.fleet.engines[chosen]
             free[engine.record.id] -= 1
@@ -161,6 +168,43 @@
             if not open_engines:
                 break
 
+    def _without_held(self, pending: list[WorkItem]) -> list[WorkItem]:
+        """Returns the items without those that wait for a quarantined part.
+
+        These stay queued until the part is released or their time is up.
+        """
+        if not self.crashes.count_quarantined_parts():
+            self._held.clear()
+            return pending
+        ready, held = [], set()
+        for work in pending:
+            keys = _crash_keys(work)
+            blocking = self.crashes.blocking(keys)
+            if not blocking or self.crashes.may_try(keys):
+                ready.append(work)
+                continue
+            held.add(work.key)
+            if work.key not in self._held:
+                self.events.info(
+                    "item_held",
+                    id=work.job.items[work.index].id,
+                    job=work.job.id,
+                    part=blocking[0],
+                )
+        self._held = held
+        return ready
+
+    def _may_send(self, work: WorkItem) -> bool:
+        """Whether an item has no quarantined part, or is the trial of one."""
+        keys = _crash_keys(work)
+        blocking = self.crashes.blocking(keys)
+        if blocking and not self.crashes.take_trial(keys):
+            return False
+        for key in blocking:
+            item = work.job.items[work.index]
+            self.events.info("quarantine_trial", id=item.id, part=key)
+        return True
+
     def _shares(self, routes: dict[str, Route]) -> dict[str, Share]:
         """Returns the share of each queue's items that this gateway's engines run."""
         shares = {}
@@ -296,6 +340,8 @@
             engine,
             self._progress.get(key),
             self.item_writer.claim,
+            self.crashes,
+            _crash_keys(work),
             claim_offset=claim.offset if claim is not None else -1,
         )
         self.events.info(
@@ -411,6 +457,10 @@
         return job is None or job.is_ended or key[1] not in job.pending
 
 
+def _crash_keys(work: WorkItem) -> CrashKeys:
+    return CrashKeys(parts=item_parts(work.job.items[work.index].headers))
+
+
 def _events(run: ItemRun) -> int:
     return run.progress.event_id if run.progress else 0
 
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -1,4 +1,4 @@
-"""The crashes of engines under online requests, shared through the store."""
+"""The crashes of engines under requests and prompt parts, shared through the store."""
 
 import hashlib
 from typing import Any
@@ -6,8 +6,15 @@
 import attrs
 import msgspec
 
-from ..attempts import CrashRecord, QuarantineState, SuspectConfig, SuspectTracker
-from ..dispatch import Engine, SilentRun, SilentRuns
+from ..dispatch import (
+    CrashKeys,
+    Engine,
+    Quarantine,
+    QuarantineConfig,
+    SilentRun,
+    SilentRuns,
+    is_part,
+)
 from ..errors import PomeloshiftError
 from ..jobs import Ownership
 from ..net._periodic_tasks import PeriodicTasks
@@ -19,7 +26,11 @@
     CRASH_READ_GAP_S,
     CRASH_TICK_S,
     CRASHES_WAIT_S,
+    MAX_SUSPECT_PARTS,
+    MAX_TRIAL_CRASHES,
     MAX_UNWRITTEN_CRASHES,
+    PROVEN_PART_CRASHES,
+    PROVEN_PART_TRIAL_S,
     QUARANTINE_CRASHES,
     QUARANTINE_S,
     QUARANTINE_TRIAL_S,
@@ -38,6 +49,8 @@
     incarnation: int
     # Time of the crash in Unix seconds.
     at: float
+    # Of a part, its place in the prompt.
+    position: int = 0
 
 
 _DECODER = msgspec.json.Decoder(_Crash)
@@ -45,12 +58,13 @@
 
 @attrs.define(eq=False)
 class CrashLog:
-    """Knows the online requests that crash engines.
+    """Knows the requests and the prompt parts that crash engines.
 
     Each crash is a record of its own in the store, with a key from the request's
-    fingerprint and the engine's incarnation: gateways that observe one crash write the
-    same key. A complete response removes the records of its request. Crashes that this
-    gateway observes count at once, also while the store is unavailable.
+    fingerprint or the part, and the engine's incarnation: gateways that observe one
+    crash write the same key. A complete response removes the records of its request and
+    its parts. Crashes that this gateway observes count at once, also while the store is
+    unavailable.
     """
 
     _store: StoreClient
@@ -59,21 +73,26 @@
     _events: EventLog
     _reactor: Any
     _clock: Any
-    _tracker: SuspectTracker = attrs.field(init=False)
+    _quarantine: Quarantine = attrs.field(init=False)
     _silent: SilentRuns = attrs.field(factory=SilentRuns, init=False)
     # When the stored records may be removed, by key; monotonic seconds.
     _stored: dict[str, float] = attrs.field(factory=dict, init=False)
-    # When this gateway last tried a quarantined request, by fingerprint.
-    _tried_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _known_causes: frozenset[str] = attrs.field(default=frozenset(), init=False)
     _unwritten: int = attrs.field(default=0, init=False)
     _started_at: float = attrs.field(default=0.0, init=False)
     _follower: TopicFollower = attrs.field(init=False)
 
-    @_tracker.default
-    def _new_tracker(self) -> SuspectTracker:
-        return SuspectTracker(
-            SuspectConfig(
-                quarantine_crashes=QUARANTINE_CRASHES, quarantine_s=QUARANTINE_S
+    @_quarantine.default
+    def _new_quarantine(self) -> Quarantine:
+        return Quarantine(
+            QuarantineConfig(
+                crashes=QUARANTINE_CRASHES,
+                proven_crashes=PROVEN_PART_CRASHES,
+                quarantine_s=QUARANTINE_S,
+                trial_s=QUARANTINE_TRIAL_S,
+                proven_trial_s=PROVEN_PART_TRIAL_S,
+                max_trial_crashes=MAX_TRIAL_CRASHES,
+                max_parts=MAX_SUSPECT_PARTS,
             )
         )
 
@@ -113,71 +132,69 @@
         """Whether records are queued for the store."""
         return self._writer.has_unwritten
 
-    def is_quarantined(self, fingerprint: str) -> bool:
+    def is_quarantined(self, keys: CrashKeys) -> bool:
         """Whether a request must not be sent to an engine."""
-        state = self._tracker.quarantine_state(fingerprint, self._now())
-        return state is QuarantineState.QUARANTINED
-
-    def take_trial(self, fingerprint: str) -> bool:
-        """Returns whether a quarantined request may be sent once all the same.
-
-        Engines that crash for another reason can quarantine a harmless request, which
-        many callers may share. One gateway tries it again, `QUARANTINE_TRIAL_S` after
-        the last crash or trial. Another crash ends the trials.
-        """
-        if self.count_crashes(fingerprint) > QUARANTINE_CRASHES:
-            return False
-        if not self._ownership.owns(fingerprint):
-            return False
-        now = self._now()
-        crashed_at = now - (QUARANTINE_S - self.quarantined_for(fingerprint))
-        last_at = max(crashed_at, self._tried_at.get(fingerprint, crashed_at))
-        if now - last_at < QUARANTINE_TRIAL_S:
-            return False
-        self._tried_at[fingerprint] = now
-        return True
+        return bool(self.blocking(keys))
+
+    def blocking(self, keys: CrashKeys) -> tuple[str, ...]:
+        """Returns the keys because of which a request must not be sent."""
+        return self._quarantine.blocking(keys, self._now())
 
-    def quarantined_for(self, fingerprint: str) -> float:
-        """Returns the seconds until a request's quarantine ends."""
-        return self._tracker.quarantined_for(fingerprint, self._now())
+    def may_try(self, keys: CrashKeys) -> bool:
+        """Returns whether a quarantined request may be sent once all the same."""
+        return self._quarantine.may_try(keys, self._now(), self._ownership.owns)
 
-    def count_crashes(self, fingerprint: str) -> int:
-        """Returns the number of crashes during which a request was running."""
-        return len(self._tracker.crashes(fingerprint, self._now()))
+    def take_trial(self, keys: CrashKeys) -> bool:
+        """Returns `may_try` and, if that holds, counts the request as the trial."""
+        return self._quarantine.take_trial(keys, self._now(), self._ownership.owns)
+
+    def quarantined_for(self, keys: CrashKeys) -> float:
+        """Returns the seconds until a quarantined request may be served again."""
+        return self._quarantine.blocked_for(keys, self._now())
+
+    def count_crashes(self, key: str) -> int:
+        """Returns the number of crashes during which a request or part was running."""
+        return len(self._quarantine.crashes(key, self._now()))
 
     def count_quarantined(self) -> int:
         """Returns the number of quarantined requests."""
-        return len(self._tracker.quarantined(self._now()))
+        return self._quarantine.count_requests(self._now())
+
+    def count_quarantined_parts(self) -> int:
+        """Returns the number of quarantined prompt parts."""
+        return len(self._quarantine.causes(self._now()))
 
-    def note_crash(self, fingerprint: str, engine: Engine, request_id: str) -> None:
+    def note_crash(self, keys: CrashKeys, engine: Engine, request_id: str) -> None:
         """Records that an engine crashed while it had the request."""
         crash = _crash_name(engine)
-        now = self._now()
-        if crash in self._tracker.crashes(fingerprint, now):
-            return
-        self._tracker.crashed(fingerprint, crash, now)
-        wire = _Crash(engine.record.id, engine.record.incarnation, self._clock.wall())
-        self._log_crash(fingerprint, wire, request_id)
-        self._publish([(f"{fingerprint}/{crash}", msgspec.json.encode(wire))])
-
-    def note_given_up(self, fingerprint: str, engine: Engine, request_id: str) -> None:
+        record = engine.record
+        records: list[tuple[str, bytes | None]] = []
+        for key in keys.all:
+            position = keys.part_keys.index(key) if is_part(key) else 0
+            if self._quarantine.note_crash(key, crash, self._now(), position):
+                wall = self._clock.wall()
+                wire = _Crash(record.id, record.incarnation, wall, position)
+                self._log_crash(key, wire, request_id)
+                records.append((f"{key}/{crash}", msgspec.json.encode(wire)))
+        if records:
+            self._publish(records)
+
+    def note_given_up(self, keys: CrashKeys, engine: Engine, request_id: str) -> None:
         """Records that a run was given up before the end of its response."""
-        self._silent.add(SilentRun(fingerprint, request_id, engine, self._now()))
+        self._silent.add(SilentRun(keys, request_id, engine, self._now()))
 
-    def note_answered(self, fingerprint: str) -> None:
-        """Clears a request of its crashes: an engine has completed it."""
-        crashes = self._tracker.crashes(fingerprint, self._now())
-        if crashes:
-            self._tracker.finished(fingerprint, self._now())
-            self._publish([(f"{fingerprint}/{crash}", None) for crash in crashes])
+    def note_answered(self, keys: CrashKeys) -> None:
+        """Clears a request and its parts of crashes: an engine has completed it."""
+        cleared = self._quarantine.note_answered(keys, self._now())
+        if cleared:
+            self._publish([(f"{key}/{crash}", None) for key, crash in cleared])
 
     def _tick(self) -> None:
         now = self._now()
         for run in self._silent.take_crashed(now):
-            self.note_crash(run.fingerprint, run.engine, run.request_id)
-        self._tracker.expire(now)
-        for fingerprint in [f for f in self._tried_at if not self.is_quarantined(f)]:
-            del self._tried_at[fingerprint]
+            self.note_crash(run.keys, run.engine, run.request_id)
+        self._quarantine.expire(now)
+        self._log_causes()
         if self._ownership.owns(TOPIC):
             self._remove_expired(now)
 
@@ -230,7 +247,7 @@
         if record.value is None:
             self._forget(record.key)
             return
-        fingerprint, _, crash = record.key.partition("/")
+        key, _, crash = record.key.partition("/")
         now = self._now()
         try:
             wire = _DECODER.decode(record.value)
@@ -239,30 +256,44 @@
             return
         # A gateway whose clock is wrong must not remove what others still need.
         self._stored[record.key] = now + QUARANTINE_S
-        if ttl_s <= 0 or crash in self._tracker.crashes(fingerprint, now):
+        if ttl_s <= 0:
             return
-        learned = CrashRecord(fingerprint, frozenset({crash}), ttl_s=ttl_s)
-        self._tracker.merge((learned,), now)
-        if crash in self._tracker.crashes(fingerprint, now):
-            self._log_crash(fingerprint, wire, "")
-
-    def _forget(self, key: str) -> None:
-        """Clears a request of the crash whose record another gateway removed."""
-        self._stored.pop(key, None)
-        fingerprint, _, crash = key.partition("/")
-        cleared = frozenset({crash})
-        record = CrashRecord(fingerprint, cleared, cleared)
-        self._tracker.merge((record,), self._now())
-
-    def _log_crash(self, fingerprint: str, crash: _Crash, request_id: str) -> None:
-        self._events.info(
-            "crash_recorded",
-            id=request_id,
-            fingerprint=fingerprint,
-            engine=crash.engine,
-            incarnation=crash.incarnation,
-            crashes=self.count_crashes(fingerprint),
-        )
+        if self._quarantine.note_crash(key, crash, now, wire.position, ttl_s):
+            self._log_crash(key, wire, "")
+
+    def _forget(self, stored_key: str) -> None:
+        """Clears a key of the crash whose record another gateway removed."""
+        self._stored.pop(stored_key, None)
+        key, _, crash = stored_key.partition("/")
+        self._quarantine.forget_crash(key, crash, self._now())
+
+    def _log_crash(self, key: str, crash: _Crash, request_id: str) -> None:
+        count = self.count_crashes(key)
+        fields = {
+            "id": request_id,
+            "engine": crash.engine,
+            "incarnation": crash.incarnation,
+            "crashes": count,
+        }
+        if not is_part(key):
+            self._events.info("crash_recorded", fingerprint=key, **fields)
+        elif request_id or count > 1:
+            # Left out at the other gateways: the first crash of each part that ran
+            # beside the one that caused it.
+            self._events.info("part_crash_recorded", part=key, **fields)
+
+    def _log_causes(self) -> None:
+        """Logs the parts that were quarantined or released since the last call."""
+        causes = self._quarantine.causes(self._now())
+        if causes == self._known_causes:
+            return
+        for key in sorted(causes - self._known_causes):
+            count = self.count_crashes(key)
+            self._events.warn("part_quarantined", part=key, crashes=count)
+        for key in sorted(self._known_causes - causes):
+            count = self.count_crashes(key)
+            self._events.warn("part_released", part=key, crashes=count)
+        self._known_causes = causes
 
     def _now(self) -> float:
         return float(self._clock.monotonic())
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -74,10 +74,21 @@
         "crash_recorded",
         "An engine crashed during an online request, seen here or not.",
     ),
+    EventSpec(
+        "part_crash_recorded",
+        "An engine crashed during a request with this prompt part.",
+    ),
     EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
     EventSpec("crash_ignored", "The record of a crash cannot be read."),
-    EventSpec("quarantine_trial", "A quarantined request is tried once more."),
-    EventSpec("request_quarantined", "Three engines crashed during it: it is stopped."),
+    EventSpec("part_quarantined", "Requests with this prompt part crash engines."),
+    EventSpec("part_released", "A prompt part is not quarantined any more."),
+    EventSpec(
+        "quarantine_trial", "A quarantined request, or one with such a part, is tried."
+    ),
+    EventSpec(
+        "request_quarantined",
+        "Engines crashed during it, or during others with this part: it is stopped.",
+    ),
     EventSpec("request_answered", "An engine's complete response was relayed.", True),
     EventSpec("request_failed", "It was refused, expired or was cut.", True),
     EventSpec("caller_gone", "The caller closed its connection first.", True),
@@ -91,6 +102,7 @@
     ),
     EventSpec("job_forgotten", "An old job's records are being removed."),
     EventSpec("item_started", "An item was given a slot at an engine."),
+    EventSpec("item_held", "An item waits because a part of it is quarantined."),
     EventSpec("item_not_run", "Its body could not be read, or its claim stored."),
     EventSpec(
         "progress_lost", "The stored progress of an item is lost; it runs without it."
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -197,6 +197,7 @@
             ownership,
             self.config,
             BatchSlots(settings.ip, self.peers.loads),
+            self.crashes,
             events,
         )
         self._config_follower = self._follow(
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -7,11 +7,12 @@
 
 import attrs
 
-from ..dispatch import Engine, EventSplitter, OversizedEventError
+from ..dispatch import CrashKeys, Engine, EventSplitter, OversizedEventError
 from ..http1 import CallTimeoutError, ConnectError, Disconnected, ResponseEnd
 from ..jobs import Progress, WorkItem
 from ..platform import is_stamped, item_request, proves_not_run
 from ._blob_store import BlobLostError, BlobStore
+from ._crash_log import CrashLog
 from ._engine_access import EngineAccess, EngineRun
 from ._timing import BATCH_STALL_S, CLAIM_TIMEOUT_S, MAX_OUTPUT_BYTES
 
@@ -35,6 +36,7 @@
     claimed the item. ``progress`` grows with each event; a later run resumes after it.
     ``resumed_after`` is the event after which this run resumes, 0 for a whole run.
     ``status`` is the engine's HTTP status, and ``why`` says why a run broke off.
+    ``crashes`` records the crashes of engines under ``keys``.
     """
 
     access: EngineAccess
@@ -43,6 +45,8 @@
     engine: Engine
     progress: Progress | None
     claim: Callable[[WorkItem, int], Awaitable[int]]
+    crashes: CrashLog
+    keys: CrashKeys
     claim_offset: int = -1
     is_claiming: bool = False
     is_claimed: bool = False
@@ -84,6 +88,7 @@
         try:
             return await self._receive(run)
         except CallTimeoutError:
+            self.crashes.note_given_up(self.keys, self.engine, item.id)
             return self._broken("silent")
         except OversizedEventError as exc:
             return self._broken(exc.message)
@@ -116,7 +121,7 @@
     async def _receive(self, run: EngineRun) -> RunEnd:
         event: Any = await run.next(BATCH_STALL_S)
         if isinstance(event, Disconnected):
-            return self._broken(event.reason)
+            return self._disconnected(event)
         self.status = event.status
         if proves_not_run(event):
             if event.status == MISDIRECTED:
@@ -132,10 +137,11 @@
         while True:
             event = await run.next(self._stall_time_s())
             if isinstance(event, Disconnected):
-                return self._broken(event.reason)
+                return self._disconnected(event)
             if isinstance(event, ResponseEnd):
                 if self._splitter.rest or self.progress is None:
                     return self._broken("ended in the middle of an event")
+                self.crashes.note_answered(self.keys)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
                 return self._broken("events out of order or not text")
@@ -166,6 +172,12 @@
             self.progress = Progress(first_id + len(in_order) - 1, b"\n".join(texts))
         return len(in_order) == len(events)
 
+    def _disconnected(self, event: Disconnected) -> RunEnd:
+        if event.by_server:
+            item = self.work.job.items[self.work.index]
+            self.crashes.note_crash(self.keys, self.engine, item.id)
+        return self._broken(event.reason)
+
     def _broken(self, why: str) -> RunEnd:
         self.why = why
         item = self.work.job.items[self.work.index]
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -7,6 +7,7 @@
 
 from ..dispatch import (
     AttemptPlan,
+    CrashKeys,
     Engine,
     OversizedEventError,
     Route,
@@ -14,6 +15,7 @@
     ServingConfig,
     Step,
     fingerprint,
+    is_part,
 )
 from ..http1 import (
     CallTimeoutError,
@@ -52,7 +54,7 @@
     config: ServingConfig
     plan: AttemptPlan
     relay: ResponseRelay
-    fingerprint: str
+    keys: CrashKeys
     _run: EngineRun | None = None
     _wait_s: float = 0.0
     _sent_at: float = 0.0
@@ -69,7 +71,7 @@
 
     async def _step(self) -> None:
         now = self.access.now()
-        if self.crashes.is_quarantined(self.fingerprint) and not self._take_trial():
+        if self.crashes.is_quarantined(self.keys) and not self._take_trial():
             self._stop_quarantined()
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
@@ -81,23 +83,23 @@
         await self._attempt(engine)
 
     def _take_trial(self) -> bool:
-        if self.plan.may_have_run or not self.crashes.take_trial(self.fingerprint):
+        if self.plan.may_have_run or not self.crashes.take_trial(self.keys):
             return False
-        self.events.info(
-            "quarantine_trial", id=self.req.id, fingerprint=self.fingerprint
-        )
+        for key in self.crashes.blocking(self.keys):
+            self.events.info("quarantine_trial", id=self.req.id, **_key_field(key))
         return True
 
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
-        self.events.warn(
-            "request_quarantined",
-            id=self.req.id,
-            fingerprint=self.fingerprint,
-            crashes=self.crashes.count_crashes(self.fingerprint),
-            remaining_s=self.crashes.quarantined_for(self.fingerprint),
-            runs=self.plan.runs,
-        )
+        for key in self.crashes.blocking(self.keys):
+            self.events.warn(
+                "request_quarantined",
+                id=self.req.id,
+                **_key_field(key),
+                crashes=self.crashes.count_crashes(key),
+                remaining_s=self.crashes.quarantined_for(self.keys),
+                runs=self.plan.runs,
+            )
 
     def _choose(self, now: float) -> Engine | None:
         service = self.route.pick_service(self.access.random.random())
@@ -292,15 +294,19 @@
     def _note_disconnected(self, engine: Engine, event: Disconnected) -> None:
         self._note_failure(engine, event.reason)
         if event.by_server:
-            self.crashes.note_crash(self.fingerprint, engine, self.req.id)
+            self.crashes.note_crash(self.keys, engine, self.req.id)
 
     def _note_given_up(self, engine: Engine) -> None:
-        self.crashes.note_given_up(self.fingerprint, engine, self.req.id)
+        self.crashes.note_given_up(self.keys, engine, self.req.id)
 
     def _note_answered(self, engine: Engine, status: int) -> None:
         self._is_done = True
         if status < 500:
-            self.crashes.note_answered(self.fingerprint)
+            # Only a successful response shows that an engine has run the prompt.
+            is_run = status == 200
+            self.crashes.note_answered(
+                self.keys if is_run else attrs.evolve(self.keys, parts=())
+            )
         took_s = self.access.now() - self.exchange.arrived_at
         self.events.metrics.observe_response(
             self.route.name, status, self.relay.first_event_s, took_s
@@ -349,7 +355,7 @@
         if self.relay.has_begun:
             self.exchange.abort()
         elif status == 503 and self.plan.is_stopped:
-            refuse(self.exchange, 503, self.crashes.quarantined_for(self.fingerprint))
+            refuse(self.exchange, 503, self.crashes.quarantined_for(self.keys))
         elif status == 503:
             retry_after_s = self.access.retry_after.after_burst(self._time_left_s(now))
             self.access.admission.note_refusal(
@@ -388,6 +394,8 @@
         self.access.admission.note_arrival(route, req.deadline_s)
         is_stream = route.kind is RouteKind.STREAMING
         relay = ResponseRelay(exchange, is_stream, self.access.now)
+        body = exchange.body
+        digest = fingerprint(req.method, req.host, exchange.head.target, body)
         request = OnlineRequest(
             self.access,
             self.crashes,
@@ -398,7 +406,7 @@
             config,
             plan,
             relay,
-            fingerprint(req.method, req.host, exchange.head.target, exchange.body),
+            CrashKeys(digest, req.parts),
         )
         self.open_requests += 1
         task = spawn(self._serve(request))
@@ -421,3 +429,7 @@
             raise
         finally:
             self.open_requests -= 1
+
+
+def _key_field(key: str) -> dict[str, str]:
+    return {"part" if is_part(key) else "fingerprint": key}
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -68,12 +68,23 @@
 MEMBERS_TICK_S = 0.2
 
 # A request under which this many engines crashed is not sent to another one, until this
-# long after the last crash.
+# long after the last crash. Neither are requests with a prompt part under which this
+# many crashed, or more for a part on which engines completed responses before: engines
+# crash beside harmless requests as well. The platform allows five.
 QUARANTINE_CRASHES = 3
+PROVEN_PART_CRASHES = 5
 QUARANTINE_S = 600.0
 # A quarantined request whose crashes may have had another cause is tried once this long
-# after the last of them, by one gateway. The platform allows three further runs.
+# after the last of them, by one gateway. The platform allows three further runs. For a
+# part on which engines completed responses before, it is sooner, because many callers
+# may share it.
 QUARANTINE_TRIAL_S = 30.0
+PROVEN_PART_TRIAL_S = 2.0
+# A part with more crashes is not tried: after five, the platform allows three requests.
+MAX_TRIAL_CRASHES = 7
+# Largest number of parts with crashes, and of parts known to be completed: two of each
+# request in half a minute at 320 requests a second.
+MAX_SUSPECT_PARTS = 20_000
 # Long poll of the crashes. An unresponsive connection is detected after this plus the
 # store client's time-out: a crash has to be known everywhere within four seconds.
 CRASH_POLL_S = 2.0
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -237,6 +237,13 @@
         (),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_quarantined_parts",
+        GAUGE,
+        "Prompt parts whose requests are not sent, because they crashed engines.",
+        (),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_peers",
         GAUGE,
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -29,6 +29,7 @@
 )
 from ._job_bodies import decode_items, encode_results
 from ._names import CONFIG_KEY, CONFIG_TOPIC, ENGINES_TOPIC, READY_PATH
+from ._prompt_parts import item_parts, shared_parts
 from ._settings import (
     PlatformSettings,
     StoreSettings,
@@ -68,6 +69,7 @@
     "decode_report",
     "encode_results",
     "is_stamped",
+    "item_parts",
     "item_request",
     "load_platform_settings",
     "parse_platform_settings",
@@ -76,5 +78,6 @@
     "read_batch_call",
     "read_caller_request",
     "report_request",
+    "shared_parts",
     "to_engine",
 ]
--- a/src/pomeloshift/platform/_prompt_parts.py
+++ b/src/pomeloshift/platform/_prompt_parts.py
@@ -3,6 +3,8 @@
 import hashlib
 import re
 
+from ._names import PROMPT_PARTS
+
 # A longer list names only its first parts, and a longer id is replaced by its digest:
 # both are kept for each request that runs while an engine crashes.
 MAX_PARTS = 32
@@ -26,6 +28,13 @@
     return tuple(dict.fromkeys(_bounded(part) for part in ids if part))[:MAX_PARTS]
 
 
+def item_parts(headers: tuple[tuple[str, str], ...]) -> tuple[str, ...]:
+    """Returns the `shared_parts` of a job's item with these headers."""
+    name = PROMPT_PARTS.decode()
+    values = (value for key, value in headers if key.lower() == name)
+    return shared_parts(next(values, ""))
+
+
 def _bounded(part: str) -> str:
     if ID.fullmatch(part):
         return part
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -182,8 +182,9 @@
         head = RequestHead(method.encode(), target.encode(), Headers(fields))
         return self.client.call(gateway.caller_address, head, body, CALL_TIMEOUT_S)
 
-    def submit(self, gateway, job_id, bodies, tokens=10):
-        return self.call(gateway, "POST", "/jobs/new", job(bodies, tokens), job_id)
+    def submit(self, gateway, job_id, bodies, tokens=10, prompts=()):
+        body = job(bodies, tokens, prompts)
+        return self.call(gateway, "POST", "/jobs/new", body, job_id)
 
     async def store_progress(self, gateway, job_id, events):
         """Stores the progress of a job's first item, as a gateway that stopped it."""
@@ -211,7 +212,8 @@
         self.pool.stop()
 
 
-def job(bodies, tokens=10):
+def job(bodies, tokens=10, prompts=()):
+    """Returns a job's body; ``prompts`` holds the prompt parts of each item."""
     items = [
         {
             "id": f"item{number}",
@@ -222,6 +224,8 @@
         }
         for number, body in enumerate(bodies)
     ]
+    for item, prompt in zip(items, prompts, strict=False):
+        item["headers"]["X-Prompt-Prefix"] = prompt
     return msgspec.json.encode({"items": items})
 
 
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -8,7 +8,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from _virtual import VirtualClock
-from pomeloshift.dispatch import Engine, EngineRecord, fingerprint
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
 from pomeloshift.gateway._crash_log import CrashLog
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
@@ -123,22 +123,26 @@
     return Engine(record)
 
 
+def keys(request, *parts):
+    return CrashKeys(request, parts)
+
+
 def crash(log, *names, request="f"):
     for name in names:
-        log.note_crash(request, engine(name), "r1")
+        log.note_crash(keys(request), engine(name), "r1")
 
 
 def test_third_crash_quarantines_at_every_gateway(logs):
     first, second = logs.add(), logs.add()
     crash(first, "e1", "e2")
     logs.advance(1.0)
-    assert not second.is_quarantined("f")
+    assert not second.is_quarantined(keys("f"))
     crash(second, "e3")
-    assert second.is_quarantined("f")  # before the store has the record
+    assert second.is_quarantined(keys("f"))  # before the store has the record
     logs.advance(1.0)
-    assert first.is_quarantined("f")
-    assert logs.add().is_quarantined("f")
-    assert not first.is_quarantined("g")
+    assert first.is_quarantined(keys("f"))
+    assert logs.add().is_quarantined(keys("f"))
+    assert not first.is_quarantined(keys("g"))
 
 
 def test_crash_that_several_gateways_see_counts_once(logs):
@@ -153,15 +157,15 @@
 def test_each_incarnation_of_an_engine_is_a_crash_of_its_own(logs):
     log = logs.add()
     for incarnation in range(QUARANTINE_CRASHES):
-        log.note_crash("f", engine("e1", incarnation), "r1")
-    assert log.is_quarantined("f")
+        log.note_crash(keys("f"), engine("e1", incarnation), "r1")
+    assert log.is_quarantined(keys("f"))
 
 
 def test_complete_response_clears_the_request_at_every_gateway(logs):
     first, second = logs.add(), logs.add()
     crash(first, "e1", "e2")
     logs.advance(1.0)
-    second.note_answered("f")
+    second.note_answered(keys("f"))
     crash(second, "e3")
     logs.advance(1.0)
     for log in (first, second, logs.add()):
@@ -174,10 +178,10 @@
     crash(log, "e1", "e2", "e3")
     logs.advance(QUARANTINE_S - 10.0)
     restarted = logs.add()
-    assert 9.0 < restarted.quarantined_for("f") <= 10.0
+    assert 9.0 < restarted.quarantined_for(keys("f")) <= 10.0
     logs.advance(11.0)
-    assert not log.is_quarantined("f")
-    assert not restarted.is_quarantined("f")
+    assert not log.is_quarantined(keys("f"))
+    assert not restarted.is_quarantined(keys("f"))
     assert not logs.topic.live_keys()
 
 
@@ -185,25 +189,25 @@
     owner, other = logs.add(), logs.add(is_owner=False)
     crash(other, "e1", "e2", "e3")
     logs.advance(QUARANTINE_TRIAL_S - 1.0)
-    assert not owner.take_trial("f")
+    assert not owner.take_trial(keys("f"))
     logs.advance(2.0)
-    assert not other.take_trial("f")
-    assert owner.take_trial("f")
-    assert not owner.take_trial("f")
-    owner.note_answered("f")
+    assert not other.take_trial(keys("f"))
+    assert owner.take_trial(keys("f"))
+    assert not owner.take_trial(keys("f"))
+    owner.note_answered(keys("f"))
     logs.advance(1.0)
-    assert not other.is_quarantined("f")
+    assert not other.is_quarantined(keys("f"))
 
 
 def test_request_whose_trial_crashes_another_engine_is_not_tried_again(logs):
     first, second = logs.add(), logs.add()
     crash(first, "e1", "e2", "e3")
     logs.advance(QUARANTINE_TRIAL_S + 1.0)
-    assert first.take_trial("f")
+    assert first.take_trial(keys("f"))
     crash(first, "e4")
     logs.advance(2 * QUARANTINE_TRIAL_S)
-    assert not first.take_trial("f")
-    assert not second.take_trial("f")
+    assert not first.take_trial(keys("f"))
+    assert not second.take_trial(keys("f"))
 
 
 def test_gateway_that_lost_history_forgets_the_crashes_cleared_meanwhile(logs):
@@ -214,7 +218,7 @@
     logs.advance(1.0)
     crash(second, "e4", request="g")
     logs.topic.records.pop()  # not yet in the store
-    first.note_answered("f")
+    first.note_answered(keys("f"))
     logs.topic.first = len(logs.topic.records)
     logs.topic.is_down = False
     logs.advance(2.0)
@@ -229,11 +233,11 @@
     crash(wrong, "e1", "e2", "e3", request="g")
     logs.advance(2.0)
     for each in (log, wrong):
-        assert each.is_quarantined("f")
-        assert each.is_quarantined("g")
+        assert each.is_quarantined(keys("f"))
+        assert each.is_quarantined(keys("g"))
     restarted = logs.add()
     logs.advance(1.0)
-    assert restarted.is_quarantined("f")
+    assert restarted.is_quarantined(keys("f"))
 
 
 def test_crash_seen_during_an_outage_of_the_store_counts_here(logs):
@@ -241,7 +245,7 @@
     logs.topic.is_down = True
     logs.advance(1.0)
     crash(log, "e1", "e2", "e3")
-    assert log.is_quarantined("f")
+    assert log.is_quarantined(keys("f"))
 
 
 @pytest.mark.parametrize("value", [b"{", b'{"engine":1}', b"\xff"])
@@ -286,7 +290,7 @@
     gone, slow, drained = engine("e1"), engine("e2"), engine("e3")
     late = engine("e4")
     for each in (gone, slow, drained, late):
-        log.note_given_up("f", each, "r1")
+        log.note_given_up(keys("f"), each, "r1")
     logs.advance(1.0)
     assert log.count_crashes("f") == 0
     gone.is_gone = True
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -3,7 +3,7 @@
 from twisted.internet.defer import Deferred, succeed
 
 from _gateway import events
-from pomeloshift.dispatch import Engine, EngineRecord
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord
 from pomeloshift.gateway._blob_store import BlobLostError
 from pomeloshift.gateway._item_run import ItemRun, RunEnd
 from pomeloshift.http1 import Chunk, Headers, ResponseEnd, ResponseHead
@@ -69,6 +69,13 @@
         self.noted.append("failed")
 
 
+class Crashes:
+    """Records no crashes."""
+
+    def note_answered(self, keys):
+        pass
+
+
 @pytest.fixture
 def run_item():
     """Runs an item against a scripted response; returns the run and how it ended."""
@@ -81,7 +88,16 @@
             job.note_progress(0, stored, BlobRef("lost", 7, 5, 1))
         record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1)
         access, work = Access(response), WorkItem(job, 0, 18.0)
-        run = ItemRun(access, Blobs(), work, Engine(record), known, access.claim)
+        run = ItemRun(
+            access,
+            Blobs(),
+            work,
+            Engine(record),
+            known,
+            access.claim,
+            Crashes(),
+            CrashKeys(),
+        )
         return run, Deferred.fromCoroutine(run.run()).result
 
     return run_item
