Pass the crash keys in a test that builds a request

The fix of the fatal prompt part gave OnlineRequest the field keys in place of fingerprint; two cases of a test still passed the old one. The test and its checks are unchanged.

--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import Deferred
 
 from _gateway import config, events, route
-from pomeloshift.dispatch import AttemptPlan, Engine, EngineRecord
+from pomeloshift.dispatch import AttemptPlan, CrashKeys, Engine, EngineRecord
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway import _request_dispatcher as dispatcher_module
 from pomeloshift.gateway._online import OnlineRequest
@@ -355,7 +355,7 @@
         config=None,
         plan=plan,
         relay=relay,
-        fingerprint="",
+        keys=CrashKeys(),
     )
     result = Deferred.fromCoroutine(request._next(PausedRun(engines[0])))
     if is_paused:
