Treat a stream cut before its first event as broken off, also without a length

What callers saw: nothing reported; found by reading after the users stated that a stream may have neither a length nor chunks and end with its connection.

Cause: such a response was complete unless it stopped within an event. If the engine crashed before the first event of its run, the caller got an empty 200, a resumed stream or item ended early as if it were complete, and the request and its prompt parts were cleared of their crashes.

Evidence: the four cases of the new tests failed before (200 in place of 502, a cut stream that looked complete, an item with two of four words).

Change: a stream whose connection ends it needs at least one event in the run. Framed responses are unchanged. Result: the four cases pass, with the other tests of gateways.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -134,6 +134,7 @@
         if event.status != 200:
             return RunEnd.ANSWERED
         self._progressed_at = self.access.now()
+        is_framed = event.is_framed
         while True:
             event = await run.next(self._stall_time_s())
             if isinstance(event, Disconnected):
@@ -141,6 +142,8 @@
             if isinstance(event, ResponseEnd):
                 if self._splitter.rest or self.progress is None:
                     return self._broken("ended in the middle of an event")
+                if not is_framed and self.progress.event_id == self.resumed_after:
+                    return self._broken("ended before the first event")
                 self.crashes.note_answered(self.keys)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -40,6 +40,8 @@
     _stream_began_at: float | None = None
     _is_resumed: bool = False
     _head: ResponseHead | None = None
+    _is_framed: bool = True
+    _run_has_events: bool = False
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _unnumbered: bytearray = attrs.field(factory=bytearray)
     _held: bytearray = attrs.field(factory=bytearray)
@@ -60,11 +62,13 @@
         self._splitter = EventSplitter()
         self._unnumbered.clear()
         self._held.clear()
+        self._run_has_events = False
         self.progressed_at = self._now()
 
     def take_head(self, head: ResponseHead) -> bool:
         """Handles a response's head; returns whether the response can be used."""
         self.progressed_at = self._now()
+        self._is_framed = head.is_framed
         if self.has_begun:
             self._is_resumed = True
             return head.status == 200
@@ -80,14 +84,19 @@
             self._hold_plain(data)
             return True
         events = self._splitter.feed(data)
+        self._run_has_events = self._run_has_events or bool(events)
         in_order = self._events_in_order(events)
         self._write_numbered(in_order)
         return len(in_order) == len(events)
 
     def finish(self) -> bool:
-        """Ends the response; returns False if its body stops within an event."""
+        """Ends the response; returns False if the engine has broken it off.
+
+        A stream that stops within an event is broken off. So is one that its connection
+        ends before the engine's first event.
+        """
         if self._splits_events():
-            if self._splitter.rest:
+            if self._splitter.rest or not (self._is_framed or self._run_has_events):
                 return False
             self._begin()
             if self._unnumbered:
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
-from _gateway import HOST, SERVICE, config, events, route
+from _gateway import HOST, config, events, route, text
 from pomeloshift.dispatch import fingerprint
 from pomeloshift.gateway import _crash_log
 from pomeloshift.http1 import ConnectionBrokenError
@@ -21,14 +21,22 @@
 
 
 class CutEngine(Protocol):
-    """Closes each connection within an event of a response without a length."""
+    """Closes each connection after ``sent``, in a response without a length."""
+
+    sent = events(1, 2) + b"id: 3\nda"
 
     def dataReceived(self, data):  # noqa: N802
         head = b"HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nConnection: close\r\n\r\n"
-        self.transport.write(head + events(1, 2) + b"id: 3\nda")
+        self.transport.write(head + self.sent)
         self.transport.loseConnection()
 
 
+class SilentlyCutEngine(CutEngine):
+    """Closes each connection before the first event."""
+
+    sent = b""
+
+
 @pytest.fixture
 def send():
     """Sends a request under a new id and returns its response, None if it was cut."""
@@ -151,12 +159,27 @@
     assert play(scenario) == (504, 503, 3)
 
 
-def test_crash_within_a_response_without_a_length_counts(play, send, reactor):
-    async def scenario(deployment):
-        port = reactor.listenTCP(0, Factory.forProtocol(CutEngine), interface=LOOPBACK)
+@pytest.fixture
+def add_cut_engine(reactor):
+    """Adds an engine of a protocol class; the ports are closed after the test."""
+    ports = []
+
+    def add(deployment, protocol, **fields):
+        factory = Factory.forProtocol(protocol)
+        ports.append(reactor.listenTCP(0, factory, interface=LOOPBACK))
         engine = deployment.add_engine()
-        record = engine.record(f"{LOOPBACK}:{port.getHost().port}", SERVICE)
-        deployment.store.state.put("keyed.servers", engine.id, record)
+        engine.address = f"{LOOPBACK}:{ports[-1].getHost().port}"
+        deployment.register(engine, **fields)
+        return engine
+
+    yield add
+    for port in ports:
+        port.stopListening()
+
+
+def test_crash_within_a_response_without_a_length_counts(play, send, add_cut_engine):
+    async def scenario(deployment):
+        engine = add_cut_engine(deployment, CutEngine)
         gateway = await deployment.add_gateway()
         await send(deployment, gateway, "/once/a")
         before = gateway.crashes.count_crashes(FINGERPRINT)
@@ -165,12 +188,53 @@
             if gateway.crashes.count_crashes(FINGERPRINT):
                 break
             await deployment.pause(0.02)
-        await port.stopListening()
         return before, gateway.crashes.count_crashes(FINGERPRINT)
 
     assert play(scenario) == (0, 1)
 
 
+@pytest.mark.parametrize("path", ["/once/a", "/resumable/a"])
+def test_stream_without_a_length_that_ends_before_its_first_event_is_not_complete(
+    play, send, add_cut_engine, path
+):
+    async def scenario(deployment):
+        add_cut_engine(deployment, SilentlyCutEngine)
+        gateway = await deployment.add_gateway()
+        return await send(deployment, gateway, path)
+
+    assert play(scenario).status == 502
+
+
+def test_stream_resumed_without_a_length_and_without_an_event_is_not_complete(
+    play, send, add_cut_engine
+):
+    async def scenario(deployment):
+        deployment.add_engine().behaviour = Behaviour(reset_after_events=2)
+        add_cut_engine(deployment, SilentlyCutEngine, zone="farther")
+        gateway = await deployment.add_gateway()
+        return await send(deployment, gateway, "/resumable/a")
+
+    assert play(scenario) is None
+
+
+def test_item_resumed_without_a_length_and_without_an_event_is_not_complete(
+    play, add_cut_engine
+):
+    async def scenario(deployment):
+        cut = add_cut_engine(deployment, SilentlyCutEngine)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"])
+        await deployment.store_progress(gateway, "job1", 2)
+        await deployment.pause(0.5)
+        deployment.add_engine()
+        await deployment.pause(0.5)
+        deployment.deregister(cut)
+        return await deployment.results(gateway, "job1", 1)
+
+    (row,) = play(scenario)
+    assert row["text"] == text(4)
+
+
 def test_gateway_without_the_store_learns_of_crashes_after_the_outage(play, send):
     async def scenario(deployment):
         deployment.add_crashing_engines(ENGINES, POISON)
