Count a stream without a length that was cut as a crash at once

Cause: a response that ends with its connection counted as a crash only once the record of its engine was removed, three missed heartbeats later. Until then the request and its prompt parts were sent to further engines. Under items it never counted.

Evidence: the three cases of the new tests failed before (0 crashes in place of 1).

Change: such a stream that stops within an event, or before the first one, is handled like a closed connection within a framed response. The users now state that it has been broken off. The old test wanted no crash before the record was gone; it is replaced by one that wants the crash at once, which is stricter.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -140,10 +140,11 @@
             if isinstance(event, Disconnected):
                 return self._disconnected(event)
             if isinstance(event, ResponseEnd):
-                if self._splitter.rest or self.progress is None:
-                    return self._broken("ended in the middle of an event")
-                if not is_framed and self.progress.event_id == self.resumed_after:
-                    return self._broken("ended before the first event")
+                if not self._is_whole(is_framed):
+                    why = "ended in the middle of an event"
+                    return self._disconnected(
+                        Disconnected(why, by_server=not is_framed)
+                    )
                 self.crashes.note_answered(self.keys)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
@@ -153,6 +154,15 @@
                 self.progress = None
                 return self._broken(f"the output exceeds {MAX_OUTPUT_BYTES} bytes")
 
+    def _is_whole(self, is_framed: bool) -> bool:
+        """Whether the engine has not broken off the stream that has ended.
+
+        A stream that its connection ends is broken off without an event in this run.
+        """
+        if self._splitter.rest or self.progress is None:
+            return False
+        return is_framed or self.progress.event_id > self.resumed_after
+
     def _stall_time_s(self) -> float:
         """Returns how long to wait for bytes until the run counts as stalled."""
         return self._progressed_at + BATCH_STALL_S - self.access.now()
@@ -190,6 +200,7 @@
 
 FIRST_EVENT_ID = 1
 MISDIRECTED = 421
+BROKEN_OFF = "ended in the middle of an event"
 
 
 def _is_text(data: bytes) -> bool:
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -40,6 +40,9 @@
 # as not run, without it as failed.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+# A response that its connection ends was cut if it stops within an event.
+CUT = Disconnected("ended in the middle of an event", by_server=True)
+
 
 @attrs.define
 class OnlineRequest:
@@ -217,9 +220,11 @@
             if isinstance(event, ResponseEnd):
                 if self.relay.finish():
                     self._note_answered(engine, head.status)
-                else:
+                elif head.is_framed:
                     self._note_failure(engine, "ended in the middle of an event")
                     self._note_given_up(engine)
+                else:
+                    self._note_disconnected(engine, CUT)
                 return
             if isinstance(event, Disconnected):
                 self._note_disconnected(engine, event)
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -177,20 +177,33 @@
         port.stopListening()
 
 
-def test_crash_within_a_response_without_a_length_counts(play, send, add_cut_engine):
+@pytest.mark.parametrize("protocol", [CutEngine, SilentlyCutEngine])
+def test_crash_within_a_response_without_a_length_counts_at_once(
+    play, send, add_cut_engine, protocol
+):
     async def scenario(deployment):
-        engine = add_cut_engine(deployment, CutEngine)
+        add_cut_engine(deployment, protocol)
         gateway = await deployment.add_gateway()
         await send(deployment, gateway, "/once/a")
-        before = gateway.crashes.count_crashes(FINGERPRINT)
-        deployment.deregister(engine)
+        return gateway.crashes.count_crashes(FINGERPRINT)
+
+    assert play(scenario) == 1
+
+
+def test_crash_of_an_item_within_a_response_without_a_length_counts(
+    play, add_cut_engine
+):
+    async def scenario(deployment):
+        add_cut_engine(deployment, CutEngine)
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"], prompts=["5c1e:9,1:9"])
         for _ in range(POLLS):
-            if gateway.crashes.count_crashes(FINGERPRINT):
+            if gateway.crashes.count_crashes("part-5c1e"):
                 break
             await deployment.pause(0.02)
-        return before, gateway.crashes.count_crashes(FINGERPRINT)
+        return gateway.crashes.count_crashes("part-5c1e")
 
-    assert play(scenario) == (0, 1)
+    assert play(scenario) == 1
 
 
 @pytest.mark.parametrize("path", ["/once/a", "/resumable/a"])
