--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -27,7 +27,8 @@
 
     With ``is_full`` the engine rejects requests with 503 and does not run them. With
     ``is_silent`` it never responds. Without ``has_stamp`` its responses lack the
-    ``X-Response-Stamp`` header.
+    ``X-Response-Stamp`` header. Responses name ``limit``, the requests a second that
+    the engine takes from all callers together, unless it is None.
     """
 
     events: int = 4
@@ -42,6 +43,7 @@
     is_full: bool = False
     is_silent: bool = False
     has_stamp: bool = True
+    limit: float | None = None
 
 
 @attrs.frozen
@@ -128,6 +130,8 @@
                 self._crash(exchange)
                 return
         fields = [(b"X-Request-Id", request_id.encode())]
+        if behaviour.limit is not None:
+            fields.append((b"Server-Limit", b"%g" % behaviour.limit))
         if behaviour.is_silent:
             return
         if behaviour.is_full:
