Keep the limit that an engine names, over all gateways together

What callers saw: nothing.

Cause: nothing read Server-Limit. Requests were placed by load and by the counts of requests in flight, which say nothing about a rate.

Change: each gateway keeps an account for each engine that names a limit. It accrues at the limit and is charged with the gateway's own requests and those that the heartbeats of others report, so that retries, resumes and items count as well and all accounts agree but for the latency of heartbeats. What gateways overdraw by sending at once is made up for. They may use what the limit allows in a fixed order, 0.1 s after one another, so that few do. An engine without allowance is not chosen; a request waits for one within its objective, a cut stream for at most 1.5 s, and is refused at once otherwise. Items wait in their queue. A gateway learns limits and their ends from heartbeats too.

--- a/src/pomeloshift/dispatch/_engine.py
+++ b/src/pomeloshift/dispatch/_engine.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ._engine_limit import EngineLimit, LimitReport
 from ._engine_load import EngineLoad
 from ._engine_record import EngineRecord
 from ._peer_loads import NO_REQUESTS, RequestCounts
@@ -9,6 +10,8 @@
 # A reported load is used for this long: about as long as an online request occupies
 # a slot.
 LOAD_VALID_S = 0.6
+# How long an entry reports that an engine names no limit any more.
+LIMIT_END_REPORTED_S = 5.0
 
 
 @attrs.define(eq=False)
@@ -18,7 +21,8 @@
     ``online`` and ``batch`` count this entry's own requests, ``peers`` those that
     other entries reported. Times are monotonic seconds. ``avoided_until`` is set when
     the engine refused or failed a request, ``is_gone`` once its record was removed or
-    replaced by another incarnation.
+    replaced by another incarnation. ``limit`` paces the requests of all entries while
+    the engine names a limit.
     """
 
     record: EngineRecord
@@ -28,6 +32,9 @@
     avoided_until: float = float("-inf")
     last_byte_at: float = float("-inf")
     peers: RequestCounts = NO_REQUESTS
+    limit: EngineLimit | None = None
+    # When the engine last named a limit, or its end.
+    _limit_named_at: float = float("-inf")
     _load: EngineLoad | None = None
     _load_at: float = float("-inf")
     _known_at_report: int = 0
@@ -66,6 +73,53 @@
         """Returns the seconds since the last load report, infinity before any."""
         return now - self._load_at
 
+    def note_limit(self, rate: float | None, named_at: float, now: float) -> bool:
+        """Records a limit, in requests a second, or None for its end.
+
+        ``named_at`` is when the engine named it; an older statement than the last one
+        changes nothing. Returns whether the limit changed.
+        """
+        if named_at < self._limit_named_at:
+            return False
+        self._limit_named_at = named_at
+        before = self.limit.rate if self.limit is not None else None
+        if rate is None:
+            self.limit = None
+        elif self.limit is None:
+            self.limit = EngineLimit(rate, accrued_at=now)
+        else:
+            self.limit.change_rate(rate, now)
+        return rate != before
+
+    def note_unlimited(self, sent_at: float, now: float) -> bool:
+        """Records a response without a limit; returns whether this ends one.
+
+        It says nothing if its request was sent, at ``sent_at``, before the engine last
+        named a limit: it may have been overtaken.
+        """
+        if self.limit is None or sent_at < self._limit_named_at:
+            return False
+        return self.note_limit(None, now, now)
+
+    def note_peer_limit(self, peer: str, report: LimitReport, now: float) -> bool:
+        """Applies another entry's report; returns whether the limit changed."""
+        if report.incarnation != self.record.incarnation:
+            return False
+        has_changed = self.note_limit(report.rate, report.named_at, now)
+        if self.limit is not None and report.rate is not None:
+            self.limit.note_peer(peer, report.sent, now)
+        return has_changed
+
+    def limit_report(self, now: float) -> LimitReport | None:
+        """Returns what other entries are to know of the engine's limit, if anything."""
+        incarnation, named_at = self.record.incarnation, self._limit_named_at
+        if self.limit is not None:
+            rate, sent = self.limit.rate, self.limit.sent
+            return LimitReport(incarnation, rate, named_at, sent)
+        if now - named_at < LIMIT_END_REPORTED_S:
+            return LimitReport(incarnation, None, named_at)
+        return None
+
     @property
     def known_requests(self) -> int:
         """The number of requests of this entry and of its peers at the engine."""
--- a/src/pomeloshift/dispatch/_peer_loads.py
+++ b/src/pomeloshift/dispatch/_peer_loads.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ._engine_limit import LimitReport
+
 # An entry without a heartbeat for this long has stopped or is isolated. Entries send
 # their state at least twice a second.
 PEER_VALID_S = 1.6
@@ -35,7 +37,8 @@
     ``counts`` holds its numbers of requests by engine id. ``claims`` holds hashes of
     the batch items that it runs, is about to resume or is about to list. ``can_store``
     is set if the entry can reach the store, ``is_relay`` if it reaches the store
-    directly and can relay calls of other entries.
+    directly and can relay calls of other entries. ``limits`` holds its reports of the
+    limits that engines name, by engine id.
     """
 
     counts: dict[str, RequestCounts]
@@ -43,6 +46,7 @@
     is_leaving: bool = False
     can_store: bool = True
     is_relay: bool = False
+    limits: dict[str, LimitReport] = attrs.field(factory=dict)
 
 
 NO_STATE = PeerState({})
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -130,7 +130,7 @@
         self, engines: list[Engine], routes: dict[str, Route], now: float
     ) -> None:
         healthy = [e for e in engines if self.access.placement.is_healthy(e, now)]
-        free = {e.record.id: self.slots.free(e, now) for e in healthy}
+        free = {e.record.id: self._free_slots(e, now) for e in healthy}
         open_engines = [e for e in healthy if free[e.record.id] > 0]
         has_late = any(run.work.is_late for run in self._runs.values())
         if not open_engines and not has_late:
@@ -168,6 +168,14 @@
             if not open_engines:
                 break
 
+    def _free_slots(self, engine: Engine, now: float) -> int:
+        """Returns how many items may be started at an engine in this pass."""
+        free = self.slots.free(engine, now)
+        if engine.limit is None:
+            return free
+        is_allowed = self.access.limit_wait_s(engine, is_batch=True) <= 0
+        return min(free, int(is_allowed))
+
     def _without_held(self, pending: list[WorkItem]) -> list[WorkItem]:
         """Returns the items without those that wait for a quarantined part.
 
@@ -356,6 +364,7 @@
         )
         self.queue.running.add(key)
         engine.reserve_slot()
+        self.access.charge_limit(engine)
         self._runs[key] = run
         self._tasks[key] = spawn(self._run(key, run, route))
 
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -18,10 +18,21 @@
     ResponseEnd,
     ResponseHead,
 )
-from ..platform import decode_load_header, decode_report, report_request
+from ..platform import (
+    decode_limit_header,
+    decode_load_header,
+    decode_report,
+    is_stamped,
+    proves_not_run,
+    report_request,
+)
 from ._events import EventLog
+from ._sleep import sleep
 from ._timing import AVOID_FAILED_S, AVOID_FULL_S, MAX_REPORT_BYTES, PROBE_TIMEOUT_S
 
+# The status of an engine at whose address a request for another one arrived.
+MISDIRECTED = 421
+
 
 class EngineRun:
     """One request that runs at one engine, and its response."""
@@ -33,7 +44,8 @@
         self._access = access
         self._call = call
         self._is_batch = is_batch
-        self._key = engine.begin(access.now(), is_batch)
+        self._sent_at = access.now()
+        self._key = engine.begin(self._sent_at, is_batch)
         self._is_counted = True
 
     async def next(
@@ -46,7 +58,7 @@
         event = self._call.next_ready() or await self._call.next(timeout_s)
         if isinstance(event, ResponseHead):
             self.engine.on_bytes(self._key, self._access.now())
-            self._access.note_head(self.engine, event)
+            self._access.note_head(self.engine, event, self._sent_at)
         elif isinstance(event, Chunk):
             self.engine.last_byte_at = self._access.now()
         else:
@@ -80,6 +92,7 @@
     retry_after: RetryAfter
     admission: OnlineAdmission
     count_gateways: Callable[[], int]
+    rank_at: Callable[[Engine], int]
     pool: ConnectionPool
     client: Client
     random: Random
@@ -104,15 +117,56 @@
     async def send(
         self, engine: Engine, head: RequestHead, body: bytes, is_batch: bool
     ) -> EngineRun:
-        """Sends a request; raises `ConnectError` if nothing was sent."""
+        """Sends a request; raises `ConnectError` if nothing was sent.
+
+        A batch item was already charged to the engine's limit when it was chosen.
+        """
+        if not is_batch:
+            self.charge_limit(engine)
         call = await self.pool.send(engine.record.address, head, body)
         return EngineRun(self, engine, call, is_batch)
 
-    def note_head(self, engine: Engine, head: ResponseHead) -> None:
-        """Updates an engine's load from a response's headers, if they report it."""
+    def limit_wait_s(self, engine: Engine, is_batch: bool = False) -> float:
+        """Returns the seconds until the engine's limit allows a request."""
+        if engine.limit is None:
+            return 0.0
+        return engine.limit.wait_s(self.rank_at(engine), is_batch, self.now())
+
+    def charge_limit(self, engine: Engine) -> None:
+        """Records that a request is sent to an engine, if it names a limit."""
+        if engine.limit is not None:
+            engine.limit.charge(self.now())
+
+    async def sleep(self, delay_s: float) -> None:
+        """Waits for ``delay_s`` seconds."""
+        await sleep(self._reactor, delay_s)
+
+    def note_head(self, engine: Engine, head: ResponseHead, sent_at: float) -> None:
+        """Updates an engine's load and its limit from a response's headers.
+
+        ``sent_at`` is when the request was sent.
+        """
+        now = self.now()
         load = decode_load_header(head.headers)
         if load is not None:
-            engine.note_load(load, self.now())
+            engine.note_load(load, now)
+        if head.status == MISDIRECTED or not (is_stamped(head) or proves_not_run(head)):
+            # Of another engine at the same address, or not an engine's response.
+            return
+        rate = decode_limit_header(head.headers)
+        if rate is None:
+            has_changed = engine.note_unlimited(sent_at, now)
+        else:
+            has_changed = engine.note_limit(rate, now, now)
+        if has_changed:
+            self.note_limit_changed(engine)
+
+    def note_limit_changed(self, engine: Engine, peer: str = "") -> None:
+        """Logs that an engine names another limit; ``peer`` is who reported it."""
+        rate = engine.limit.rate if engine.limit is not None else None
+        self.events.info(
+            "engine_limit_changed", engine=engine.record.id, rate=rate, peer=peer
+        )
 
     def note_full(self, engine: Engine) -> None:
         """Avoids an engine that rejected a request, for `AVOID_FULL_S`."""
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -50,6 +50,10 @@
     EventSpec(
         "engine_failed", "An engine could not be reached, or its response failed."
     ),
+    EventSpec(
+        "engine_limit_changed",
+        "An engine names another limit of requests a second, or none.",
+    ),
     EventSpec("address_not_published", "Other gateways cannot find this one."),
     EventSpec("peer_ignored", "A gateway's address cannot be read."),
     EventSpec("peer_silent", "No heartbeat of a gateway arrives any more."),
@@ -65,6 +69,7 @@
         True,
     ),
     EventSpec("would_be_late", "No engine can start it within its objective."),
+    EventSpec("limits_reached", "No engine's limit allows it within its objective."),
     EventSpec("attempt_sent", "A request was written to an engine."),
     EventSpec(
         "attempt_refused",
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -112,6 +112,7 @@
         self._store = StoreClient(settings.store, client, clock)
         self._store.on_call = self._metrics.observe_store_call
         self._relay = StoreRelay(settings.store.address, client, reactor, clock)
+        ownership = Ownership(settings.ip)
         placement = Placement(
             settings.zone, settings.regions, PlacementConfig(), random
         )
@@ -121,6 +122,7 @@
             RetryAfter(random),
             OnlineAdmission(),
             lambda: 1 + len(self.peers.loads.states),
+            lambda engine: ownership.rank(engine.record.id, engine.record.zone),
             self._pool,
             client,
             random,
@@ -168,7 +170,6 @@
             self._incarnation,
             lambda name: self._directory.is_synced and self.peers.has_ended(name),
         )
-        ownership = Ownership(settings.ip)
         self.crashes = CrashLog(
             self._store,
             self._writer(_crash_log.TOPIC, _crash_log.PARTITION),
@@ -209,6 +210,7 @@
             ENGINES_TOPIC, self._engine_list.handlers()
         )
         self.peers.on_change = self.batch_loop.preempt_items
+        self.peers.on_limit_change = access.note_limit_changed
         self._directory = PeerDirectory(
             self._store,
             self._writer(_peer_directory.TOPIC, _peer_directory.PARTITION),
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -13,7 +13,7 @@
 from ..platform import is_stamped, item_request, proves_not_run
 from ._blob_store import BlobLostError, BlobStore
 from ._crash_log import CrashLog
-from ._engine_access import EngineAccess, EngineRun
+from ._engine_access import MISDIRECTED, EngineAccess, EngineRun
 from ._timing import BATCH_STALL_S, CLAIM_TIMEOUT_S, MAX_OUTPUT_BYTES
 
 
@@ -199,7 +199,6 @@
 
 
 FIRST_EVENT_ID = 1
-MISDIRECTED = 421
 BROKEN_OFF = "ended in the middle of an event"
 
 
--- a/src/pomeloshift/gateway/_members.py
+++ b/src/pomeloshift/gateway/_members.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..dispatch import Fleet, PeerState, PeerView, is_isolated
+from ..dispatch import Fleet, LimitReport, PeerState, PeerView, is_isolated
 from ._batch_loop import BatchLoop
 from ._peer_directory import PeerDirectory
 from ._peer_exchange import PeerExchange
@@ -49,8 +49,17 @@
             self.is_draining,
             self._can_store,
             self._can_store and self.store_link.path.is_direct,
+            self._limits(),
         )
 
+    def _limits(self) -> dict[str, LimitReport]:
+        now = self.clock.monotonic()
+        reports = (
+            (engine_id, engine.limit_report(now))
+            for engine_id, engine in self.fleet.engines.items()
+        )
+        return {engine_id: report for engine_id, report in reports if report}
+
     @property
     def is_isolated(self) -> bool:
         """Whether this gateway has lost the store while others reach it."""
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -1,5 +1,6 @@
 """Serves online requests."""
 
+import math
 from typing import Any
 
 import attrs
@@ -33,7 +34,7 @@
 from ._events import EventLog
 from ._refusal import refuse
 from ._response_relay import ResponseRelay
-from ._timing import FIRST_EVENT_OBJECTIVES, STALL_S
+from ._timing import FIRST_EVENT_OBJECTIVES, MAX_RESUME_WAIT_S, MIN_WAIT_S, STALL_S
 
 # Statuses which guarantee to the caller that a request has not run. A response of an
 # engine with one of them is never relayed: with the engine's proof the attempt counts
@@ -79,7 +80,11 @@
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
             return
-        engine = self._choose(now)
+        engines = self._pick_engines()
+        engine = self._choose(engines, now)
+        if engine is None and self._may_wait(engines, now):
+            await self.access.sleep(max(MIN_WAIT_S, self._limit_wait_s(engines)))
+            return
         if engine is None or self._would_be_late(engine, now):
             self._fail()
             return
@@ -104,12 +109,45 @@
                 runs=self.plan.runs,
             )
 
-    def _choose(self, now: float) -> Engine | None:
+    def _pick_engines(self) -> list[Engine]:
+        """Returns the engines of a service of the route that can still be tried."""
         service = self.route.pick_service(self.access.random.random())
         if service is None:
-            return None
+            return []
         engines = self.access.fleet.of(service)
-        return self.access.placement.choose(engines, now, self.plan.excluded)
+        return [e for e in engines if e.record.id not in self.plan.excluded]
+
+    def _choose(self, engines: list[Engine], now: float) -> Engine | None:
+        open_engines = [e for e in engines if self.access.limit_wait_s(e) <= 0]
+        return self.access.placement.choose(open_engines, now)
+
+    def _limit_wait_s(self, engines: list[Engine]) -> float:
+        """Returns the seconds until the limit of an engine allows the request."""
+        waits_s = (self.access.limit_wait_s(engine) for engine in engines)
+        return min(waits_s, default=math.inf)
+
+    def _may_wait(self, engines: list[Engine], now: float) -> bool:
+        """Whether an engine's limit allows the request before it is too late.
+
+        That is the latency objective; a request that may have run has until its caller
+        would give up on it.
+        """
+        wait_s = self._limit_wait_s(engines)
+        elapsed_s = now - self.exchange.arrived_at
+        if self.plan.may_have_run:
+            can_wait = wait_s <= MAX_RESUME_WAIT_S and now + wait_s < self.plan.deadline
+        else:
+            start_s = self.access.admission.start_delay_s
+            can_wait = elapsed_s + wait_s + start_s <= self.route.objective_s
+        if not can_wait and wait_s < math.inf:
+            self.events.info(
+                "limits_reached",
+                id=self.req.id,
+                wait_s=wait_s,
+                elapsed_s=elapsed_s,
+                runs=self.plan.runs,
+            )
+        return can_wait
 
     def _would_be_late(self, engine: Engine, now: float) -> bool:
         """Whether the request would start too late to be sent.
@@ -272,6 +310,7 @@
         return any(
             other.record.id not in excluded
             and self.access.placement.is_healthy(other, now)
+            and self.access.limit_wait_s(other) <= 0
             for other in others
         )
 
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -10,7 +10,15 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
-from ..dispatch import PEER_VALID_S, Fleet, PeerLoads, PeerState, RequestCounts
+from ..dispatch import (
+    PEER_VALID_S,
+    Engine,
+    Fleet,
+    LimitReport,
+    PeerLoads,
+    PeerState,
+    RequestCounts,
+)
 from ..platform import KeyedRecord
 from ._events import EventLog
 from ._timing import PEER_HEARTBEAT_S, PEER_LOST_HEARTBEAT_S, PEER_SEND_GAP_S
@@ -30,6 +38,8 @@
     """The full state of a gateway.
 
     ``work`` holds the numbers of online requests and batch items at each engine.
+    ``limits`` holds, for each engine that names a limit or has ended one, the engine's
+    incarnation, the limit, the seconds since it was named, and the sender's requests.
     """
 
     name: str
@@ -39,6 +49,7 @@
     is_leaving: bool
     can_store: bool
     is_relay: bool
+    limits: dict[str, tuple[int, float | None, float, int]] = {}
 
 
 _ADDRESS_DECODER = msgspec.msgpack.Decoder(PeerAddress)
@@ -71,6 +82,7 @@
         self.loads = PeerLoads()
         fleet.peers_of = self.loads.total
         self.on_change: Callable[[], None] = lambda: None
+        self.on_limit_change: Callable[[Engine, str], None] = lambda engine, peer: None
         self.own_state: Callable[[], PeerState] = lambda: PeerState({})
         self._name = name
         self._ip = ip
@@ -160,7 +172,7 @@
         state = self.own_state()
         has_changed = state != self._last_state
         self._last_state = state
-        data = self._encode(state)
+        data = self._encode(state, now)
         for peer in self._peers.values():
             if now - peer.sent_at >= self._send_gap_s(peer, has_changed, now):
                 peer.sent_at = now
@@ -193,6 +205,16 @@
         if changed:
             self._apply(changed)
             self.on_change()
+        self._apply_limits(heartbeat, now)
+
+    def _apply_limits(self, heartbeat: _Heartbeat, now: float) -> None:
+        for engine_id, (incarnation, rate, age_s, sent) in heartbeat.limits.items():
+            engine = self._fleet.engines.get(engine_id)
+            if engine is None:
+                continue
+            report = LimitReport(incarnation, rate, now - age_s, sent)
+            if engine.note_peer_limit(heartbeat.name, report, now):
+                self.on_limit_change(engine, heartbeat.name)
 
     def _apply(self, engine_ids: Iterable[str]) -> None:
         for engine_id in engine_ids:
@@ -200,7 +222,7 @@
             if engine is not None:
                 engine.peers = self.loads.total(engine_id)
 
-    def _encode(self, state: PeerState) -> bytes:
+    def _encode(self, state: PeerState, now: float) -> bytes:
         heartbeat = _Heartbeat(
             self._name,
             self._ip,
@@ -209,6 +231,10 @@
             state.is_leaving,
             state.can_store,
             state.is_relay,
+            {
+                engine: (one.incarnation, one.rate, now - one.named_at, one.sent)
+                for engine, one in state.limits.items()
+            },
         )
         return msgspec.msgpack.encode(heartbeat)
 
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -27,6 +27,11 @@
 # Pause in a resumable stream after which another engine resumes it: far above the pause
 # of a full engine, and below the two seconds after which callers disconnect.
 STALL_S = 0.9
+# How long a stream that was cut waits until the limit of an engine allows its resume:
+# callers disconnect after two seconds.
+MAX_RESUME_WAIT_S = 1.5
+# Least time between two looks at the limits by a request that waits.
+MIN_WAIT_S = 0.005
 # Time-out for the first event, as a multiple of the latency objective, after which an
 # idempotent request is retried on another engine.
 FIRST_EVENT_OBJECTIVES = 2.0
--- a/src/pomeloshift/jobs/_ownership.py
+++ b/src/pomeloshift/jobs/_ownership.py
@@ -23,6 +23,7 @@
     name: str
     _zones: dict[str, str] = attrs.field(factory=dict)
     _owned: dict[tuple[str, str], bool] = attrs.field(factory=dict)
+    _ranks: dict[tuple[str, str], int] = attrs.field(factory=dict)
 
     def set_members(self, zones: dict[str, str]) -> bool:
         """Sets the entries and their zones; returns whether they changed."""
@@ -30,6 +31,7 @@
             return False
         self._zones = dict(zones)
         self._owned.clear()
+        self._ranks.clear()
         return True
 
     def owns(self, name: str, zone: str = "") -> bool:
@@ -40,6 +42,24 @@
             self._owned[name, zone] = owned
         return owned
 
+    def rank(self, name: str, zone: str = "") -> int:
+        """Returns this entry's place, from 0, in the order of the owners of ``name``.
+
+        An entry that is not a member ranks after all members.
+        """
+        rank = self._ranks.get((name, zone))
+        if rank is None:
+            own = self._order(name, zone, self.name)
+            members = self._zones.keys() - {self.name}
+            rank = sum(self._order(name, zone, entry) > own for entry in members)
+            if self.name not in self._zones:
+                rank = len(members)
+            self._ranks[name, zone] = rank
+        return rank
+
+    def _order(self, name: str, zone: str, entry: str) -> tuple[bool, int]:
+        return self._zones.get(entry) == zone, _weight(name, entry)
+
     def _owner(self, name: str, zone: str) -> str | None:
         near = [entry for entry, its_zone in self._zones.items() if its_zone == zone]
         return max(
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -17,7 +17,12 @@
     report_request,
     to_engine,
 )
-from ._engines import decode_engine, decode_load_header, decode_report
+from ._engines import (
+    decode_engine,
+    decode_limit_header,
+    decode_load_header,
+    decode_report,
+)
 from ._errors import (
     HistoryLostError,
     MalformedError,
@@ -65,6 +70,7 @@
     "decode_config",
     "decode_engine",
     "decode_items",
+    "decode_limit_header",
     "decode_load_header",
     "decode_report",
     "encode_results",
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -1,11 +1,13 @@
 """Decodes the records and reports of engines."""
 
+import math
+
 import msgspec
 
 from ..dispatch import EngineLoad, EngineRecord
 from ..http1 import Headers
 from ._errors import UNREADABLE, MalformedError
-from ._names import SERVER_LOAD
+from ._names import SERVER_LIMIT, SERVER_LOAD
 
 STATES = ("serving", "draining")
 # Numbers with more digits are neither ports nor counts.
@@ -70,5 +72,17 @@
     return EngineLoad(running, waiting, slots)
 
 
+def decode_limit_header(headers: Headers) -> float | None:
+    """Returns the requests a second that an engine takes, None if it names no limit."""
+    value = headers.text(SERVER_LIMIT)
+    if len(value) > MAX_DIGITS:
+        return None
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0 else None
+
+
 def _is_count(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/src/pomeloshift/platform/_names.py
+++ b/src/pomeloshift/platform/_names.py
@@ -16,6 +16,7 @@
 RESPONSE_STAMP = b"x-response-stamp"
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LOAD = b"x-server-load"
+SERVER_LIMIT = b"server-limit"
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -1,8 +1,9 @@
 """Engines that name the rate of requests that they take from all gateways together."""
 
 import pytest
+from loguru import logger
 
-from _gateway import text
+from _gateway import config, events, route, text
 from pomeloshift.standins.platform import Behaviour
 
 LIMIT = 0.5  # requests a second
@@ -57,3 +58,78 @@
     requests, rows, _ = play(scenario)
     assert requests <= MAX_REQUESTS
     assert [row["text"] for row in rows] == [text(4)] * REQUESTS
+
+
+def test_gateway_keeps_a_limit_that_only_its_peer_was_told(play):
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(limit=LIMIT)
+        first, second = [await deployment.add_gateway() for _ in range(2)]
+        await deployment.call(first, "POST", "/plain/a", b"x", "told")
+        known = second.batch_loop.access.fleet.engines[engine.id]
+        while known.limit is None:
+            await deployment.pause(0.02)
+        deployment.add_engine()
+        await deployment.pause(0.2)
+        before = len(engine.requests)
+        for number in range(REQUESTS):
+            await deployment.call(second, "POST", "/plain/a", b"x", f"r{number}")
+        return len(engine.requests) - before
+
+    assert play(scenario) <= MAX_REQUESTS
+
+
+def test_engine_is_fully_used_again_once_it_names_no_limit(play, told):
+    async def scenario(deployment):
+        engine, gateways = await told(deployment)
+        engine.behaviour = Behaviour()
+        while any(
+            gateway.batch_loop.access.fleet.engines[engine.id].limit
+            for gateway in gateways
+        ):
+            await deployment.call(gateways[0], "POST", "/plain/a", b"x", "again")
+            await deployment.pause(0.05)
+        return [
+            await deployment.call(gateways[1], "POST", "/plain/a", b"x", f"r{number}")
+            for number in range(REQUESTS)
+        ]
+
+    assert [resp.status for resp in play(scenario)] == [200] * REQUESTS
+
+
+def test_request_is_refused_at_once_if_all_limits_are_reached(play, told):
+    lines = []
+
+    async def scenario(deployment):
+        _, gateways = await told(deployment)
+        deployment.publish(config(2, [route("plain", targetLatencyMs=100)]))
+        await deployment.pause(0.3)
+        return [
+            await deployment.call(gateways[0], "POST", "/plain/a", b"x", f"r{number}")
+            for number in range(3)
+        ]
+
+    handler = logger.add(lines.append, format="{message}")
+    try:
+        responses = play(scenario)
+    finally:
+        logger.remove(handler)
+    refused = [resp for resp in responses if resp.status == 503]
+    assert len(refused) >= 2
+    assert all(float(resp.headers.text(b"retry-after")) > 0 for resp in refused)
+    assert any("event=limits_reached id=r2 " in line for line in lines)
+
+
+def test_stream_that_was_cut_waits_for_the_limit_of_another_engine(play):
+    async def scenario(deployment):
+        cut = deployment.add_engine()
+        cut.behaviour = Behaviour(reset_after_events=2)
+        limited = deployment.add_engine(zone="farther")
+        limited.behaviour = Behaviour(limit=2.0)
+        gateway = await deployment.add_gateway()
+        engine = gateway.batch_loop.access.fleet.engines[limited.id]
+        now = gateway.batch_loop.access.now()
+        engine.note_limit(2.0, now, now)
+        return await deployment.call(gateway, "POST", "/resumable/a", b"x", "r")
+
+    assert play(scenario).body == events(1, 4)
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -340,6 +340,7 @@
         now=lambda: 1.0,
         fleet=SimpleNamespace(of=lambda service: engines),
         placement=SimpleNamespace(is_healthy=lambda engine, now: True),
+        limit_wait_s=lambda engine: 0.0,
     )
     exchange = SimpleNamespace(is_paused=is_paused, arrived_at=0.0)
     relay = ResponseRelay(exchange, True, access.now)
