Let batch items use an engine's limit as early as online requests do

Cause: an item waited half a second longer than an online request for what a limit allows, so that items hardly ran at the engines with limits, and those at the other engines were preempted in each burst.

Change: both wait equally long. An item that uses a request of a limit runs for seconds, where an online request runs for a part of one.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -11,7 +11,7 @@
 from ._crash_causes import SuspectPart, find_causes
 from ._crash_keys import CrashKeys, is_part
 from ._engine import Engine
-from ._engine_limit import MAX_RANK, EngineLimit, LimitReport
+from ._engine_limit import EngineLimit, LimitReport
 from ._engine_load import EngineLoad
 from ._engine_record import EngineRecord
 from ._event_stream import (
@@ -43,7 +43,6 @@
     "DIRECT",
     "EXPIRY_GRACE_S",
     "MAX_EVENT_BYTES",
-    "MAX_RANK",
     "NO_REQUESTS",
     "AttemptPlan",
     "ConfigHolder",
--- a/src/pomeloshift/dispatch/_engine_limit.py
+++ b/src/pomeloshift/dispatch/_engine_limit.py
@@ -7,8 +7,6 @@
 STAGGER_S = 0.1
 # Entries that rank later than this, or do not know their rank, wait equally long.
 MAX_RANK = 10
-# How much longer batch items leave it to online requests.
-BATCH_STAGGER_S = 0.5
 # Time in which an entry that learns of a limit hears the other ones for the first time.
 FIRST_REPORTS_S = 1.0
 # Least rate, in requests a second, so that an engine that named 0 can be asked again.
@@ -28,7 +26,7 @@
     allows one and a half times the limit, and five requests more, in four seconds.
 
         limit = EngineLimit(rate=2.0, accrued_at=now)
-        limit.wait_s(rank=0, is_batch=False, now=now)  # 0.5
+        limit.wait_s(rank=0, now=now)  # 0.5
     """
 
     rate: float
@@ -65,7 +63,7 @@
         self.balance -= max(0, sent - known)
         self._sent_by_peers[peer] = max(sent, known)
 
-    def wait_s(self, rank: int, is_batch: bool, now: float) -> float:
+    def wait_s(self, rank: int, now: float) -> float:
         """Returns the seconds until this entry may send a request, 0 if it may now.
 
         ``rank`` is this entry's place, from 0, in the order in which entries may use
@@ -73,8 +71,6 @@
         """
         self._accrue(now)
         stagger_s = STAGGER_S * min(rank, MAX_RANK)
-        if is_batch:
-            stagger_s += BATCH_STAGGER_S
         missing = 1 + stagger_s * self._rate - self.balance
         return max(0.0, missing / self._rate)
 
@@ -83,7 +79,7 @@
         return max(self.rate, MIN_RATE)
 
     def _accrue(self, now: float) -> None:
-        most = 1 + (STAGGER_S * MAX_RANK + BATCH_STAGGER_S) * self._rate
+        most = 1 + STAGGER_S * MAX_RANK * self._rate
         accrued = self.balance + self._rate * max(0.0, now - self.accrued_at)
         self.balance = min(most, accrued)
         self.accrued_at = now
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -173,8 +173,7 @@
         free = self.slots.free(engine, now)
         if engine.limit is None:
             return free
-        is_allowed = self.access.limit_wait_s(engine, is_batch=True) <= 0
-        return min(free, int(is_allowed))
+        return min(free, int(self.access.limit_wait_s(engine) <= 0))
 
     def _without_held(self, pending: list[WorkItem]) -> list[WorkItem]:
         """Returns the items without those that wait for a quarantined part.
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -126,11 +126,11 @@
         call = await self.pool.send(engine.record.address, head, body)
         return EngineRun(self, engine, call, is_batch)
 
-    def limit_wait_s(self, engine: Engine, is_batch: bool = False) -> float:
+    def limit_wait_s(self, engine: Engine) -> float:
         """Returns the seconds until the engine's limit allows a request."""
         if engine.limit is None:
             return 0.0
-        return engine.limit.wait_s(self.rank_at(engine), is_batch, self.now())
+        return engine.limit.wait_s(self.rank_at(engine), self.now())
 
     def charge_limit(self, engine: Engine) -> None:
         """Records that a request is sent to an engine, if it names a limit."""
--- a/tests/test_engine_limit.py
+++ b/tests/test_engine_limit.py
@@ -44,8 +44,7 @@
     def arrive(self, entry):
         self.later(self.random.expovariate(self.demand), self.arrive, entry)
         limit = self.limits[entry]
-        is_batch = self.random.random() < 0.3
-        if limit.wait_s(entry, is_batch, self.now) > 0:
+        if limit.wait_s(entry, self.now) > 0:
             return
         limit.charge(self.now)
         self.sent_at.append(self.now)
@@ -135,14 +134,14 @@
 
 def test_engine_that_names_0_is_asked_again():
     limit = EngineLimit(0.0, 0.0)
-    assert 0 < limit.wait_s(0, False, 0.0) < 60.0
+    assert 0 < limit.wait_s(0, 0.0) < 60.0
 
 
 def test_change_of_the_limit_keeps_the_account():
     limit = EngineLimit(1.0, 0.0)
     limit.change_rate(4.0, 2.0)
     assert limit.balance == pytest.approx(2.0)
-    assert limit.wait_s(0, False, 2.0) == 0.0
+    assert limit.wait_s(0, 2.0) == 0.0
 
 
 def test_each_entry_has_a_rank_of_its_own_and_those_of_the_zone_come_first():
