Count a trial of a quarantined request only when it is sent

A quarantined request that was due for its trial, and was then refused because it would have been late, used the trial up: the next one came 30 s later, or 2 s for a part that was completed before. The trial is now counted right before the request is sent. The record of crashes has tests for prompt parts at several gateways: restarted, cut from the store, without closed connections.

--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -75,7 +75,7 @@
 
     async def _step(self) -> None:
         now = self.access.now()
-        if self.crashes.is_quarantined(self.keys) and not self._take_trial():
+        if self.crashes.is_quarantined(self.keys) and not self._may_try():
             self._stop_quarantined()
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
@@ -88,14 +88,17 @@
         if engine is None or self._would_be_late(engine, now):
             self._fail()
             return
+        if self.crashes.is_quarantined(self.keys):
+            self._take_trial()
         await self._attempt(engine)
 
-    def _take_trial(self) -> bool:
-        if self.plan.may_have_run or not self.crashes.take_trial(self.keys):
-            return False
+    def _may_try(self) -> bool:
+        return not self.plan.may_have_run and self.crashes.may_try(self.keys)
+
+    def _take_trial(self) -> None:
+        self.crashes.take_trial(self.keys)
         for key in self.crashes.blocking(self.keys):
             self.events.info("quarantine_trial", id=self.req.id, **_key_field(key))
-        return True
 
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -317,3 +317,66 @@
         fingerprint(*parts[:2], b"/a?b=cb", b"ody"),
     ]
     assert len({fingerprint(*parts), *changed}) == 1 + len(changed)
+
+
+# Parts of prompts
+
+
+def crash_part(log, *names, part="p"):
+    """Records crashes under requests no two alike that share a part."""
+    for name in names:
+        log.note_crash(keys(f"request-{name}", "first", part), engine(name), "r1")
+
+
+def test_part_that_crashed_engines_is_quarantined_at_every_gateway(logs):
+    first, second = logs.add(), logs.add()
+    crash_part(first, "e1", "e2")
+    logs.advance(1.0)
+    assert not second.is_quarantined(keys("new", "first", "p"))
+    crash_part(second, "e3")
+    logs.advance(1.0)
+    restarted = logs.add()
+    logs.advance(1.0)
+    for log in (first, second, restarted):
+        assert log.is_quarantined(keys("new", "first", "p"))
+        assert log.is_quarantined(keys("another", "p"))
+        assert not log.is_quarantined(keys("sound", "first", "q"))
+
+
+def test_gateway_that_was_cut_from_the_store_learns_of_parts_afterwards(logs):
+    log, cut = logs.add(), logs.add()
+    logs.topic.is_down = True
+    logs.advance(1.0)
+    crash_part(log, "e1", "e2", "e3")
+    logs.topic.is_down = False
+    logs.advance(2.0)
+    assert cut.is_quarantined(keys("new", "p"))
+
+
+def test_complete_response_elsewhere_releases_a_part_at_every_gateway(logs):
+    first, second = logs.add(), logs.add()
+    crash_part(first, "e1", "e2", "e3")
+    logs.advance(1.0)
+    second.note_answered(keys("sound", "p"))
+    logs.advance(1.0)
+    for log in (first, second, logs.add()):
+        assert not log.is_quarantined(keys("new", "p"))
+
+
+def test_engines_that_crash_without_closing_connections_count_for_parts(logs):
+    log = logs.add()
+    engines = [engine(f"e{number}") for number in range(3)]
+    for number, each in enumerate(engines):
+        log.note_given_up(keys(f"request-{number}", "p"), each, "r1")
+        each.is_gone = True
+    logs.advance(1.0)
+    assert log.is_quarantined(keys("new", "p"))
+
+
+def test_record_of_a_part_without_a_position_is_read(logs):
+    log = logs.add()
+    for number in range(3):
+        value = b'{"engine":"e%d","incarnation":1,"at":0.0}' % number
+        logs.topic.append([(f"part-p/{number}", value)])
+    logs.advance(1.0)
+    assert log.count_crashes("part-p") == 3
