Stop no late item at an engine whose limit is reached

Found by reading: an item that can still be done in time stops a late one to free a slot. At an engine that names a limit, slots are mostly free and requests are missing, so the late item was stopped for nothing, in each pass, and its resume used up a request. The new test saw one stop and sees none now.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -237,9 +237,15 @@
         return route.pick_service(self.access.random.random())
 
     def _stop_late(self, service: str | None, now: float) -> None:
-        """Stops a late item to free a slot for one that can still finish in time."""
+        """Stops a late item to free a slot for one that can still finish in time.
+
+        A slot is of no use where the engine's limit allows no request.
+        """
         for key, run in self._runs.items():
-            if run.work.is_late and run.engine.record.service == service:
+            is_fitting = run.engine.record.service == service
+            if not run.work.is_late or not is_fitting:
+                continue
+            if self.access.limit_wait_s(run.engine) <= 0:
                 self._stop(key, run, now, "late")
                 return
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -3,7 +3,7 @@
 import pytest
 from loguru import logger
 
-from _gateway import config, events, route, text
+from _gateway import ROUTES, config, events, job, route, text
 from pomeloshift.standins.platform import Behaviour
 
 LIMIT = 0.5  # requests a second
@@ -133,3 +133,25 @@
         return await deployment.call(gateway, "POST", "/resumable/a", b"x", "r")
 
     assert play(scenario).body == events(1, 4)
+
+
+def test_late_item_is_not_stopped_at_an_engine_whose_limit_is_reached(play, told):
+    async def scenario(deployment):
+        routes = [
+            route("plain"),
+            route("jobs", runDeadlineMs=1),
+            route("soon", **{**ROUTES["jobs"], "runDeadlineMs": 60_000}),
+        ]
+        deployment.publish(config(2, routes))
+        engine, gateways = await told(deployment)
+        engine.behaviour = Behaviour(limit=LIMIT, events=1000, event_gap_s=0.05)
+        await deployment.submit(gateways[0], "late", [b"late"])
+        before = len(engine.requests)
+        while len(engine.requests) == before:
+            await deployment.pause(0.05)
+        path = "/soon/new"
+        await deployment.call(gateways[0], "POST", path, job([b"soon"]), "soon")
+        await deployment.pause(1.0)
+        return engine.aborted
+
+    assert play(scenario) == 0
