Let a gateway that does not know its peers use a limit last

Found by reading: a gateway that knows no members, as after a start, had rank 0 and used an engine's limit before all others, which it could not hear. It now ranks last, like one that is no member. The processes whose requests an account knows are bounded.

--- a/src/pomeloshift/dispatch/_engine_limit.py
+++ b/src/pomeloshift/dispatch/_engine_limit.py
@@ -9,6 +9,9 @@
 MAX_RANK = 10
 # Time in which an entry that learns of a limit hears the other ones for the first time.
 FIRST_REPORTS_S = 1.0
+# Largest number of processes of other entries whose requests are known, beyond any
+# number of entries that hear each other; those not heard for the longest are forgotten.
+MAX_PEERS = 1000
 # Least rate, in requests a second, so that an engine that named 0 can be asked again.
 MIN_RATE = 0.1
 
@@ -59,9 +62,11 @@
         """
         self._accrue(now)
         is_first = now - self._known_since < FIRST_REPORTS_S
-        known = self._sent_by_peers.get(peer, sent if is_first else 0)
+        known = self._sent_by_peers.pop(peer, sent if is_first else 0)
         self.balance -= max(0, sent - known)
         self._sent_by_peers[peer] = max(sent, known)
+        if len(self._sent_by_peers) > MAX_PEERS:
+            del self._sent_by_peers[next(iter(self._sent_by_peers))]
 
     def wait_s(self, rank: int, now: float) -> float:
         """Returns the seconds until this entry may send a request, 0 if it may now.
--- a/src/pomeloshift/jobs/_ownership.py
+++ b/src/pomeloshift/jobs/_ownership.py
@@ -7,6 +7,8 @@
 import attrs
 import xxhash
 
+LAST_RANK = 2**31
+
 
 @attrs.define
 class Ownership:
@@ -45,15 +47,14 @@
     def rank(self, name: str, zone: str = "") -> int:
         """Returns this entry's place, from 0, in the order of the owners of ``name``.
 
-        An entry that is not a member ranks after all members.
+        An entry that is no member, or knows none, ranks after all others.
         """
         rank = self._ranks.get((name, zone))
         if rank is None:
             own = self._order(name, zone, self.name)
-            members = self._zones.keys() - {self.name}
-            rank = sum(self._order(name, zone, entry) > own for entry in members)
-            if self.name not in self._zones:
-                rank = len(members)
+            rank = LAST_RANK
+            if self.name in self._zones:
+                rank = sum(self._order(name, zone, e) > own for e in self._zones)
             self._ranks[name, zone] = rank
         return rank
 
