Bound crash records that wait for the store by three a request

A request has up to three records since its prompt parts are counted, so the bound of 2,000 records held a third of the crashes that it was made for. Crashes of parts that a request does not have are no longer looked up twice.

--- a/src/pomeloshift/dispatch/_quarantine.py
+++ b/src/pomeloshift/dispatch/_quarantine.py
@@ -124,8 +124,10 @@
             del self._proven_at[next(iter(self._proven_at))]
         cleared = []
         for key in keys.all:
-            cleared += [(key, crash) for crash in self.crashes(key, now)]
-            self._tracker(key).finished(key, now)
+            crashes = self.crashes(key, now)
+            if crashes:
+                cleared += [(key, crash) for crash in crashes]
+                self._tracker(key).finished(key, now)
         if cleared:
             self._causes = None
         return cleared
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -169,8 +169,9 @@
         crash = _crash_name(engine)
         record = engine.record
         records: list[tuple[str, bytes | None]] = []
+        positions = {part: place for place, part in enumerate(keys.part_keys)}
         for key in keys.all:
-            position = keys.part_keys.index(key) if is_part(key) else 0
+            position = positions.get(key, 0)
             if self._quarantine.note_crash(key, crash, self._now(), position):
                 wall = self._clock.wall()
                 wire = _Crash(record.id, record.incarnation, wall, position)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -100,8 +100,8 @@
 # After this time a new gateway is ready although it could not read the crashes.
 CRASHES_WAIT_S = 5.0
 # Largest number of crash records that wait for the store: 100 crashes of engines
-# with 20 requests each.
-MAX_UNWRITTEN_CRASHES = 2000
+# with 20 requests each, of which each has three records.
+MAX_UNWRITTEN_CRASHES = 6000
 
 # Time from SIGTERM until new requests are refused: callers are sent to other gateways
 # after two failed readiness checks, one a second.
