Report limits of engines in heartbeats only when they change

Cause: each heartbeat held the reports of all limits, and each response of an engine with a limit made a new report, because it was named at a later time; so heartbeats came up to 30 times a second, with 45 bytes for each limited engine, between all gateways.

Change: the time at which a limit was named is no change of a report. Heartbeats hold the reports that changed in the last 0.3 s, and all of them every 2 s, for gateways that start or have lost datagrams.

--- a/src/pomeloshift/dispatch/_engine_limit.py
+++ b/src/pomeloshift/dispatch/_engine_limit.py
@@ -7,8 +7,9 @@
 STAGGER_S = 0.1
 # Entries that rank later than this, or do not know their rank, wait equally long.
 MAX_RANK = 10
-# Time in which an entry that learns of a limit hears the other ones for the first time.
-FIRST_REPORTS_S = 1.0
+# Time in which an entry that learns of a limit hears the other ones for the first time:
+# more than the two seconds within which each reports all limits.
+FIRST_REPORTS_S = 3.0
 # Largest number of processes of other entries whose requests are known, beyond any
 # number of entries that hear each other; those not heard for the longest are forgotten.
 MAX_PEERS = 1000
@@ -96,10 +97,11 @@
 
     ``rate`` is the limit that the engine named last, None if its last response named
     none; ``named_at`` is the time of that response. ``sent`` counts the requests of the
-    entry since it knows the limit. ``incarnation`` is that of the engine.
+    entry since it knows the limit. ``incarnation`` is that of the engine. Reports that
+    differ only in ``named_at`` are equal: other entries need not be told.
     """
 
     incarnation: int
     rate: float | None
-    named_at: float
+    named_at: float = attrs.field(eq=False)
     sent: int = 0
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -21,7 +21,13 @@
 )
 from ..platform import KeyedRecord
 from ._events import EventLog
-from ._timing import PEER_HEARTBEAT_S, PEER_LOST_HEARTBEAT_S, PEER_SEND_GAP_S
+from ._timing import (
+    ALL_LIMITS_S,
+    LIMIT_RECENT_S,
+    PEER_HEARTBEAT_S,
+    PEER_LOST_HEARTBEAT_S,
+    PEER_SEND_GAP_S,
+)
 
 
 class PeerAddress(msgspec.Struct, array_like=True):
@@ -38,8 +44,9 @@
     """The full state of a gateway.
 
     ``work`` holds the numbers of online requests and batch items at each engine.
-    ``limits`` holds, for each engine that names a limit or has ended one, the engine's
+    ``limits`` holds, for engines that name a limit or have ended one, the engine's
     incarnation, the limit, the seconds since it was named, and the sender's requests.
+    It is not complete: see `PeerExchange`.
     """
 
     name: str
@@ -60,13 +67,16 @@
 class _Peer:
     address: PeerAddress
     sent_at: float = float("-inf")
+    all_limits_sent_at: float = float("-inf")
     last_seen_at: float = float("-inf")
 
 
 class PeerExchange(DatagramProtocol):
     """Sends this gateway's state when it changes, and at least twice a second.
 
-    A datagram holds the full state, so the next one makes up for a lost one.
+    A datagram holds the full state, so the next one makes up for a lost one. Only the
+    limits of engines are left out if they have not changed for `LIMIT_RECENT_S`; all of
+    them are sent every `ALL_LIMITS_S`.
     """
 
     def __init__(
@@ -93,6 +103,7 @@
         self._events = events
         self._peers: dict[str, _Peer] = {}
         self._last_state = PeerState({})
+        self._limits_changed_at: dict[str, float] = {}
         self._port: Any = None
 
     def listen(self, port: int, relay_port: int) -> PeerAddress:
@@ -171,12 +182,35 @@
             self._apply(self._fleet.engines)
         state = self.own_state()
         has_changed = state != self._last_state
+        recent = self._recent_limits(state.limits, now)
         self._last_state = state
-        data = self._encode(state, now)
+        data = self._encode(state, recent, now)
+        full = self._encode(state, state.limits, now) if state.limits else data
         for peer in self._peers.values():
-            if now - peer.sent_at >= self._send_gap_s(peer, has_changed, now):
-                peer.sent_at = now
-                self._send(data, peer.address)
+            if now - peer.sent_at < self._send_gap_s(peer, has_changed, now):
+                continue
+            peer.sent_at = now
+            is_full = now - peer.all_limits_sent_at >= ALL_LIMITS_S
+            if is_full:
+                peer.all_limits_sent_at = now
+            self._send(full if is_full else data, peer.address)
+
+    def _recent_limits(
+        self, limits: dict[str, LimitReport], now: float
+    ) -> dict[str, LimitReport]:
+        """Returns the reports that changed within `LIMIT_RECENT_S`."""
+        known = self._last_state.limits
+        for engine, report in limits.items():
+            if report != known.get(engine):
+                self._limits_changed_at[engine] = now
+        for engine in self._limits_changed_at.keys() - limits.keys():
+            del self._limits_changed_at[engine]
+        since = now - LIMIT_RECENT_S
+        return {
+            engine: limits[engine]
+            for engine, at in self._limits_changed_at.items()
+            if at >= since
+        }
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Handles a heartbeat of another gateway."""
@@ -222,7 +256,9 @@
             if engine is not None:
                 engine.peers = self.loads.total(engine_id)
 
-    def _encode(self, state: PeerState, now: float) -> bytes:
+    def _encode(
+        self, state: PeerState, limits: dict[str, LimitReport], now: float
+    ) -> bytes:
         heartbeat = _Heartbeat(
             self._name,
             self._ip,
@@ -233,7 +269,7 @@
             state.is_relay,
             {
                 engine: (one.incarnation, one.rate, now - one.named_at, one.sent)
-                for engine, one in state.limits.items()
+                for engine, one in limits.items()
             },
         )
         return msgspec.msgpack.encode(heartbeat)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -125,6 +125,10 @@
 PEER_SEND_GAP_S = 0.03
 PEER_HEARTBEAT_S = 0.5
 PEER_LOST_HEARTBEAT_S = 1.0
+# How long heartbeats hold a changed report of an engine's limit: several heartbeats, as
+# some datagrams are lost. Interval of heartbeats with all such reports.
+LIMIT_RECENT_S = 0.3
+ALL_LIMITS_S = 2.0
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
 # Interval of reads of the addresses while that of a heard gateway is missing.
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -6,11 +6,11 @@
 from twisted.internet.task import Clock
 
 from _virtual import VirtualClock
-from pomeloshift.dispatch import Fleet, PeerState
+from pomeloshift.dispatch import EngineRecord, Fleet, LimitReport, PeerState
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
 from pomeloshift.gateway._peer_exchange import PeerAddress, PeerExchange
-from pomeloshift.gateway._timing import PEER_TICK_S
+from pomeloshift.gateway._timing import ALL_LIMITS_S, PEER_HEARTBEAT_S, PEER_TICK_S
 from pomeloshift.platform import KeyedRecord
 
 CLAIM = 7
@@ -81,3 +81,47 @@
     network.reachable = {"10.0.0.2"}
     sender.tick()
     assert receiver.hears_unknown
+
+
+ENGINES = 20
+SENT_ONCE = 3
+
+
+def test_limits_that_engines_name_again_do_not_add_heartbeats_or_repeat_in_each(
+    exchange, network, reactor
+):
+    sender = exchange("10.0.0.1", ["10.0.0.2"])
+    receiver = exchange("10.0.0.2", ["10.0.0.1"])
+    sent = []
+    network.reachable = {"10.0.0.1", "10.0.0.2"}
+    receiver.datagramReceived = lambda data, addr: sent.append(len(data))
+    for tick in range(round(10.0 / PEER_TICK_S)):
+        at = tick * PEER_TICK_S
+        limits = {f"i-{n:08x}": LimitReport(1, 2.5, at) for n in range(ENGINES)}
+        sender.own_state = lambda limits=limits: PeerState({}, limits=limits)
+        sender.tick()
+        receiver.tick()
+        reactor.advance(PEER_TICK_S)
+    # At most twice a second, and all limits every two seconds.
+    assert len(sent) <= 10.0 / PEER_HEARTBEAT_S + 1
+    full = [size for size in sent if size > ENGINES * 10]
+    assert len(full) <= 10.0 / ALL_LIMITS_S + 1
+
+
+def test_gateway_that_lost_the_change_of_a_limit_learns_it_later(
+    exchange, network, reactor
+):
+    sender = exchange("10.0.0.1", ["10.0.0.2"])
+    receiver = exchange("10.0.0.2", ["10.0.0.1"])
+    engine = EngineRecord("e1", "lm", "10.0.0.9:1", "a", 8, False, 7)
+    receiver._fleet.put(engine)
+    report = LimitReport(7, 2.5, 0.0, SENT_ONCE)
+    sender.own_state = lambda: PeerState({}, limits={"e1": report})
+    for _ in range(round(1.0 / PEER_TICK_S)):  # lost
+        sender.tick()
+        reactor.advance(PEER_TICK_S)
+    network.reachable = {"10.0.0.2"}
+    for _ in range(round(2 * ALL_LIMITS_S / PEER_TICK_S)):
+        sender.tick()
+        reactor.advance(PEER_TICK_S)
+    assert receiver._fleet.engines["e1"].limit.rate == 2.5
