End the limit of an engine only with a response of it

Found by reading: a rejection that names no limit ended the one that the engine's responses name. Only a stamped response ends a limit now. The constant for a stream that was broken off is used.

--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -144,20 +144,22 @@
     def note_head(self, engine: Engine, head: ResponseHead, sent_at: float) -> None:
         """Updates an engine's load and its limit from a response's headers.
 
-        ``sent_at`` is when the request was sent.
+        ``sent_at`` is when the request was sent. A rejection without a limit does not
+        end one.
         """
         now = self.now()
         load = decode_load_header(head.headers)
         if load is not None:
             engine.note_load(load, now)
         if head.status == MISDIRECTED or not (is_stamped(head) or proves_not_run(head)):
-            # Of another engine at the same address, or not an engine's response.
+            # Of another engine at the same address, or of none.
             return
         rate = decode_limit_header(head.headers)
-        if rate is None:
-            has_changed = engine.note_unlimited(sent_at, now)
-        else:
+        has_changed = False
+        if rate is not None:
             has_changed = engine.note_limit(rate, now, now)
+        elif is_stamped(head):
+            has_changed = engine.note_unlimited(sent_at, now)
         if has_changed:
             self.note_limit_changed(engine)
 
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -141,10 +141,8 @@
                 return self._disconnected(event)
             if isinstance(event, ResponseEnd):
                 if not self._is_whole(is_framed):
-                    why = "ended in the middle of an event"
-                    return self._disconnected(
-                        Disconnected(why, by_server=not is_framed)
-                    )
+                    end = Disconnected(BROKEN_OFF, by_server=not is_framed)
+                    return self._disconnected(end)
                 self.crashes.note_answered(self.keys)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -155,3 +155,13 @@
         return engine.aborted
 
     assert play(scenario) == 0
+
+
+def test_rejection_without_a_limit_does_not_end_it(play, told):
+    async def scenario(deployment):
+        engine, gateways = await told(deployment)
+        engine.behaviour = Behaviour(is_full=True)
+        await deployment.call(gateways[0], "POST", "/plain/a", b"x", "r")
+        return gateways[0].batch_loop.access.fleet.engines[engine.id].limit
+
+    assert play(scenario) is not None
