Make sure that the rejection in a test of limits is sent

The test passed with and without the fix, because the request waited for the limit and was refused. It now fails on the code before (no limit) and checks that the engine was asked.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -157,11 +157,17 @@
     assert play(scenario) == 0
 
 
-def test_rejection_without_a_limit_does_not_end_it(play, told):
+def test_rejection_without_a_limit_does_not_end_it(play):
     async def scenario(deployment):
-        engine, gateways = await told(deployment)
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(limit=50.0)
+        gateway = await deployment.add_gateway()
+        await deployment.call(gateway, "POST", "/plain/a", b"x", "told")
         engine.behaviour = Behaviour(is_full=True)
-        await deployment.call(gateways[0], "POST", "/plain/a", b"x", "r")
-        return gateways[0].batch_loop.access.fleet.engines[engine.id].limit
+        await deployment.call(gateway, "POST", "/plain/a", b"x", "rejected")
+        limit = gateway.batch_loop.access.fleet.engines[engine.id].limit
+        return [seen.id for seen in engine.requests], limit
 
-    assert play(scenario) is not None
+    requests, limit = play(scenario)
+    assert requests == ["told", "rejected"]
+    assert limit is not None
