Read limits of up to 32 characters

Found by reading: a limit with more than 18 characters, as some doubles have in decimal form, counted as none and so ended the limit. The new case of the test failed before.

--- a/src/pomeloshift/dispatch/_engine_limit.py
+++ b/src/pomeloshift/dispatch/_engine_limit.py
@@ -7,11 +7,11 @@
 STAGGER_S = 0.1
 # Entries that rank later than this, or do not know their rank, wait equally long.
 MAX_RANK = 10
-# Time in which an entry that learns of a limit hears the other ones for the first time:
-# more than the two seconds within which each reports all limits.
+# Time in which an entry that learns of a limit receives the first report of each other
+# one: more than the two seconds within which each reports all limits.
 FIRST_REPORTS_S = 3.0
-# Largest number of processes of other entries whose requests are known, beyond any
-# number of entries that hear each other; those not heard for the longest are forgotten.
+# Largest number of processes of other entries whose requests are known; those without a
+# report for the longest are forgotten.
 MAX_PEERS = 1000
 # Least rate, in requests a second, so that an engine that named 0 can be asked again.
 MIN_RATE = 0.1
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -12,6 +12,8 @@
 STATES = ("serving", "draining")
 # Numbers with more digits are neither ports nor counts.
 MAX_DIGITS = 18
+# The longest decimal form of a double has 24 characters.
+MAX_DECIMAL_CHARS = 32
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -75,7 +77,7 @@
 def decode_limit_header(headers: Headers) -> float | None:
     """Returns the requests a second that an engine takes, None if it names no limit."""
     value = headers.text(SERVER_LIMIT)
-    if len(value) > MAX_DIGITS:
+    if len(value) > MAX_DECIMAL_CHARS:
         return None
     try:
         rate = float(value)
--- a/tests/test_engine_limit.py
+++ b/tests/test_engine_limit.py
@@ -178,6 +178,7 @@
         (b"2.6", 2.6),
         (b"0", 0.0),
         (b" 12 ", 12.0),
+        (b"0.30000000000000004", 0.30000000000000004),
         (b"-1", None),
         (b"nan", None),
         (b"inf", None),
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -13,24 +13,26 @@
 
 
 @pytest.fixture
-def told():
-    """Adds an engine with a limit and two gateways that have been told it."""
+def add_limited():
+    """Adds an engine with a limit, and two gateways that it has answered."""
 
-    async def told(deployment):
+    async def add_limited(deployment):
         engine = deployment.add_engine()
         engine.behaviour = Behaviour(limit=LIMIT)
         gateways = [await deployment.add_gateway() for _ in range(2)]
         for number, gateway in enumerate(gateways):
-            await deployment.call(gateway, "POST", "/plain/a", b"x", f"told{number}")
+            await deployment.call(gateway, "POST", "/plain/a", b"x", f"first{number}")
         return engine, gateways
 
-    return told
+    return add_limited
 
 
 @pytest.mark.parametrize("path", ["/plain/a", "/unsafe/a", "/once/a", "/resumable/a"])
-def test_engine_does_not_get_more_requests_than_the_limit_it_named(play, told, path):
+def test_engine_does_not_get_more_requests_than_the_limit_it_named(
+    play, add_limited, path
+):
     async def scenario(deployment):
-        engine, gateways = await told(deployment)
+        engine, gateways = await add_limited(deployment)
         deployment.add_engine()
         await deployment.pause(0.2)
         before, statuses = len(engine.requests), []
@@ -45,9 +47,9 @@
     assert statuses == [200] * REQUESTS
 
 
-def test_batch_items_do_not_exceed_the_limit_that_an_engine_named(play, told):
+def test_batch_items_do_not_exceed_the_limit_that_an_engine_named(play, add_limited):
     async def scenario(deployment):
-        engine, gateways = await told(deployment)
+        engine, gateways = await add_limited(deployment)
         other = deployment.add_engine()
         await deployment.pause(0.2)
         before = len(engine.requests)
@@ -60,12 +62,12 @@
     assert [row["text"] for row in rows] == [text(4)] * REQUESTS
 
 
-def test_gateway_keeps_a_limit_that_only_its_peer_was_told(play):
+def test_gateway_keeps_a_limit_that_only_its_peer_has_received(play):
     async def scenario(deployment):
         engine = deployment.add_engine()
         engine.behaviour = Behaviour(limit=LIMIT)
         first, second = [await deployment.add_gateway() for _ in range(2)]
-        await deployment.call(first, "POST", "/plain/a", b"x", "told")
+        await deployment.call(first, "POST", "/plain/a", b"x", "first")
         known = second.batch_loop.access.fleet.engines[engine.id]
         while known.limit is None:
             await deployment.pause(0.02)
@@ -79,9 +81,9 @@
     assert play(scenario) <= MAX_REQUESTS
 
 
-def test_engine_is_fully_used_again_once_it_names_no_limit(play, told):
+def test_engine_is_fully_used_again_once_it_names_no_limit(play, add_limited):
     async def scenario(deployment):
-        engine, gateways = await told(deployment)
+        engine, gateways = await add_limited(deployment)
         engine.behaviour = Behaviour()
         while any(
             gateway.batch_loop.access.fleet.engines[engine.id].limit
@@ -97,11 +99,11 @@
     assert [resp.status for resp in play(scenario)] == [200] * REQUESTS
 
 
-def test_request_is_refused_at_once_if_all_limits_are_reached(play, told):
+def test_request_is_refused_at_once_if_all_limits_are_reached(play, add_limited):
     lines = []
 
     async def scenario(deployment):
-        _, gateways = await told(deployment)
+        _, gateways = await add_limited(deployment)
         deployment.publish(config(2, [route("plain", targetLatencyMs=100)]))
         await deployment.pause(0.3)
         return [
@@ -135,7 +137,9 @@
     assert play(scenario).body == events(1, 4)
 
 
-def test_late_item_is_not_stopped_at_an_engine_whose_limit_is_reached(play, told):
+def test_late_item_is_not_stopped_at_an_engine_whose_limit_is_reached(
+    play, add_limited
+):
     async def scenario(deployment):
         routes = [
             route("plain"),
@@ -143,7 +147,7 @@
             route("soon", **{**ROUTES["jobs"], "runDeadlineMs": 60_000}),
         ]
         deployment.publish(config(2, routes))
-        engine, gateways = await told(deployment)
+        engine, gateways = await add_limited(deployment)
         engine.behaviour = Behaviour(limit=LIMIT, events=1000, event_gap_s=0.05)
         await deployment.submit(gateways[0], "late", [b"late"])
         before = len(engine.requests)
@@ -162,12 +166,12 @@
         engine = deployment.add_engine()
         engine.behaviour = Behaviour(limit=50.0)
         gateway = await deployment.add_gateway()
-        await deployment.call(gateway, "POST", "/plain/a", b"x", "told")
+        await deployment.call(gateway, "POST", "/plain/a", b"x", "first")
         engine.behaviour = Behaviour(is_full=True)
         await deployment.call(gateway, "POST", "/plain/a", b"x", "rejected")
         limit = gateway.batch_loop.access.fleet.engines[engine.id].limit
         return [seen.id for seen in engine.requests], limit
 
     requests, limit = play(scenario)
-    assert requests == ["told", "rejected"]
+    assert requests == ["first", "rejected"]
     assert limit is not None
