Try a part that crashes engines at most until its seventh crash

The stand-in of the topic in tests of the record of crashes is a module of its own for it, with a link for each gateway.

--- a/src/pomeloshift/dispatch/_quarantine.py
+++ b/src/pomeloshift/dispatch/_quarantine.py
@@ -31,7 +31,7 @@
     quarantine_s: float = attrs.field(default=600.0, validator=v.gt(0))
     trial_s: float = attrs.field(default=30.0, validator=v.gt(0))
     proven_trial_s: float = attrs.field(default=2.0, validator=v.gt(0))
-    max_trial_crashes: int = attrs.field(default=7, validator=v.ge(1))
+    max_trial_crashes: int = attrs.field(default=6, validator=v.ge(1))
     max_parts: int = attrs.field(default=20_000, validator=v.ge(1))
 
 
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -85,8 +85,9 @@
 # may share it.
 QUARANTINE_TRIAL_S = 30.0
 PROVEN_PART_TRIAL_S = 2.0
-# A part with more crashes is not tried: after five, the platform allows three requests.
-MAX_TRIAL_CRASHES = 7
+# A part with more crashes is not tried: after five, the platform allows three requests,
+# of which one may be sent by a gateway that does not know the crashes yet.
+MAX_TRIAL_CRASHES = 6
 # Largest number of parts with crashes, and of parts known to be completed: two of each
 # request in half a minute at 320 requests a second.
 MAX_SUSPECT_PARTS = 20_000
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -1,12 +1,10 @@
 """The record of crashes at several gateways over one topic, in virtual time."""
 
-from collections import namedtuple
-
 import pytest
-from twisted.internet.defer import Deferred, succeed
-from twisted.internet.task import deferLater
+from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
+from _crash_topic import STEP_S, Append, Topic
 from _virtual import VirtualClock
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
 from pomeloshift.gateway._crash_log import CrashLog
@@ -20,57 +18,6 @@
     QUARANTINE_TRIAL_S,
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
-from pomeloshift.platform import (
-    HistoryLostError,
-    KeyedRecord,
-    NewestPage,
-    Page,
-    StoreUnreachableError,
-)
-
-STEP_S = 0.1
-Append = namedtuple("Append", "done")
-
-
-class Topic:
-    """A topic in memory that is its own client and writer."""
-
-    def __init__(self, reactor):
-        self.reactor = reactor
-        self.records = []
-        self.is_down = False
-        self.first = 0
-
-    async def newest(self, topic, partition, after=""):
-        self._check()
-        last = {record.key: record for record in self.records}
-        kept = [record for record in last.values() if record.value is not None]
-        return NewestPage(kept, False, len(self.records))
-
-    async def read(self, topic, partition, offset, wait_s):
-        self._check()
-        if offset < self.first:
-            raise HistoryLostError(self.first)
-        if offset == len(self.records):
-            await deferLater(self.reactor, STEP_S, lambda: None)
-            self._check()
-        return Page(self.records[offset:], len(self.records), len(self.records))
-
-    def append(self, records):
-        for key, value in records:
-            self.records.append(KeyedRecord(len(self.records), key, value))
-        return Append(succeed(0))
-
-    def stop(self):
-        pass
-
-    def live_keys(self):
-        last = {record.key: record.value for record in self.records}
-        return {key for key, value in last.items() if value is not None}
-
-    def _check(self):
-        if self.is_down:
-            raise StoreUnreachableError("down")
 
 
 class SteppedClock(VirtualClock):
