--- a/tests/test_gateway_part_crashes.py
+++ b/tests/test_gateway_part_crashes.py
@@ -8,6 +8,7 @@
 from _gateway import SERVICE, config, events, route
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord
 from pomeloshift.explain import explain, parse_line
+from pomeloshift.gateway import _crash_log
 from pomeloshift.gateway._event_catalogue import EVENTS
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
@@ -18,6 +19,7 @@
 MAX_RUNS = 5 + 3
 ENGINES = 2 * MAX_RUNS
 HOLD_S = 0.6  # several passes over the batch work
+TRIAL_S = 2.0  # far longer than it takes until an engine is known
 
 
 @pytest.fixture
@@ -262,3 +264,25 @@
     crashes = [ln for ln in found.lines if ln.event == "part_crash_recorded"]
     assert {line.fields["part"] for line in crashes} == {f"part-{FATAL}"}
     assert len(crashes) >= 3
+
+
+def test_trial_of_a_part_is_not_used_up_by_a_request_that_is_not_sent(
+    play, send, monkeypatch
+):
+    monkeypatch.setattr(_crash_log, "QUARANTINE_TRIAL_S", TRIAL_S)
+
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        for number in range(3):
+            record = EngineRecord(f"e{number}", SERVICE, "x:1", "a", 8, False, number)
+            keys = CrashKeys(f"f{number}", (FIRST,))
+            gateway.crashes.note_crash(keys, Engine(record), "r")
+        await deployment.pause(TRIAL_S)
+        refused = await send(deployment, gateway, "/once/a", FIRST)
+        deployment.add_engine()
+        while not gateway.count_engines()["serving"]:
+            await deployment.pause(0.01)
+        tried = await send(deployment, gateway, "/once/a", FIRST)
+        return refused.status, tried.status
+
+    assert play(scenario) == (503, 200)
