Log the version of the engine and the stream that a request takes up

Nothing in the logs of a gateway told whether a stream changed its software version: the record of an engine was decoded without `version`, and `Resumes` was not read. `attempt_sent`, `item_started` and `engine_changed` name the version now, and `attempt_sent` the id of the request that began a taken-up stream. No decision depends on them yet. A record without a version names no engine to use, like other incomplete records.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -37,6 +37,7 @@
 from ._route import Route, RouteKind, Split
 from ._serving_config import HttpLimits, Service, ServingConfig
 from ._silent_runs import SilentRun, SilentRuns
+from ._software_version import SoftwareVersion
 from ._store_path import DIRECT, StorePath
 
 __all__ = [
@@ -73,6 +74,7 @@
     "ServingConfig",
     "SilentRun",
     "SilentRuns",
+    "SoftwareVersion",
     "Split",
     "Step",
     "StorePath",
--- a/src/pomeloshift/dispatch/_engine_record.py
+++ b/src/pomeloshift/dispatch/_engine_record.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ._software_version import SoftwareVersion
+
 
 @attrs.frozen
 class EngineRecord:
@@ -9,7 +11,7 @@
 
     ``slots`` is the number of requests that it runs concurrently. ``incarnation`` is
     the start time that the engine reports; it changes when the engine restarts under
-    the same id.
+    the same id. ``version`` is that of the engine's software.
     """
 
     id: str
@@ -19,3 +21,9 @@
     slots: int
     is_draining: bool
     incarnation: int
+    version: str = ""
+
+    @property
+    def software(self) -> SoftwareVersion:
+        """The service and the version of its software."""
+        return SoftwareVersion(self.service, self.version)
--- /dev/null
+++ b/src/pomeloshift/dispatch/_software_version.py
@@ -0,0 +1,14 @@
+"""The version of the software that an engine runs."""
+
+import attrs
+
+
+@attrs.frozen
+class SoftwareVersion:
+    """A version of a service's software, not of a model's weights.
+
+    Versions have no order. Outputs of different ones do not fit together.
+    """
+
+    service: str
+    version: str
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -362,6 +362,7 @@
             id=work.job.items[work.index].id,
             job=work.job.id,
             engine=engine.record.id,
+            version=engine.record.version,
             occupancy=engine.occupancy(self.access.now()),
             peak=self.slots.peak(engine),
             is_late=work.is_late,
--- a/src/pomeloshift/gateway/_engine_list.py
+++ b/src/pomeloshift/gateway/_engine_list.py
@@ -53,6 +53,7 @@
                 engine=engine_record.id,
                 address=engine_record.address,
                 service=engine_record.service,
+                version=engine_record.version,
                 is_draining=engine_record.is_draining,
                 incarnation=engine_record.incarnation,
                 offset=record.offset,
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -204,11 +204,13 @@
             "attempt_sent",
             id=self.req.id,
             engine=engine_id,
+            version=engine.record.version,
             run=self.plan.runs,
             remaining_s=remaining_s,
             occupancy=engine.occupancy(self.access.now()),
             load_age_s=engine.load_age(self.access.now()),
             resume_from=self.relay.resume_from,
+            resumes=self.req.resumes,
             parts=",".join(self.req.parts),
         )
         self.exchange.on_pause = run.pause
--- a/src/pomeloshift/platform/_caller_request.py
+++ b/src/pomeloshift/platform/_caller_request.py
@@ -4,13 +4,15 @@
 
 import attrs
 
-from ..http1 import RequestHead
+from ..http1 import Headers, RequestHead
 from ._names import (
     DEADLINE_MS,
     ITEM_PATH,
     JOB_PATH,
+    LAST_EVENT_ID,
     PROMPT_PARTS,
     REQUEST_ID,
+    RESUMES,
     WAIT_MS,
 )
 from ._prompt_parts import shared_parts
@@ -23,7 +25,8 @@
     ``deadline_s`` is how many seconds the caller waits for the response, `None` if the
     request states no deadline. ``wait_s`` is how long a read of results may wait for
     new ones. ``parts`` holds the ids of the parts of its prompt that other requests may
-    share, the first one first.
+    share, the first one first. ``resumes`` is set if the caller takes up a stream: the
+    id of the request that brought the first event, empty if it names none.
     """
 
     id: str
@@ -34,6 +37,7 @@
     deadline_s: float | None
     wait_s: float
     parts: tuple[str, ...] = ()
+    resumes: str | None = None
 
 
 @attrs.frozen
@@ -77,9 +81,15 @@
         deadline_s=None if deadline_ms is None else deadline_ms / 1000,
         wait_s=(wait_ms or 0) / 1000,
         parts=shared_parts(headers.text(PROMPT_PARTS)),
+        resumes=headers.text(RESUMES) if _is_resume(headers) else None,
     )
 
 
+def _is_resume(headers: Headers) -> bool:
+    names = (LAST_EVENT_ID, RESUMES)
+    return any(headers.get(name) is not None for name in names)
+
+
 def read_batch_call(req: CallerRequest) -> BatchCall | None:
     """Returns the batch call in a request, or `None` if it is none."""
     if req.path.startswith(JOB_PATH):
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -20,6 +20,8 @@
     service: str
     address: str
     zone: str
+    # Of the software; each model has a version of its own.
+    version: str
     slots: int
     state: str
     # Start time of the engine in Unix milliseconds: its incarnation.
@@ -52,6 +54,7 @@
         slots=wire.slots,
         is_draining=wire.state == "draining",
         incarnation=wire.born,
+        version=wire.version,
     )
 
 
--- a/src/pomeloshift/platform/_names.py
+++ b/src/pomeloshift/platform/_names.py
@@ -9,6 +9,7 @@
 REQUEST_ID = b"x-request-id"
 DEADLINE_MS = b"x-deadline-ms"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 WAIT_MS = b"x-wait-ms"
 PROMPT_PARTS = b"x-prompt-prefix"
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,7 +2,7 @@
 import pytest
 
 from _gateway import Deployment, config, route, settings_table
-from pomeloshift.dispatch import EngineLoad, RouteKind
+from pomeloshift.dispatch import EngineLoad, RouteKind, SoftwareVersion
 from pomeloshift.http1 import Client, Headers, RequestHead, Response, ResponseHead
 from pomeloshift.net import SystemClock
 from pomeloshift.platform import (
@@ -35,6 +35,7 @@
     "service": "lm",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1.2",
     "slots": 8,
     "state": "serving",
     "born": 1780000000000,
@@ -120,6 +121,7 @@
     record = decode_engine("i-1", msgspec.json.encode({**ENGINE, "state": "draining"}))
     assert record.is_draining
     assert record.incarnation == 1780000000000
+    assert record.software == SoftwareVersion("lm", "v1.2")
 
 
 @pytest.mark.parametrize(
@@ -129,6 +131,8 @@
         {"slots": "8"},
         {"address": "nowhere"},
         {"service": None},
+        {"version": None},
+        {"version": 1},
         {"born": 1.5},
         {"address": "10.0.0.1:\u00b2"},
         {"address": "10.0.0.1:" + "1" * 5000},
@@ -202,6 +206,20 @@
     assert read_caller_request(head).parts == parts
 
 
+@pytest.mark.parametrize(
+    ("headers", "resumes"),
+    [
+        ({}, None),
+        ({"Resumes": "9c41"}, "9c41"),
+        ({"Resumes": "9c41", "Last_Event_Id": "7"}, "9c41"),
+        ({"Last_Event_Id": "7"}, ""),
+    ],
+)
+def test_request_that_takes_up_a_stream_names_the_one_that_began_it(headers, resumes):
+    head = request(b"/a/1", b"POST", **headers)
+    assert read_caller_request(head).resumes == resumes
+
+
 def test_parts_of_a_prompt_are_bounded_in_number_and_length():
     ids = [f"{number:x}" for number in range(1000)]
     head = request(b"/a/1", X_Prompt_Prefix=",".join([10000 * "f", "not hex", *ids]))
