Go on with a stream only at the version of the software that began it

Cause: nothing tied a stream to the version that began it.

A stream is now bound to the version that sent its first event, for the rest of the response and when it is taken up. While more than one version of a service counts, gateways record in `keyed.streams` at which version a stream began, also for streams in progress when the second version appears. A version is used only once its record is in the same topic, so whoever has read the topic to its end knows all versions that may have begun a stream without a record: if there is one, it is that; else the stream is refused, as it is without the store. While one version serves there are no records of streams. A version that has left counts for 30 s, or three of the longest time-outs.

An engine that starts again under its id may run another version before its record arrives. Before a resume its report is asked for the incarnation.

A test that counted appends expects one more, for the version, and does not let it share the dropped responses with the claim that it counts.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -12,7 +12,7 @@
 from ._crash_keys import CrashKeys, is_part
 from ._engine import Engine
 from ._engine_limit import EngineLimit, LimitReport
-from ._engine_load import EngineLoad
+from ._engine_load import EngineLoad, EngineReport
 from ._engine_record import EngineRecord
 from ._event_stream import (
     MAX_EVENT_BYTES,
@@ -39,6 +39,7 @@
 from ._silent_runs import SilentRun, SilentRuns
 from ._software_version import SoftwareVersion
 from ._store_path import DIRECT, StorePath
+from ._stream_versions import StreamVersions, stream_key
 
 __all__ = [
     "DIRECT",
@@ -52,6 +53,7 @@
     "EngineLimit",
     "EngineLoad",
     "EngineRecord",
+    "EngineReport",
     "EventSplitter",
     "Fleet",
     "HttpLimits",
@@ -79,9 +81,11 @@
     "Step",
     "StorePath",
     "StreamEvent",
+    "StreamVersions",
     "SuspectPart",
     "find_causes",
     "fingerprint",
     "is_isolated",
     "is_part",
+    "stream_key",
 ]
--- a/src/pomeloshift/dispatch/_engine_load.py
+++ b/src/pomeloshift/dispatch/_engine_load.py
@@ -10,3 +10,11 @@
     running: int
     waiting: int
     slots: int
+
+
+@attrs.frozen
+class EngineReport:
+    """What an engine reports when it is asked: its load and its incarnation."""
+
+    load: EngineLoad
+    incarnation: int
--- a/src/pomeloshift/dispatch/_engine_record.py
+++ b/src/pomeloshift/dispatch/_engine_record.py
@@ -11,7 +11,8 @@
 
     ``slots`` is the number of requests that it runs concurrently. ``incarnation`` is
     the start time that the engine reports; it changes when the engine restarts under
-    the same id. ``version`` is that of the engine's software.
+    the same id. ``version`` is that of the engine's software,
+    and ``software`` names the service with it.
     """
 
     id: str
@@ -22,8 +23,8 @@
     is_draining: bool
     incarnation: int
     version: str = ""
+    software: SoftwareVersion = attrs.field(init=False, eq=False, repr=False)
 
-    @property
-    def software(self) -> SoftwareVersion:
-        """The service and the version of its software."""
+    @software.default
+    def _software(self) -> SoftwareVersion:
         return SoftwareVersion(self.service, self.version)
--- a/src/pomeloshift/dispatch/_fleet.py
+++ b/src/pomeloshift/dispatch/_fleet.py
@@ -34,7 +34,7 @@
         """Applies an engine's record; returns whether the fleet changed."""
         self._missing.discard(record.id)
         known = self.engines.get(record.id)
-        if known is None or known.record.incarnation != record.incarnation:
+        if known is None or not _is_same_start(known.record, record):
             if known is not None:
                 known.is_gone = True
             self.engines[record.id] = Engine(record, peers=self.peers_of(record.id))
@@ -107,3 +107,8 @@
         engine = self.engines.pop(engine_id, None)
         if engine is not None:
             engine.is_gone = True
+
+
+def _is_same_start(one: EngineRecord, other: EngineRecord) -> bool:
+    """Whether two records of an id are of the same run of the same software."""
+    return (one.incarnation, one.software) == (other.incarnation, other.software)
--- a/src/pomeloshift/dispatch/_software_version.py
+++ b/src/pomeloshift/dispatch/_software_version.py
@@ -3,7 +3,7 @@
 import attrs
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class SoftwareVersion:
     """A version of a service's software, not of a model's weights.
 
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -6,7 +6,14 @@
 
 import attrs
 
-from ..dispatch import Engine, Fleet, OnlineAdmission, Placement, RetryAfter
+from ..dispatch import (
+    Engine,
+    EngineReport,
+    Fleet,
+    OnlineAdmission,
+    Placement,
+    RetryAfter,
+)
 from ..errors import PomeloshiftError
 from ..http1 import (
     Call,
@@ -191,14 +198,39 @@
 
     async def probe(self, engine: Engine) -> None:
         """Asks an engine for its load and records it."""
+        await self._report(engine)
+
+    async def is_current(self, engine: Engine) -> bool:
+        """Returns whether an engine runs and is the one that its record describes.
+
+        An engine that starts again under its id may run another version of its
+        software, and its new record can be late.
+        """
+        report = await self._report(engine)
+        if report is None:
+            return False
+        if report.incarnation != engine.record.incarnation:
+            self.note_replaced(engine)
+            self.events.info(
+                "engine_replaced",
+                engine=engine.record.id,
+                incarnation=report.incarnation,
+                known=engine.record.incarnation,
+            )
+            return False
+        return engine.is_serving
+
+    async def _report(self, engine: Engine) -> EngineReport | None:
+        """Asks an engine for its report and records its load."""
         address = engine.record.address
         head = report_request(address)
         try:
             resp = await self.client.call(
                 address, head, b"", PROBE_TIMEOUT_S, MAX_REPORT_BYTES
             )
-            load = decode_report(resp.body, engine.slots)
+            report = decode_report(resp.body, engine.slots)
         except PomeloshiftError as exc:
             self.note_failed(engine, f"report: {exc.message}", "")
-            return
-        engine.note_load(load, self.now())
+            return None
+        engine.note_load(report.load, self.now())
+        return report
--- a/src/pomeloshift/gateway/_engine_list.py
+++ b/src/pomeloshift/gateway/_engine_list.py
@@ -1,5 +1,6 @@
 """Applies the platform's list of engines to the fleet."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -17,6 +18,8 @@
     fleet: Fleet
     events: EventLog
     clock: Any
+    # Called with each engine's record that is new or has changed.
+    on_record: Callable[[EngineRecord], None] = lambda record: None
 
     def handlers(self) -> TopicHandlers:
         """Returns the handlers for a follower of the engines' topic."""
@@ -34,6 +37,8 @@
     def _replace_all(self, records: list[KeyedRecord], end: int) -> None:
         engine_records = [e for e in map(self._decode, records) if e is not None]
         self.fleet.replace(engine_records, self.clock.monotonic())
+        for record in engine_records:
+            self.on_record(record)
         self.events.info("engines_read", count=len(engine_records), offset=end)
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -48,6 +53,7 @@
             return
         engine_record = self._decode(record)
         if engine_record is not None and self.fleet.put(engine_record):
+            self.on_record(engine_record)
             self.events.info(
                 "engine_changed",
                 engine=engine_record.id,
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -35,7 +35,7 @@
     StoreClient,
     decode_config,
 )
-from . import _blob_store, _crash_log, _job_log, _peer_directory
+from . import _blob_store, _crash_log, _job_log, _peer_directory, _stream_log
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
@@ -57,6 +57,7 @@
 from ._sleep import sleep
 from ._store_link import StoreLink
 from ._store_relay import StoreRelay
+from ._stream_log import StreamLog
 from ._timing import (
     CLOSE_MARGIN_S,
     DIRECT_PROBE_S,
@@ -178,7 +179,17 @@
             reactor,
             clock,
         )
-        self.online = OnlineService(access, self.crashes, events)
+        self.streams = StreamLog(
+            self._store,
+            self._writer(_stream_log.TOPIC, _stream_log.PARTITION),
+            self._fleet,
+            ownership,
+            events,
+            reactor,
+            clock,
+            self._is_fleet_current,
+        )
+        self.online = OnlineService(access, self.crashes, self.streams, events)
         item_writer = ItemWriter(self.job_log, self._blobs, queue, access, events)
         cleaner = JobCleaner(
             self.job_log,
@@ -205,7 +216,12 @@
             CONFIG_TOPIC,
             TopicHandlers(self._apply_config, confirmed=self.config.confirm),
         )
-        self._engine_list = EngineList(self._fleet, events, clock)
+        self._engine_list = EngineList(
+            self._fleet,
+            events,
+            clock,
+            lambda record: self.streams.note_engine(record.software),
+        )
         self._engine_follower = self._follow(
             ENGINES_TOPIC, self._engine_list.handlers()
         )
@@ -252,6 +268,11 @@
             reactor, clock, self._respond_scrape, SIDE_CONNECTIONS
         )
 
+    def _is_fleet_current(self) -> bool:
+        """Whether an engine that is not in the fleet has left."""
+        is_read = self._engine_follower.is_synced
+        return is_read and not self._fleet.is_store_unavailable
+
     def _job_changed(self, job_id: str) -> None:
         self._batch_api.job_changed(job_id)
         self.batch_loop.job_changed(job_id)
@@ -273,6 +294,7 @@
             self.job_log.writer.has_unwritten
             or self._blobs.writer.has_unwritten
             or self.crashes.has_unwritten
+            or self.streams.has_unwritten
         )
 
     def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
@@ -292,6 +314,7 @@
         self._engine_follower.start()
         self.job_log.follower.start()
         self.crashes.start(self._periodic_tasks)
+        self.streams.start(self._periodic_tasks)
         self._directory.start(self._listen_to_peers())
         self._periodic_tasks.repeat(self.peers.tick, PEER_TICK_S)
         self._periodic_tasks.repeat(self._directory.refresh, PEER_REFRESH_S)
@@ -360,6 +383,7 @@
         self.job_log.writer.stop()
         self._blobs.writer.stop()
         self.crashes.stop()
+        self.streams.stop()
         self._directory.stop()
         await self._relay.stop()
         self.peers.stop()
@@ -427,6 +451,7 @@
             routes=len(config.routes),
         )
         self._caller_listener.limits = config.limits
+        self.streams.apply_config(config)
 
 
 def _listen(listener: HttpListener, address: str) -> str:
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -51,6 +51,7 @@
         metrics.set("gateway_quarantined_requests", gateway.crashes.count_quarantined())
         parts = gateway.crashes.count_quarantined_parts()
         metrics.set("gateway_quarantined_parts", parts)
+        metrics.set("gateway_known_streams", gateway.streams.count)
         metrics.set("gateway_peers", len(gateway.peers.loads.states))
         metrics.set("gateway_items_running", gateway.batch_loop.running)
         jobs = gateway.job_log.table.jobs.values()
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -14,6 +14,7 @@
     Route,
     RouteKind,
     ServingConfig,
+    SoftwareVersion,
     Step,
     fingerprint,
     is_part,
@@ -34,6 +35,7 @@
 from ._events import EventLog
 from ._refusal import refuse
 from ._response_relay import ResponseRelay
+from ._stream_log import StreamLog
 from ._timing import FIRST_EVENT_OBJECTIVES, MAX_RESUME_WAIT_S, MIN_WAIT_S, STALL_S
 
 # Statuses which guarantee to the caller that a request has not run. A response of an
@@ -47,10 +49,15 @@
 
 @attrs.define
 class OnlineRequest:
-    """One request from its arrival to its response."""
+    """One request from its arrival to its response.
+
+    ``software`` is the version that began the request's stream, None before it began:
+    the stream goes on only there.
+    """
 
     access: EngineAccess
     crashes: CrashLog
+    streams: StreamLog
     events: EventLog
     exchange: Exchange
     req: CallerRequest
@@ -59,6 +66,7 @@
     plan: AttemptPlan
     relay: ResponseRelay
     keys: CrashKeys
+    software: SoftwareVersion | None = None
     _run: EngineRun | None = None
     _wait_s: float = 0.0
     _sent_at: float = 0.0
@@ -67,12 +75,38 @@
     async def serve(self) -> None:
         """Runs the request, with retries, and responds to the caller."""
         try:
+            if self._is_take_up and not await self._find_version():
+                self._fail()
             while not self._is_done:
                 await self._step()
         finally:
             if self._run is not None:
                 self._run.close()
 
+    @property
+    def _is_take_up(self) -> bool:
+        """Whether the caller takes up a stream that an earlier request began."""
+        is_stream = self.route.kind is RouteKind.STREAMING
+        return is_stream and self.req.resumes is not None
+
+    async def _find_version(self) -> bool:
+        """Determines where a stream that is taken up goes on; returns False if unknown.
+
+        It is better refused than joined from two versions.
+        """
+        services = self.route.services
+        self.software = await self.streams.find(self.req.resumes or "", services)
+        if self.software is None:
+            self.events.warn(
+                "stream_unknown",
+                id=self.req.id,
+                resumes=self.req.resumes,
+                versions=",".join(
+                    sorted(one.version for one in self.streams.counting(services))
+                ),
+            )
+        return self.software is not None
+
     async def _step(self) -> None:
         now = self.access.now()
         if self.crashes.is_quarantined(self.keys) and not self._may_try():
@@ -114,12 +148,30 @@
 
     def _pick_engines(self) -> list[Engine]:
         """Returns the engines of a service of the route that can still be tried."""
-        service = self.route.pick_service(self.access.random.random())
-        if service is None:
-            return []
-        engines = self.access.fleet.of(service)
+        if self.software is not None:
+            engines = self._engines_of(self.software)
+        else:
+            service = self.route.pick_service(self.access.random.random())
+            engines = self.access.fleet.of(service) if service is not None else []
+            engines = self.streams.usable(engines)
         return [e for e in engines if e.record.id not in self.plan.excluded]
 
+    def _engines_of(self, software: SoftwareVersion) -> list[Engine]:
+        """Returns the engines at which a stream that this version began can go on."""
+        engines = []
+        if software.service in self.route.services:
+            engines = self.access.fleet.of(software.service)
+        engines = [e for e in engines if e.record.software == software]
+        if not engines:
+            self.events.warn(
+                "version_unavailable",
+                id=self.req.id,
+                resumes=self.req.resumes,
+                service=software.service,
+                version=software.version,
+            )
+        return engines
+
     def _choose(self, engines: list[Engine], now: float) -> Engine | None:
         open_engines = [e for e in engines if self.access.limit_wait_s(e) <= 0]
         return self.access.placement.choose(open_engines, now)
@@ -129,6 +181,11 @@
         waits_s = (self.access.limit_wait_s(engine) for engine in engines)
         return min(waits_s, default=math.inf)
 
+    @property
+    def _is_resume(self) -> bool:
+        """Whether an engine would go on with a stream that has begun."""
+        return self.plan.may_have_run or self._is_take_up
+
     def _may_wait(self, engines: list[Engine], now: float) -> bool:
         """Whether an engine's limit allows the request before it is too late.
 
@@ -137,7 +194,7 @@
         """
         wait_s = self._limit_wait_s(engines)
         elapsed_s = now - self.exchange.arrived_at
-        if self.plan.may_have_run:
+        if self._is_resume:
             can_wait = wait_s <= MAX_RESUME_WAIT_S and now + wait_s < self.plan.deadline
         else:
             start_s = self.access.admission.start_delay_s
@@ -187,6 +244,9 @@
 
     async def _attempt(self, engine: Engine) -> None:
         engine_id = engine.record.id
+        if self.software is not None and not await self.access.is_current(engine):
+            self.plan.record_unreachable(engine_id)
+            return
         remaining_s = self.plan.deadline - self.access.now()
         head = to_engine(
             self.exchange.head, engine_id, remaining_s, self.relay.resume_from
@@ -272,10 +332,19 @@
             if isinstance(event, Disconnected):
                 self._note_disconnected(engine, event)
                 return
-            if not self.relay.take_data(event.data):  # type: ignore[union-attr]
+            in_order = self.relay.take_data(event.data)  # type: ignore[union-attr]
+            self._note_begun(engine)
+            if not in_order:
                 self._note_failure(engine, "events out of order")
                 return
 
+    def _note_begun(self, engine: Engine) -> None:
+        """Binds a stream to the version that has sent its first event."""
+        is_resumable = self.route.is_resumable and self.relay.has_begun
+        if self.software is None and is_resumable:
+            self.software = engine.record.software
+            self.streams.note_begun(self.req.id, self.software)
+
     async def _next(
         self, run: EngineRun
     ) -> ResponseHead | Chunk | ResponseEnd | Disconnected:
@@ -316,6 +385,7 @@
             other.record.id not in excluded
             and self.access.placement.is_healthy(other, now)
             and self.access.limit_wait_s(other) <= 0
+            and self.software in (None, other.record.software)
             for other in others
         )
 
@@ -403,6 +473,8 @@
         )
         if self.relay.has_begun:
             self.exchange.abort()
+        elif status == 503 and self._is_take_up and not self.plan.is_stopped:
+            refuse(self.exchange, 503, self.access.retry_after.elsewhere())
         elif status == 503 and self.plan.is_stopped:
             refuse(self.exchange, 503, self.crashes.quarantined_for(self.keys))
         elif status == 503:
@@ -421,6 +493,7 @@
 
     access: EngineAccess
     crashes: CrashLog
+    streams: StreamLog
     events: EventLog
     open_requests: int = 0
 
@@ -448,6 +521,7 @@
         request = OnlineRequest(
             self.access,
             self.crashes,
+            self.streams,
             self.events,
             exchange,
             req,
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -143,3 +143,17 @@
 RELAY_CONNECTIONS = 256
 # Interval at which the direct path is probed while the store rejects this gateway.
 DIRECT_PROBE_S = 1.0
+
+# How long a stream's version is known, and how long one that has left the service
+# counts: longer than callers wait for a stream. With longer time-outs of routes it is
+# this many of them, because a caller may send several requests for one stream.
+STREAM_KEPT_S = 30.0
+STREAM_KEPT_TIMEOUTS = 3
+STREAM_TICK_S = 0.5
+# Largest number of streams whose version a gateway knows, and of its own ones without a
+# record. The oldest ones beyond it are unknown.
+MAX_STREAMS = 50_000
+# A stream's key takes nine bytes of a record.
+MAX_STREAMS_A_RECORD = 2000
+# Largest number of expired records that one append removes.
+MAX_STREAM_REMOVALS = 200
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -237,6 +237,13 @@
         (),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_known_streams",
+        GAUGE,
+        "Streams whose software version the gateway knows.",
+        (),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_quarantined_parts",
         GAUGE,
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..dispatch import EngineLoad, EngineRecord
+from ..dispatch import EngineLoad, EngineRecord, EngineReport
 from ..http1 import Headers
 from ._errors import UNREADABLE, MalformedError
 from ._names import SERVER_LIMIT, SERVER_LOAD
@@ -31,6 +31,8 @@
 class _Report(msgspec.Struct, rename="camel"):
     waiting: int
     running: int
+    # As in `_Entry`.
+    born: int = 0
 
 
 _ENTRY_DECODER = msgspec.json.Decoder(_Entry)
@@ -58,13 +60,13 @@
     )
 
 
-def decode_report(value: bytes, slots: int) -> EngineLoad:
-    """Returns the load in an engine's report; raises `MalformedError`."""
+def decode_report(value: bytes, slots: int) -> EngineReport:
+    """Returns what an engine reports; raises `MalformedError`."""
     try:
         wire = _REPORT_DECODER.decode(value)
     except UNREADABLE as exc:
         raise MalformedError(f"the report cannot be read: {exc}") from exc
-    return EngineLoad(wire.running, wire.waiting, slots)
+    return EngineReport(EngineLoad(wire.running, wire.waiting, slots), wire.born)
 
 
 def decode_load_header(headers: Headers) -> EngineLoad | None:
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -59,12 +59,14 @@
 class EngineServer:
     """Streams numbered events and records the requests it receives.
 
+    ``born`` is the start time that it reports, in Unix milliseconds.
     ``running`` counts open streams, ``aborted`` those whose caller disconnected.
     ``on_crash`` is called after a request has crashed the engine.
     """
 
     def __init__(self, reactor: Any, clock: Any, engine_id: str) -> None:
         self.id = engine_id
+        self.born = 1
         self.behaviour = Behaviour()
         self.requests: list[ReceivedRequest] = []
         self.aborted = 0
@@ -90,7 +92,7 @@
             "slots": 8,
             "state": "serving",
             "coldLeftMs": 0,
-            "born": 1,
+            "born": self.born,
             "seq": 1,
         }
         return msgspec.json.encode({**fields, **changes})
@@ -105,7 +107,7 @@
         }
         target = exchange.head.target.decode()
         if target == "/api/report":
-            body = {"waiting": 0, "running": self.running}
+            body = {"waiting": 0, "running": self.running, "born": self.born}
             exchange.respond(200, [], msgspec.json.encode(body))
             return
         expected = headers.get("x-expect-instance", self.id)
--- a/tests/_crash_topic.py
+++ b/tests/_crash_topic.py
@@ -26,6 +26,7 @@
         self.records = []
         self.is_down = False
         self.first = 0
+        self.keys = 0
 
     async def newest(self, topic, partition, after=""):
         self._check()
@@ -47,6 +48,12 @@
             self.records.append(KeyedRecord(len(self.records), key, value))
         return Append(succeed(0))
 
+    def new_key(self, owner):
+        self.keys += 1
+        return f"{owner}/{self.keys}"
+
+    has_unwritten = False
+
     def stop(self):
         pass
 
@@ -75,6 +82,9 @@
     def records(self):
         return self.topic.records
 
+    def new_key(self, owner):
+        return self.topic.new_key(owner)
+
     @property
     def first(self):
         return self.topic.first
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -373,9 +373,13 @@
         gateway = await deployment.add_gateway()
         await deployment.submit(gateway, "job1", [b"one"])
         await deployment.store_progress(gateway, "job1", events=2)
+        # Its version is recorded, but nothing is sent to it yet.
+        engine = deployment.add_engine(state="draining")
+        while not deployment.store.state.partition("keyed.streams", 0).records:
+            await deployment.pause(0.01)
         deployment.store.responses_to_drop = 2
-        engine = deployment.add_engine()
         engine.behaviour = Behaviour(events=1000, event_gap_s=0.05)
+        deployment.register(engine)
         while not engine.requests:
             await deployment.pause(0.01)
         appends = deployment.store.appends
@@ -384,8 +388,8 @@
         return claim.by == gateway.batch_loop.queue.name, appends
 
     # A body, the job, a text, its progress, and the claim, which is tried three times,
-    # beside the gateway's address.
-    assert play(scenario) == (True, 8)
+    # beside the gateway's address and the version of the engine's software.
+    assert play(scenario) == (True, 9)
 
 
 def test_address_that_a_poll_missed_is_read_when_its_gateway_is_heard(
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -349,6 +349,7 @@
     request = OnlineRequest(
         access=access,
         crashes=None,
+        streams=None,
         events=None,
         exchange=exchange,
         req=None,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,7 +2,12 @@
 import pytest
 
 from _gateway import Deployment, config, route, settings_table
-from pomeloshift.dispatch import EngineLoad, RouteKind, SoftwareVersion
+from pomeloshift.dispatch import (
+    EngineLoad,
+    EngineReport,
+    RouteKind,
+    SoftwareVersion,
+)
 from pomeloshift.http1 import Client, Headers, RequestHead, Response, ResponseHead
 from pomeloshift.net import SystemClock
 from pomeloshift.platform import (
@@ -159,8 +164,9 @@
 
 
 def test_load_is_read_from_reports_and_response_headers():
-    report = b'{"waiting":2,"running":8,"busy":false}'
-    assert decode_report(report, 8) == EngineLoad(8, 2, 8)
+    report = b'{"waiting":2,"running":8,"busy":false,"born":1780000000000}'
+    load = EngineLoad(8, 2, 8)
+    assert decode_report(report, 8) == EngineReport(load, 1780000000000)
     assert decode_load_header(Headers([(b"X-Server-Load", b"3, 0,8")])) == EngineLoad(
         3, 0, 8
     )
