Resume an item only at the version of the software that made its progress

Results of batch items could be joined from two versions: stored progress named no version, so that an item that was preempted, handed off or cut went on at any engine.

Cause: the same as for streams, at another place. Progress now names the service and the version, in memory and in the job log. It is used only at engines of that version, which are preferred for the item; elsewhere, and from records that name no version, the item starts again, which is always allowed. Before it does, it is left for 2.5 s to gateways that have free slots at its version.

An engine is asked for its incarnation before it resumes an item, as for streams.

--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -5,7 +5,7 @@
 import attrs
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..dispatch import ConfigHolder, CrashKeys, Engine, Route
+from ..dispatch import ConfigHolder, CrashKeys, Engine, Route, SoftwareVersion
 from ..errors import PomeloshiftError
 from ..jobs import (
     AfterRun,
@@ -144,6 +144,11 @@
             self._run_s,
             self._shares(routes),
             _usable_engines(open_engines, routes),
+            {
+                e.record.software
+                for e in self.access.fleet.engines.values()
+                if e.is_serving
+            },
         )
         if pending:
             self._probe(healthy, now)
@@ -159,7 +164,10 @@
                 continue
             if not self._may_send(work):
                 continue
-            chosen = work.choose({e.record.id: free[e.record.id] for e in fitting})
+            chosen = work.choose(
+                {e.record.id: free[e.record.id] for e in fitting},
+                {e.record.id: e.record.software for e in fitting},
+            )
             engine = self.access.fleet.engines[chosen]
             free[engine.record.id] -= 1
             if free[engine.record.id] == 0:
@@ -457,6 +465,7 @@
         elif run.work.index in run.work.job.pending:
             self._progress[key] = run.progress
             run.work.job.events_done[run.work.index] = run.progress.event_id
+            run.work.job.resumable_at[run.work.index] = run.progress.software
 
     def _stop_ended(self) -> None:
         for key in list(self._runs):
@@ -482,13 +491,13 @@
 
 def _usable_engines(
     engines: list[Engine], routes: dict[str, Route]
-) -> dict[str, frozenset[str]]:
-    """Returns, for each queue, the ids of the engines that can run its items."""
+) -> dict[str, dict[str, SoftwareVersion]]:
+    """Returns, for each queue, the versions of the engines that can run its items."""
     return {
-        name: frozenset(
-            engine.record.id
+        name: {
+            engine.record.id: engine.record.software
             for engine in engines
             if engine.record.service in route.services
-        )
+        }
         for name, route in routes.items()
     }
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -63,6 +63,7 @@
         run cannot be claimed.
         """
         item = self.work.job.items[self.work.index]
+        self._drop_other_progress()
         await self._load_progress()
         self.resumed_after = self.progress.event_id if self.progress else 0
         body = await self.blobs.get(item.body)
@@ -72,6 +73,8 @@
             if self.access.now() - claimed_at > CLAIM_TIMEOUT_S:
                 # The process was frozen: another one may have resumed the item since.
                 return RunEnd.NOT_RUN
+            if not await self.access.is_current(self.engine):
+                return RunEnd.NOT_RUN
         head = item_request(
             self.work.job.host,
             item.path,
@@ -103,20 +106,36 @@
         finally:
             self.is_claiming = False
 
+    def _drop_other_progress(self) -> None:
+        """Drops progress that engines of another version have made."""
+        software = self.engine.record.software
+        if self.progress is not None and self.progress.software != software:
+            self._note_progress_lost(
+                f"made at version {self.progress.software.version}"
+            )
+            self.progress = None
+
+    def _note_progress_lost(self, why: str) -> None:
+        item = self.work.job.items[self.work.index]
+        self.access.events.warn("progress_lost", id=item.id, why=why)
+
     async def _load_progress(self) -> None:
         """Loads the progress that another gateway stored, if it is further."""
         stored = self.work.job.progress.get(self.work.index)
         known = self.progress.event_id if self.progress else 0
         if stored is None or stored.event_id <= known:
             return
+        if stored.software != self.engine.record.software:
+            if self.progress is None:
+                self._note_progress_lost(f"made at version {stored.software.version}")
+            return
         try:
             text = await self.blobs.get(stored.text)
         except BlobLostError as exc:
             # The output up to here only saves work; the item runs without it.
-            item = self.work.job.items[self.work.index]
-            self.access.events.warn("progress_lost", id=item.id, why=exc.message)
+            self._note_progress_lost(exc.message)
             return
-        self.progress = Progress(stored.event_id, text)
+        self.progress = Progress(stored.event_id, text, stored.software)
 
     async def _receive(self, run: EngineRun) -> RunEnd:
         event: Any = await run.next(BATCH_STALL_S)
@@ -180,7 +199,11 @@
             self._progressed_at = self.access.now()
             texts = [self.progress.text] if self.progress else []
             texts += [event.data for event in in_order]
-            self.progress = Progress(first_id + len(in_order) - 1, b"\n".join(texts))
+            self.progress = Progress(
+                first_id + len(in_order) - 1,
+                b"\n".join(texts),
+                self.engine.record.software,
+            )
         return len(in_order) == len(events)
 
     def _disconnected(self, event: Disconnected) -> RunEnd:
--- a/src/pomeloshift/gateway/_item_writer.py
+++ b/src/pomeloshift/gateway/_item_writer.py
@@ -104,5 +104,12 @@
 
     async def _append_progress(self, key: ItemKey, progress: Progress) -> None:
         (ref,) = await self.blobs.put(key[0], [progress.text], HAND_OFF_TIMEOUT_S)
-        record = ItemProgress(key[0], key[1], progress.event_id, ref, self.queue.name)
+        record = ItemProgress(
+            *key,
+            progress.event_id,
+            ref,
+            self.queue.name,
+            progress.software.service,
+            progress.software.version,
+        )
         await self.log.append_within(record, HAND_OFF_TIMEOUT_S)
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..dispatch import SoftwareVersion
 from ._blob_ref import BlobRef
 from ._item import Item, ItemState, Result
 from ._item_claim import ItemClaim
@@ -9,10 +10,14 @@
 
 @attrs.frozen
 class DurableProgress:
-    """Reference to the stored output of an unfinished item up to ``event_id``."""
+    """Reference to the stored output of an unfinished item up to ``event_id``.
+
+    ``software`` is the version that produced it.
+    """
 
     event_id: int
     text: BlobRef
+    software: SoftwareVersion
 
 
 @attrs.define(eq=False)
@@ -21,8 +26,9 @@
 
     ``accepted_at`` is in monotonic seconds. ``results`` are in the order in which the
     items finished, which never changes. ``keys`` are those of the job's log records.
-    ``events_done`` maps items to their last known event, ``claims`` resumed items to
-    the claim in force, and ``failures`` items to the engine of each run that failed.
+    ``events_done`` maps items to their last known event, ``resumable_at`` to the
+    version of the software that produced it, ``claims`` resumed items to the claim in
+    force, and ``failures`` items to the engine of each run that failed.
     ``pending`` holds the indexes of the unfinished items, and ``waiting_tokens`` is the
     sum of their tokens.
     """
@@ -39,6 +45,7 @@
     failures: dict[int, list[str]] = attrs.field(factory=dict)
     progress: dict[int, DurableProgress] = attrs.field(factory=dict)
     events_done: dict[int, int] = attrs.field(factory=dict)
+    resumable_at: dict[int, SoftwareVersion] = attrs.field(factory=dict)
     claims: dict[int, ItemClaim] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
@@ -59,17 +66,30 @@
         item = self.items[index]
         self.pending.discard(index)
         self.progress.pop(index, None)
+        self.resumable_at.pop(index, None)
         self.claims.pop(index, None)
         self.waiting_tokens -= item.tokens
         self.results.append(Result(item.id, state, text))
         return True
 
-    def note_progress(self, index: int, event_id: int, text: BlobRef) -> None:
-        """Records progress of an unfinished item if it is the furthest so far."""
+    def note_progress(self, index: int, progress: DurableProgress) -> None:
+        """Records progress of an unfinished item if it is the furthest of its version.
+
+        Progress at another version takes the place of earlier progress: the item was
+        started again there.
+        """
         known = self.progress.get(index)
-        if index in self.pending and (known is None or known.event_id < event_id):
-            self.progress[index] = DurableProgress(event_id, text)
-            self.events_done[index] = max(event_id, self.events_done.get(index, 0))
+        if index not in self.pending:
+            return
+        if (
+            known is None
+            or known.software != progress.software
+            or known.event_id < progress.event_id
+        ):
+            self.progress[index] = progress
+            self.resumable_at[index] = progress.software
+            events = self.events_done.get(index, 0)
+            self.events_done[index] = max(progress.event_id, events)
 
     def claim_item(self, index: int, claim: ItemClaim) -> None:
         """Records that a process resumed an unfinished item."""
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -3,10 +3,11 @@
 import attrs
 import msgspec
 
+from ..dispatch import SoftwareVersion
 from ._fragments import Assembler, base_key
 from ._item import Item, ItemState
 from ._item_claim import ItemClaim
-from ._job import Job
+from ._job import DurableProgress, Job
 from ._records import (
     ItemFailed,
     ItemProgress,
@@ -116,7 +117,9 @@
         if isinstance(record, ItemFailed):
             job.failures.setdefault(record.index, []).append(record.engine)
         elif isinstance(record, ItemProgress):
-            job.note_progress(record.index, record.event_id, record.text)
+            software = SoftwareVersion(record.service, record.version)
+            progress = DurableProgress(record.event_id, record.text, software)
+            job.note_progress(record.index, progress)
             job.release_item(record.index, record.by)
         elif isinstance(record, ItemReleased):
             job.release_item(record.index, record.by)
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -54,6 +54,8 @@
     """The output of an unfinished item up to an event, so that it can be resumed.
 
     ``by`` names the process that ran the item and now lets others resume it.
+    ``service`` and ``version`` are those of the engine's software; records of earlier
+    versions lack them.
     """
 
     job_id: str
@@ -61,6 +63,8 @@
     event_id: int
     text: BlobRef
     by: str = ""
+    service: str = ""
+    version: str = ""
 
 
 class ItemResumed(msgspec.Struct, tag="resumed", array_like=True):
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -5,10 +5,11 @@
 finished item goes before new ones of its job, because little of it is left.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
+from ..dispatch import SoftwareVersion
 from ._item import ItemKey
 from ._job import Job
 from ._job_table import JobTable
@@ -25,6 +26,10 @@
 # How long an item that failed at all of this entry's engines with free slots is left to
 # other entries.
 UNTRIED_DELAY_S = 1.0
+# How long an item with progress waits for engines of its version before it is started
+# again at another one: longer than an entry holds an item that it has stopped, plus the
+# time until others know its progress.
+OTHER_VERSION_DELAY_S = 2.5
 SALT_BITS = 48  # also the width of a claim
 # How long an item waits after it was rejected, or after a run that broke off without
 # progress: less than a failed engine is avoided, so that the next run is at another
@@ -44,7 +49,8 @@
     ``is_late`` states that the item is not expected to finish when it is due.
     ``is_own`` states that the item is assigned to an engine of this entry.
     ``tie_break`` orders equally urgent items, differently at each entry.
-    ``rejected_at`` holds when engines last rejected the item here.
+    ``rejected_at`` holds when engines last rejected the item here. ``keeps_version``
+    states that its progress is worth waiting for an engine of the same version.
     """
 
     job: Job
@@ -54,24 +60,33 @@
     is_own: bool = True
     tie_break: int = 0
     rejected_at: Mapping[str, float] = attrs.field(factory=dict)
+    keeps_version: bool = True
 
     @property
     def key(self) -> ItemKey:
         """The job's id and the item's position in it."""
         return self.job.id, self.index
 
-    def choose(self, free: dict[str, int]) -> str:
+    def choose(
+        self,
+        free: dict[str, int],
+        versions: Mapping[str, SoftwareVersion] | None = None,
+    ) -> str:
         """Returns the engine to run the item at.
 
-        Engines at which it has not failed go first, then those that did not reject it
-        or did so the longest ago, then those with the most free slots; ``free`` maps
-        the ids of the engines to their free slots.
+        Engines at which it has not failed go first, then those at which its progress
+        can be resumed, then those that did not reject it or did so the longest ago,
+        then those with the most free slots. ``free`` maps the ids of the engines to
+        their free slots, and ``versions`` to the versions of their software.
         """
         failed_at = self.job.failures.get(self.index, ())
+        software = self.job.resumable_at.get(self.index)
+        versions = versions or {}
 
-        def rank(name: str) -> tuple[bool, float, int]:
+        def rank(name: str) -> tuple[bool, bool, float, int]:
             rejected_at = self.rejected_at.get(name, float("-inf"))
-            return name not in failed_at, -rejected_at, free[name]
+            can_resume = self.keeps_version and versions.get(name) == software
+            return name not in failed_at, can_resume, -rejected_at, free[name]
 
         return max(free, key=rank)
 
@@ -96,6 +111,8 @@
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
     _rejected_at: dict[ItemKey, dict[str, float]] = attrs.field(factory=dict)
     _ready_since: dict[ItemKey, float] = attrs.field(factory=dict)
+    # Since when no run of an item has made progress.
+    _stuck_since: dict[ItemKey, float] = attrs.field(factory=dict)
 
     def defer(self, key: ItemKey, until: float) -> None:
         """Excludes an item from `pending` until ``until`` (monotonic seconds)."""
@@ -103,12 +120,16 @@
 
     def record_broken_run(self, key: ItemKey, has_progressed: bool, now: float) -> None:
         """Records a run that broke off; without progress the item is deferred."""
-        if not has_progressed:
-            self.defer(key, now + RETRY_DELAY_S)
+        if has_progressed:
+            self._stuck_since.pop(key, None)
+            return
+        self._stuck_since.setdefault(key, now)
+        self.defer(key, now + RETRY_DELAY_S)
 
     def record_rejection(self, key: ItemKey, engine: str, now: float) -> None:
         """Defers an item that an engine rejected; other engines are preferred next."""
         self._rejected_at.setdefault(key, {})[engine] = now
+        self._stuck_since.setdefault(key, now)
         self.defer(key, now + RETRY_DELAY_S)
 
     def claims(self) -> frozenset[int]:
@@ -123,7 +144,8 @@
         event_s: float,
         run_s: float,
         shares: dict[str, Share] | None = None,
-        engines: dict[str, frozenset[str]] | None = None,
+        engines: dict[str, dict[str, SoftwareVersion]] | None = None,
+        serving: Collection[SoftwareVersion] = (),
     ) -> list[WorkItem]:
         """Returns the items to run, the most urgent first.
 
@@ -132,9 +154,12 @@
         that an item already has shortens the rest of its run by ``event_s``. ``shares``
         holds this entry's share of each queue; other items are returned once no entry
         has run them for `TAKEOVER_DELAY_S` and a jitter. ``engines`` holds, for each
-        queue, this entry's engines with free slots that can run its items; items that
-        failed at all of them are returned once no entry has run them for
-        `UNTRIED_DELAY_S` longer than that.
+        queue, this entry's engines with free slots that can run its items, with the
+        versions of their software; items that failed at all of them are returned once
+        no entry has run them for `UNTRIED_DELAY_S` longer than that. ``serving`` holds
+        the versions that engines of all entries run; items whose progress can be
+        resumed there, but not at ``engines``, are returned `OTHER_VERSION_DELAY_S`
+        later.
         """
         items = []
         ready_since: dict[ItemKey, float] = {}
@@ -143,7 +168,8 @@
                 continue
             due = job.accepted_at + due_after_s.get(job.queue, 0.0)
             share = (shares or {}).get(job.queue, ALL_ITEMS)
-            usable = (engines or {}).get(job.queue, frozenset())
+            usable = (engines or {}).get(job.queue, {})
+            versions = frozenset(usable.values())
             for index in job.pending:
                 key = (job.id, index)
                 if not self._is_ready(key, now):
@@ -155,8 +181,14 @@
                 is_own = share.holds(claim)
                 tie_break = claim ^ self.salt
                 delay_s = 0.0 if is_own else _takeover_s(tie_break)
-                if usable and usable.issubset(job.failures.get(index, ())):
+                if usable and usable.keys() <= set(job.failures.get(index, ())):
                     delay_s = UNTRIED_DELAY_S + _takeover_s(tie_break)
+                stuck_s = now - self._stuck_since.get(key, now)
+                keeps_version = stuck_s < OTHER_VERSION_DELAY_S
+                software = job.resumable_at.get(index)
+                is_elsewhere = software in serving and software not in versions
+                if usable and keeps_version and is_elsewhere:
+                    delay_s = OTHER_VERSION_DELAY_S + _takeover_s(tie_break)
                 if now - ready_since[key] < delay_s:
                     continue
                 events = job.events_done.get(index, 0)
@@ -164,7 +196,16 @@
                 is_late = now + rest_s > due
                 rejected_at = self._rejected_at.get(key, {})
                 items.append(
-                    WorkItem(job, index, due, is_late, is_own, tie_break, rejected_at)
+                    WorkItem(
+                        job,
+                        index,
+                        due,
+                        is_late,
+                        is_own,
+                        tie_break,
+                        rejected_at,
+                        keeps_version,
+                    )
                 )
         self._ready_since = ready_since
         self._remove_finished(table)
@@ -173,7 +214,7 @@
 
     def _remove_finished(self, table: JobTable) -> None:
         """Removes the retry state of items that finished, at whichever entry."""
-        for by_item in (self._not_before, self._rejected_at):
+        for by_item in (self._not_before, self._rejected_at, self._stuck_since):
             for key in list(by_item):
                 job = table.jobs.get(key[0])
                 if job is None or key[1] not in job.pending:
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -186,11 +186,11 @@
         body = job(bodies, tokens, prompts)
         return self.call(gateway, "POST", "/jobs/new", body, job_id)
 
-    async def store_progress(self, gateway, job_id, events):
+    async def store_progress(self, gateway, job_id, events, version="v1"):
         """Stores the progress of a job's first item, as a gateway that stopped it."""
         output = text(events).encode()
         (ref,) = await gateway.batch_loop.blobs.put(job_id, [output], CALL_TIMEOUT_S)
-        record = ItemProgress(job_id, 0, events, ref)
+        record = ItemProgress(job_id, 0, events, ref, "", SERVICE, version)
         await gateway.job_log.append_within(record, CALL_TIMEOUT_S)
         for each in self.gateways:
             await each.job_log.follower.catch_up()
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -164,3 +164,64 @@
         return rows[0]["text"], resumed(new)
 
     assert play(scenario) == (text(4), [])
+
+
+def test_item_whose_version_always_rejects_it_is_started_again_elsewhere(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"])
+        await deployment.store_progress(gateway, "job1", events=2, version="v1")
+        full = deployment.add_engine(version="v1")
+        full.behaviour = Behaviour(is_full=True)
+        deployment.add_engine(version="v2")
+        (row,) = await deployment.results(gateway, "job1", 1)
+        return row["text"]
+
+    assert play(scenario) == text(4)
+
+
+def test_item_is_resumed_at_its_own_version(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"])
+        await deployment.store_progress(gateway, "job1", events=2, version="v2")
+        others = [deployment.add_engine(version="v1") for _ in range(3)]
+        same = deployment.add_engine(version="v2")
+        (row,) = await deployment.results(gateway, "job1", 1)
+        return row["text"], resumed(same), [resumed(each) for each in others]
+
+    assert play(scenario) == (text(4), ["item0"], [[]] * 3)
+
+
+@pytest.mark.parametrize("version", ["v1", ""])
+def test_item_starts_again_if_the_version_of_its_progress_left_or_is_unknown(
+    play, version
+):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"])
+        await deployment.store_progress(gateway, "job1", events=2, version=version)
+        new = deployment.add_engine(version="v2")
+        (row,) = await deployment.results(gateway, "job1", 1)
+        return row["text"], resumed(new)
+
+    assert play(scenario) == (text(4), [])
+
+
+@pytest.mark.parametrize("path", [PATH, "/jobs/new"])
+def test_engine_that_came_back_at_another_version_gets_no_resume(play, take_up, path):
+    """Its record, which still names the version of before, is late."""
+
+    async def scenario(deployment):
+        engine = deployment.add_engine(version="v1")
+        gateway = await deployment.add_gateway()
+        await deployment.pause(0.1)
+        engine.born = 2
+        if path == PATH:
+            return (await take_up(deployment, gateway)).status, resumed(engine)
+        await deployment.submit(gateway, "job1", [b"x"])
+        await deployment.store_progress(gateway, "job1", events=2, version="v1")
+        await deployment.pause(1.0)
+        return 503, resumed(engine)
+
+    assert play(scenario) == (503, [])
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -3,13 +3,14 @@
 from twisted.internet.defer import Deferred, succeed
 
 from _gateway import events
-from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, SoftwareVersion
 from pomeloshift.gateway._blob_store import BlobLostError
 from pomeloshift.gateway._item_run import ItemRun, RunEnd
 from pomeloshift.http1 import Chunk, Headers, ResponseEnd, ResponseHead
-from pomeloshift.jobs import BlobRef, Progress, WorkItem
+from pomeloshift.jobs import BlobRef, DurableProgress, Progress, WorkItem
 from test_jobs_cores import Log, submitted
 
+SOFTWARE = SoftwareVersion("lm", "v1")
 STAMPED = Headers([(b"X-Response-Stamp", b"s.1")])
 
 
@@ -46,6 +47,9 @@
         self.claims.append(event_id)
         return succeed(0)
 
+    def is_current(self, engine):
+        return succeed(True)
+
     def warn(self, event, **fields):
         self.noted.append(event)
 
@@ -85,8 +89,9 @@
         log.add(submitted("j1", items=1))
         job = log.replay().jobs["j1"]
         if stored is not None:
-            job.note_progress(0, stored, BlobRef("lost", 7, 5, 1))
-        record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1)
+            ref = BlobRef("lost", 7, 5, 1)
+            job.note_progress(0, DurableProgress(stored, ref, SOFTWARE))
+        record = EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1, "v1")
         access, work = Access(response), WorkItem(job, 0, 18.0)
         run = ItemRun(
             access,
@@ -119,14 +124,15 @@
 
 
 @pytest.mark.parametrize(
-    ("known", "resumed_after"), [(None, 0), (Progress(2, b"word1\nword2"), 2)]
+    ("known", "resumed_after"), [(None, 0), (Progress(2, b"word1\nword2", SOFTWARE), 2)]
 )
 def test_item_whose_stored_progress_is_lost_still_runs(run_item, known, resumed_after):
     data = events(resumed_after + 1, 4)
     response = [head(200), Chunk(data), ResponseEnd()]
     run, end = run_item(response, stored=3, known=known)
     assert end is RunEnd.COMPLETE
-    assert run.progress == Progress(4, b"word1\nword2\nword3\nword4")
+    text = b"word1\nword2\nword3\nword4"
+    assert run.progress == Progress(4, text, SOFTWARE)
     assert run.resumed_after == resumed_after
     (sent,) = run.access.sent
     expected = b"%d" % resumed_after if resumed_after else None
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -399,7 +399,7 @@
     table = log.replay()
 
     def is_chosen(now, names):
-        engines = {"h/p/": frozenset(names), "other/": frozenset("z")}
+        engines = {"h/p/": dict.fromkeys(names), "other/": {"z": None}}
         return bool(queue.pending(table, {}, now, 0.02, 4.0, engines=engines))
 
     assert not is_chosen(1.0, "a")
@@ -412,7 +412,7 @@
     log.add(submitted("j1", items=1))
     log.add(ItemFailed("j1", 0, "a"))
     table, first = log.replay(), {}
-    engines = {"h/p/": frozenset("a")}
+    engines = {"h/p/": {"a": None}}
     queues = [
         WorkQueue(salt=Random(n).getrandbits(48), is_claimed=lambda c: False)
         for n in range(5)
