Do not refuse streams that their callers take up as late

Cause: a taken-up stream met `would_be_late` like a new request, though it is bound to the engines of one version, its objective is past, and most of it may have been delivered. It is refused now only if its wait would exceed the time after which callers give a broken stream up, as for a stream that is cut within one response.

The test failed before: (503, 503) instead of (503, 200).

--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -213,12 +213,15 @@
         """Whether the request would start too late to be sent.
 
         A late request would lengthen the queue and make later requests late too. A
-        request that may have run is always sent.
+        request that may have run is always sent. So is a stream that is taken up,
+        unless its caller would give up first: most of it may have been delivered.
         """
         if self.plan.may_have_run:
             return False
         wait_s = self.access.placement.expected_wait(engine, now)
         elapsed_s = now - self.exchange.arrived_at
+        if self._is_take_up and elapsed_s + wait_s <= MAX_RESUME_WAIT_S:
+            return False
         # Refused callers that are due to retry count only against a request that waits.
         interval_s = 0.0
         if wait_s > 0:
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -1,8 +1,9 @@
 """Streams and items at engines of several software versions of one service."""
 
 import pytest
+from twisted.internet.defer import Deferred
 
-from _gateway import events, text
+from _gateway import config, events, route, text
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
 
@@ -225,3 +226,23 @@
         return 503, resumed(engine)
 
     assert play(scenario) == (503, [])
+
+
+def test_taken_up_stream_is_not_refused_as_late_like_a_new_one(play, take_up):
+    async def scenario(deployment):
+        engine = deployment.add_engine(version="v1")
+        engine.behaviour = Behaviour(events=200, event_gap_s=0.02)
+        deployment.publish(config(2, [route("resumable", targetLatencyMs=100)]))
+        gateway = await deployment.add_gateway()
+        for number in range(8):
+            call = deployment.call(gateway, "POST", PATH, b"%d" % number, f"r{number}")
+            # The end of the deployment cuts it.
+            Deferred.fromCoroutine(call).addErrback(lambda failure: None)
+        while engine.running < 8:
+            await deployment.pause(0.01)
+        new = await deployment.call(gateway, "POST", PATH, b"new", "new")
+        engine.behaviour = Behaviour()
+        again = await take_up(deployment, gateway)
+        return new.status, again.status
+
+    assert play(scenario) == (503, 200)
