Send nothing to an engine that said in a response that it is leaving

Cause: an engine's state came from its record only, and `Server-Leaving` was not read. While the store is silent no record changes, so gateways went on as before.

A response with the header, also a rejection or a report, takes that incarnation of the engine out of use at this gateway, for requests, retries, resumes and items. The fleet remembers the incarnation, so that a record that is written again or comes back after an outage does not return it; one with a new incarnation does. An item that was given the engine before is not sent there once its body is read or its claim is durable.

--- a/src/pomeloshift/dispatch/_engine.py
+++ b/src/pomeloshift/dispatch/_engine.py
@@ -21,7 +21,8 @@
     ``online`` and ``batch`` count this entry's own requests, ``peers`` those that
     other entries reported. Times are monotonic seconds. ``avoided_until`` is set when
     the engine refused or failed a request, ``is_gone`` once its record was removed or
-    replaced by another incarnation. ``limit`` paces the requests of all entries while
+    replaced by another incarnation, ``is_leaving`` once one of its responses said that
+    it is about to exit. ``limit`` paces the requests of all entries while
     the engine names a limit.
     """
 
@@ -29,6 +30,7 @@
     online: int = 0
     batch: int = 0
     is_gone: bool = False
+    is_leaving: bool = False
     avoided_until: float = float("-inf")
     last_byte_at: float = float("-inf")
     peers: RequestCounts = NO_REQUESTS
@@ -58,8 +60,8 @@
 
     @property
     def is_serving(self) -> bool:
-        """Whether the engine takes new requests: neither removed nor draining."""
-        return not self.is_gone and not self.record.is_draining
+        """Whether the engine takes new requests: it neither leaves nor has left."""
+        return not (self.is_gone or self.is_leaving or self.record.is_draining)
 
     def note_load(self, load: EngineLoad, now: float) -> None:
         """Records a load that the engine reported at ``now``."""
--- a/src/pomeloshift/dispatch/_fleet.py
+++ b/src/pomeloshift/dispatch/_fleet.py
@@ -11,6 +11,8 @@
 # Time after an outage of the store within which live engines whose records expired are
 # listed again: the platform guarantees about 2 s.
 EXPIRY_GRACE_S = 2.2
+# How many engines that are leaving are remembered: what a large fleet replaces in days.
+MAX_LEAVING = 10_000
 
 
 @attrs.define
@@ -20,7 +22,9 @@
     While the store is available, a removed record takes its engine out of use at
     once. A record that is removed during an outage of the store, or in the grace
     period of `EXPIRY_GRACE_S` after one, leaves its engine in use. After the grace
-    period `drop_missing` drops the engine unless the record has reappeared.
+    period `drop_missing` drops the engine unless the record has reappeared. An engine
+    whose response said that it is leaving stays out of use until it starts again,
+    whatever its record says.
     ``peers_of`` returns the numbers of requests that other entries have at an engine.
     """
 
@@ -29,6 +33,18 @@
     _missing: set[str] = attrs.field(factory=set)
     _store_regained_at: float | None = None
     is_store_unavailable: bool = False
+    # The id and the incarnation of each engine that is leaving, the oldest first.
+    _leaving: dict[tuple[str, int], None] = attrs.field(factory=dict)
+
+    def note_leaving(self, engine: Engine) -> bool:
+        """Takes an engine that leaves out of use; returns False if it was before."""
+        if engine.is_leaving:
+            return False
+        engine.is_leaving = True
+        self._leaving[engine.record.id, engine.record.incarnation] = None
+        if len(self._leaving) > MAX_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        return True
 
     def put(self, record: EngineRecord) -> bool:
         """Applies an engine's record; returns whether the fleet changed."""
@@ -37,7 +53,11 @@
         if known is None or not _is_same_start(known.record, record):
             if known is not None:
                 known.is_gone = True
-            self.engines[record.id] = Engine(record, peers=self.peers_of(record.id))
+            self.engines[record.id] = Engine(
+                record,
+                peers=self.peers_of(record.id),
+                is_leaving=(record.id, record.incarnation) in self._leaving,
+            )
             return True
         if known.record == record and not known.is_gone:
             return False
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -21,6 +21,7 @@
     Client,
     ConnectionPool,
     Disconnected,
+    Headers,
     RequestHead,
     ResponseEnd,
     ResponseHead,
@@ -32,6 +33,7 @@
     is_stamped,
     proves_not_run,
     report_request,
+    says_leaving,
 )
 from ._events import EventLog
 from ._sleep import sleep
@@ -149,10 +151,10 @@
         await sleep(self._reactor, delay_s)
 
     def note_head(self, engine: Engine, head: ResponseHead, sent_at: float) -> None:
-        """Updates an engine's load and its limit from a response's headers.
+        """Updates an engine's state from a response's headers.
 
-        ``sent_at`` is when the request was sent. A rejection without a limit does not
-        end one.
+        That is its load, its limit, and whether it is leaving. ``sent_at`` is when the
+        request was sent. A rejection without a limit does not end one.
         """
         now = self.now()
         load = decode_load_header(head.headers)
@@ -161,6 +163,7 @@
         if head.status == MISDIRECTED or not (is_stamped(head) or proves_not_run(head)):
             # Of another engine at the same address, or of none.
             return
+        self._note_leaving(engine, head.headers)
         rate = decode_limit_header(head.headers)
         has_changed = False
         if rate is not None:
@@ -170,6 +173,14 @@
         if has_changed:
             self.note_limit_changed(engine)
 
+    def _note_leaving(self, engine: Engine, headers: Headers) -> None:
+        if says_leaving(headers) and self.fleet.note_leaving(engine):
+            self.events.info(
+                "engine_leaving",
+                engine=engine.record.id,
+                incarnation=engine.record.incarnation,
+            )
+
     def note_limit_changed(self, engine: Engine, peer: str = "") -> None:
         """Logs that an engine names another limit; ``peer`` is who reported it."""
         rate = engine.limit.rate if engine.limit is not None else None
@@ -233,4 +244,6 @@
             self.note_failed(engine, f"report: {exc.message}", "")
             return None
         engine.note_load(report.load, self.now())
+        if report.incarnation == engine.record.incarnation:
+            self._note_leaving(engine, resp.headers)
         return report
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -44,6 +44,7 @@
     EventSpec("config_ignored", "A record of the configuration cannot be read."),
     EventSpec("engines_read", "The complete list of engines was read."),
     EventSpec("engine_changed", "An engine's record is new or has changed."),
+    EventSpec("engine_leaving", "An engine's response says that it is about to exit."),
     EventSpec("engine_replaced", "An engine reports another incarnation than listed."),
     EventSpec(
         "version_added", "A version of a service's software is used from now on."
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -75,6 +75,9 @@
                 return RunEnd.NOT_RUN
             if not await self.access.is_current(self.engine):
                 return RunEnd.NOT_RUN
+        if not self.engine.is_serving:
+            # It began to leave while the body was read or the claim was written.
+            return RunEnd.NOT_RUN
         head = item_request(
             self.work.job.host,
             item.path,
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -22,6 +22,7 @@
     decode_limit_header,
     decode_load_header,
     decode_report,
+    says_leaving,
 )
 from ._errors import (
     HistoryLostError,
@@ -84,6 +85,7 @@
     "read_batch_call",
     "read_caller_request",
     "report_request",
+    "says_leaving",
     "shared_parts",
     "to_engine",
 ]
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -7,7 +7,7 @@
 from ..dispatch import EngineLoad, EngineRecord, EngineReport
 from ..http1 import Headers
 from ._errors import UNREADABLE, MalformedError
-from ._names import SERVER_LIMIT, SERVER_LOAD
+from ._names import SERVER_LEAVING, SERVER_LIMIT, SERVER_LOAD
 
 STATES = ("serving", "draining")
 # Numbers with more digits are neither ports nor counts.
@@ -91,5 +91,10 @@
     return rate if math.isfinite(rate) and rate >= 0 else None
 
 
+def says_leaving(headers: Headers) -> bool:
+    """Returns whether a response states that its engine is about to exit."""
+    return headers.text(SERVER_LEAVING).strip() == "1"
+
+
 def _is_count(text: str) -> bool:
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
--- a/src/pomeloshift/platform/_names.py
+++ b/src/pomeloshift/platform/_names.py
@@ -18,6 +18,7 @@
 NOT_EXECUTED = b"x-not-executed"
 SERVER_LOAD = b"x-server-load"
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
--- a/src/pomeloshift/standins/platform/_engine_server.py
+++ b/src/pomeloshift/standins/platform/_engine_server.py
@@ -28,7 +28,8 @@
     With ``is_full`` the engine rejects requests with 503 and does not run them. With
     ``is_silent`` it never responds. Without ``has_stamp`` its responses lack the
     ``X-Response-Stamp`` header. Responses name ``limit``, the requests a second that
-    the engine takes from all callers together, unless it is None.
+    the engine takes from all callers together, unless it is None. With ``is_leaving``
+    they say that the engine is about to exit.
     """
 
     events: int = 4
@@ -44,6 +45,7 @@
     is_silent: bool = False
     has_stamp: bool = True
     limit: float | None = None
+    is_leaving: bool = False
 
 
 @attrs.frozen
@@ -134,6 +136,8 @@
         fields = [(b"X-Request-Id", request_id.encode())]
         if behaviour.limit is not None:
             fields.append((b"Server-Limit", b"%g" % behaviour.limit))
+        if behaviour.is_leaving:
+            fields.append((b"Server-Leaving", b"1"))
         if behaviour.is_silent:
             return
         if behaviour.is_full:
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -27,6 +27,16 @@
         raise BlobLostError(ref.key)
 
 
+class SlowBlobs:
+    """Delivers a body later."""
+
+    def __init__(self):
+        self.body = Deferred()
+
+    def get(self, ref):
+        return self.body
+
+
 @attrs.define
 class Access:
     """Sends requests to an engine with scripted responses; records what is noted."""
@@ -139,3 +149,19 @@
     assert sent.headers.get(b"last-event-id") == expected
     assert run.access.noted == ["progress_lost"]
     assert run.access.claims == ([resumed_after] if resumed_after else [])
+
+
+@pytest.mark.parametrize("change", ["is_leaving", "is_gone"])
+def test_item_is_not_sent_to_an_engine_that_left_while_its_body_was_read(change):
+    log = Log()
+    log.add(submitted("j1", items=1))
+    work = WorkItem(log.replay().jobs["j1"], 0, 18.0)
+    engine = Engine(EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1, "v1"))
+    access, blobs = Access([]), SlowBlobs()
+    run = ItemRun(
+        access, blobs, work, engine, None, access.claim, Crashes(), CrashKeys()
+    )
+    end = Deferred.fromCoroutine(run.run())
+    setattr(engine, change, True)
+    blobs.body.callback(b"body")
+    assert (end.result, access.sent) == (RunEnd.NOT_RUN, [])
