Bound the time that a new version waits for its record

A version is used once its record is in the store. If the store does not take the record while the old engines leave, as in an outage of a part of it, the requests would be sent to the few engines that are left, though others are free. After a second the version is used all the same: streams that it begins are known to their gateway, and another gateway that cannot read the record cannot read the topic to its end either, and refuses them.

--- a/src/pomeloshift/dispatch/_stream_versions.py
+++ b/src/pomeloshift/dispatch/_stream_versions.py
@@ -57,8 +57,11 @@
         self._versions[software] = math.inf
 
     def end_version(self, software: SoftwareVersion, now: float) -> None:
-        """Records that no engine of a version is left."""
-        if self.is_in_use(software):
+        """Records that no engine of a version is left.
+
+        One that is not known may have served at other entries.
+        """
+        if self.is_in_use(software) or software not in self._versions:
             self._versions[software] = now + self.kept_s
 
     def drop_version(self, software: SoftwareVersion) -> None:
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -63,7 +63,6 @@
         run cannot be claimed.
         """
         item = self.work.job.items[self.work.index]
-        self._drop_other_progress()
         await self._load_progress()
         self.resumed_after = self.progress.event_id if self.progress else 0
         body = await self.blobs.get(item.body)
@@ -109,29 +108,28 @@
         finally:
             self.is_claiming = False
 
-    def _drop_other_progress(self) -> None:
-        """Drops progress that engines of another version have made."""
-        software = self.engine.record.software
-        if self.progress is not None and self.progress.software != software:
-            self._note_progress_lost(
-                f"made at version {self.progress.software.version}"
-            )
-            self.progress = None
-
     def _note_progress_lost(self, why: str) -> None:
         item = self.work.job.items[self.work.index]
         self.access.events.warn("progress_lost", id=item.id, why=why)
 
     async def _load_progress(self) -> None:
-        """Loads the progress that another gateway stored, if it is further."""
+        """Loads the progress that another gateway stored, if it is further.
+
+        What engines of another version have made cannot be resumed here.
+        """
+        software = self.engine.record.software
         stored = self.work.job.progress.get(self.work.index)
+        others = {one.software for one in (self.progress, stored) if one} - {software}
+        if self.progress is not None and self.progress.software != software:
+            self.progress = None
+        if stored is not None and stored.software != software:
+            stored = None
+        if others and self.progress is None and stored is None:
+            versions = ",".join(sorted(other.version for other in others))
+            self._note_progress_lost(f"made at version {versions}")
         known = self.progress.event_id if self.progress else 0
         if stored is None or stored.event_id <= known:
             return
-        if stored.software != self.engine.record.software:
-            if self.progress is None:
-                self._note_progress_lost(f"made at version {stored.software.version}")
-            return
         try:
             text = await self.blobs.get(stored.text)
         except BlobLostError as exc:
--- a/src/pomeloshift/gateway/_stream_log.py
+++ b/src/pomeloshift/gateway/_stream_log.py
@@ -1,6 +1,7 @@
 """The software versions that began streams, shared through the store."""
 
 import hashlib
+import math
 from collections.abc import Callable, Collection
 from typing import Any
 
@@ -27,6 +28,7 @@
     MAX_STREAM_REMOVALS,
     MAX_STREAMS,
     MAX_STREAMS_A_RECORD,
+    MAX_VERSION_WAIT_S,
     STREAM_KEPT_S,
     STREAM_KEPT_TIMEOUTS,
     STREAM_TICK_S,
@@ -59,8 +61,8 @@
 class StreamLog:
     """Knows at which version a stream can be taken up.
 
-    A version of a service is used only once its record is in the store. So whoever has
-    read the topic to its end knows every version that may have begun a stream. While
+    A version of a service is used once its record is in the store. So whoever has read
+    the topic to its end knows every version that may have begun a stream. While
     one version is in use, streams have no records. As soon as there are two, each
     gateway records the streams that it began, those in progress too. A stream without
     a record has begun at the only version that counts, or at an unknown one.
@@ -83,8 +85,8 @@
     _is_writing: bool = attrs.field(default=False, init=False)
     # Whether the records have been read once.
     _is_loaded: bool = attrs.field(default=False, init=False)
-    # The versions whose records are being written.
-    _declaring: set[SoftwareVersion] = attrs.field(factory=set, init=False)
+    # Since when the records of new versions are being written.
+    _declaring: dict[SoftwareVersion, float] = attrs.field(factory=dict, init=False)
     _ending: set[SoftwareVersion] = attrs.field(factory=set, init=False)
     # The versions in the list of engines at the last tick, and those added since.
     _listed: set[SoftwareVersion] = attrs.field(factory=set, init=False)
@@ -149,13 +151,21 @@
         if not self._is_loaded or software in self._declaring:
             return
         if not self._versions.is_in_use(software):
-            self._declaring.add(software)
-            self._publish_version(software, False, self._declaring)
+            self._declaring[software] = self._now()
+            self._publish_version(software, False, self._declaring.pop)
 
     def usable(self, engines: list[Engine]) -> list[Engine]:
-        """Returns the engines whose version is recorded, or all if there is none."""
-        is_in_use = self._versions.is_in_use
-        return [e for e in engines if is_in_use(e.record.software)] or engines
+        """Returns the engines of the versions that may be used, or all if none may.
+
+        A version waits for its record at most `MAX_VERSION_WAIT_S`.
+        """
+        return [e for e in engines if self._may_use(e.record.software)] or engines
+
+    def _may_use(self, software: SoftwareVersion) -> bool:
+        if self._versions.is_in_use(software):
+            return True
+        since = self._declaring.get(software, math.inf)
+        return self._now() - since >= MAX_VERSION_WAIT_S
 
     def note_begun(self, request_id: str, software: SoftwareVersion) -> None:
         """Records at which version the stream of a request has begun."""
@@ -256,15 +266,14 @@
         self._version_keys[key] = software
         fields = {"service": wire.service, "version": wire.version}
         if wire.has_left:
-            # One that was never in use here may have been at another gateway.
-            self._versions.put_version(software)
             self._versions.end_version(software, now)
             self._events.info("version_left", **fields)
             return
         self._stored[key] = None
-        self._versions.put_version(software)
-        self._events.info("version_added", **fields)
-        self._write_due()
+        if not self._versions.is_in_use(software):
+            self._versions.put_version(software)
+            self._events.info("version_added", **fields)
+            self._write_due()
 
     def _forget(self, key: str) -> None:
         self._stored.pop(key, None)
@@ -315,7 +324,10 @@
         return begun
 
     def _publish_version(
-        self, software: SoftwareVersion, has_left: bool, pending: set[SoftwareVersion]
+        self,
+        software: SoftwareVersion,
+        has_left: bool,
+        written: Callable[[SoftwareVersion], Any],
     ) -> None:
         name = f"{software.service}\0{software.version}".encode()
         digest = hashlib.blake2b(name, digest_size=VERSION_DIGEST_BYTES).hexdigest()
@@ -323,7 +335,7 @@
         record = (f"version/{digest}", msgspec.msgpack.encode(wire))
         done = self._writer.append([record]).done
         done.addErrback(self._note_version_not_recorded, software)
-        done.addBoth(lambda _: pending.discard(software))
+        done.addBoth(lambda _: written(software))
 
     def _note_version_not_recorded(
         self, failure: Any, software: SoftwareVersion
@@ -364,7 +376,7 @@
         for software in self._versions.in_use():
             if software not in self._listed | self._ending:
                 self._ending.add(software)
-                self._publish_version(software, True, self._ending)
+                self._publish_version(software, True, self._ending.discard)
 
     def _remove_expired(self, now: float) -> None:
         expired = [
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -150,6 +150,10 @@
 STREAM_KEPT_S = 30.0
 STREAM_KEPT_TIMEOUTS = 3
 STREAM_TICK_S = 0.5
+# How long a new version is not used because the store does not take its record: longer
+# than the store needs on a calm day, and short beside the time in which engines are
+# replaced.
+MAX_VERSION_WAIT_S = 1.0
 # Largest number of streams whose version a gateway knows, and of its own ones without a
 # record. The oldest ones beyond it are unknown.
 MAX_STREAMS = 50_000
--- a/tests/test_stream_log.py
+++ b/tests/test_stream_log.py
@@ -13,7 +13,7 @@
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
 from pomeloshift.gateway._stream_log import StreamLog
-from pomeloshift.gateway._timing import STREAM_KEPT_S
+from pomeloshift.gateway._timing import MAX_VERSION_WAIT_S, STREAM_KEPT_S
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 
 V1, V2, V3 = (SoftwareVersion("lm", f"v{n}") for n in (1, 2, 3))
@@ -187,6 +187,16 @@
     assert gateway.usable() == [V1, V2]
 
 
+def test_version_is_used_after_a_time_though_the_store_does_not_take_its_record(day):
+    gateway = day.add(V1)
+    day.advance(READ_S)
+    gateway.link.is_down = True
+    day.list_engines(V1, V2)
+    day.advance(MAX_VERSION_WAIT_S + STEP_S)
+    assert gateway.usable() == [V1, V2]
+    assert day.find(gateway, "unknown") is None
+
+
 def test_new_version_is_used_without_a_record_if_no_other_is_left(day):
     gateway = day.add(V1)
     day.advance(READ_S)
