Read the versions of streams four times a second at most

A pause of 0.25 s between two reads bounds it. Nobody waits for it: a stream that a gateway does not know is looked up at once, and the gateway that wrote the record of a version uses it without reading it back. The poll lasts 3 s, so that a connection that went silent is detected within 4 s, the platform's bound.

--- a/src/pomeloshift/gateway/_stream_log.py
+++ b/src/pomeloshift/gateway/_stream_log.py
@@ -31,6 +31,8 @@
     MAX_VERSION_WAIT_S,
     STREAM_KEPT_S,
     STREAM_KEPT_TIMEOUTS,
+    STREAM_POLL_S,
+    STREAM_READ_GAP_S,
     STREAM_TICK_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
@@ -113,6 +115,8 @@
             self._clock,
             self._events,
             TopicHandlers(self._take_record, snapshot=self._take_snapshot),
+            read_gap_s=STREAM_READ_GAP_S,
+            poll_s=STREAM_POLL_S,
         )
 
     def start(self, tasks: PeriodicTasks) -> None:
@@ -152,7 +156,8 @@
             return
         if not self._versions.is_in_use(software):
             self._declaring[software] = self._now()
-            self._publish_version(software, False, self._declaring.pop)
+            done = self._publish_version(software, has_left=False)
+            done.addBoth(lambda _: self._declaring.pop(software))
 
     def usable(self, engines: list[Engine]) -> list[Engine]:
         """Returns the engines of the versions that may be used, or all if none may.
@@ -254,23 +259,28 @@
         now = self._now()
         self._stored[record.key] = now + self._versions.kept_s
         if isinstance(wire, _Version):
-            self._take_version(record.key, wire, now)
+            self._take_version(record.key, wire)
             return
         for service, version, keys in wire.begun:
             software = SoftwareVersion(service, version)
             for key in keys:
                 self._versions.put_stream(key, software, now)
 
-    def _take_version(self, key: str, wire: _Version, now: float) -> None:
+    def _take_version(self, key: str, wire: _Version) -> None:
+        self._version_keys[key] = SoftwareVersion(wire.service, wire.version)
+        if not wire.has_left:
+            self._stored[key] = None
+        self._apply_version(wire)
+
+    def _apply_version(self, wire: _Version) -> None:
         software = SoftwareVersion(wire.service, wire.version)
-        self._version_keys[key] = software
+        was_in_use = self._versions.is_in_use(software)
         fields = {"service": wire.service, "version": wire.version}
         if wire.has_left:
-            self._versions.end_version(software, now)
-            self._events.info("version_left", **fields)
-            return
-        self._stored[key] = None
-        if not self._versions.is_in_use(software):
+            self._versions.end_version(software, self._now())
+            if was_in_use:
+                self._events.info("version_left", **fields)
+        elif not was_in_use:
             self._versions.put_version(software)
             self._events.info("version_added", **fields)
             self._write_due()
@@ -324,18 +334,17 @@
         return begun
 
     def _publish_version(
-        self,
-        software: SoftwareVersion,
-        has_left: bool,
-        written: Callable[[SoftwareVersion], Any],
-    ) -> None:
+        self, software: SoftwareVersion, has_left: bool
+    ) -> Deferred[Any]:
         name = f"{software.service}\0{software.version}".encode()
         digest = hashlib.blake2b(name, digest_size=VERSION_DIGEST_BYTES).hexdigest()
         wire = _Version(software.service, software.version, has_left)
         record = (f"version/{digest}", msgspec.msgpack.encode(wire))
-        done = self._writer.append([record]).done
+        done: Deferred[Any] = self._writer.append([record]).done
+        # The record counts here before it is read back.
+        done.addCallback(lambda _: self._apply_version(wire))
         done.addErrback(self._note_version_not_recorded, software)
-        done.addBoth(lambda _: written(software))
+        return done
 
     def _note_version_not_recorded(
         self, failure: Any, software: SoftwareVersion
@@ -375,8 +384,12 @@
             return
         for software in self._versions.in_use():
             if software not in self._listed | self._ending:
-                self._ending.add(software)
-                self._publish_version(software, True, self._ending.discard)
+                self._end_version(software)
+
+    def _end_version(self, software: SoftwareVersion) -> None:
+        self._ending.add(software)
+        done = self._publish_version(software, has_left=True)
+        done.addBoth(lambda _: self._ending.discard(software))
 
     def _remove_expired(self, now: float) -> None:
         expired = [
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -150,6 +150,12 @@
 STREAM_KEPT_S = 30.0
 STREAM_KEPT_TIMEOUTS = 3
 STREAM_TICK_S = 0.5
+# Long poll of the streams' versions. An unresponsive connection is detected after this
+# plus the store client's time-out.
+STREAM_POLL_S = 3.0
+# Pause between two reads: each append would wake the polls of all gateways. For a stream
+# that is not known the topic is read at once.
+STREAM_READ_GAP_S = 0.25
 # How long a new version is not used because the store does not take its record: longer
 # than the store needs on a calm day, and short beside the time in which engines are
 # replaced.
