--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -153,7 +153,7 @@
 # Long poll of the streams' versions. An unresponsive connection is detected after this
 # plus the store client's time-out.
 STREAM_POLL_S = 3.0
-# Pause between two reads: each append would wake the polls of all gateways. A look-up of
+# Pause between two reads: each append would wake the polls of all gateways. Looking up
 # an unknown stream does not wait for it.
 STREAM_READ_GAP_S = 0.25
 # How long a new version is not used because the store does not take its record: longer
