Let `explain` find the stream that a refused request takes up

The id of a refused take-up led to `version_unavailable` or `stream_unknown`, but not to the request that began the stream, nor to the gateway and the engine that had it. The lines of that request are included now, by the id in `resumes`.

--- a/src/pomeloshift/explain/_explain.py
+++ b/src/pomeloshift/explain/_explain.py
@@ -8,6 +8,8 @@
 
 # Events that say because of which prompt part a request or item was not sent.
 QUARANTINE_EVENTS = frozenset({"request_quarantined", "item_held"})
+# How a line writes that its request takes up no stream.
+NO_STREAM = frozenset({"", "None"})
 
 
 @attrs.frozen
@@ -28,7 +30,8 @@
 
     For an item, the lines of its job's own events are included; for a job, the lines
     of its items; for a request, the crashes of engines under its retries and under the
-    prompt part because of which it was stopped. The lines of one file keep their order,
+    prompt part because of which it was stopped, and the beginning of the stream that it
+    takes up. The lines of one file keep their order,
     also where its clock was set back. Files are merged by the times in their lines, so
     clocks that differ by seconds can change the order between files.
 
@@ -52,7 +55,12 @@
         and line.event in QUARANTINE_EVENTS
         and "part" in line.fields
     }
-    ids = {wanted, *fingerprints, *parts}
+    streams = {
+        line.fields["resumes"]
+        for line in known
+        if line.fields.get("id") == wanted and "resumes" in line.fields
+    }
+    ids = {wanted, *fingerprints, *parts, *streams - NO_STREAM}
     found = [line for line in known if _belongs(line, ids, jobs)]
     ordered = _merge(found)
     about = [line for line in ordered if line.fields.get("id") == wanted] or ordered
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -90,6 +90,22 @@
     assert len(explain("f1", known, DECISIVE).lines) == 3
 
 
+def test_lines_about_a_request_include_the_stream_that_it_takes_up():
+    time = "time=2026-01-01T00:00:0"
+    log = lines(
+        "a",
+        f"{time}1.0 level=INFO event=attempt_sent id=began version=v1 resumes=None",
+        f"{time}2.0 level=INFO event=attempt_sent id=other version=v2 resumes=None",
+        f"{time}3.0 level=WARNING event=version_unavailable id=again resumes=began",
+        f"{time}3.1 level=WARNING event=request_failed id=again status=503",
+    )
+    found = explain("again", log, DECISIVE)
+    assert found.decisive.event == "request_failed"
+    assert [line.fields["id"] for line in found.lines] == ["began", "again", "again"]
+    about_other = explain("other", log, DECISIVE).lines
+    assert [line.fields["id"] for line in about_other] == ["other"]
+
+
 def test_unknown_id_has_no_lines(log):
     found = explain("x", log, DECISIVE)
     assert found.lines == ()
