Announce a second version of the software before it is used

Gateways record their streams from then on, but nothing is sent to the version. Whoever reads the topic to its end before the version is in use knows that an unknown stream began at the first one; that depends on no clock. A version that is the only one left is used at once.

Two tests wait until the second version is used, where a fixed pause was enough before; what they check is the same.

--- a/src/pomeloshift/dispatch/_stream_versions.py
+++ b/src/pomeloshift/dispatch/_stream_versions.py
@@ -38,6 +38,8 @@
     _streams: dict[int, tuple[SoftwareVersion, float]] = attrs.field(factory=dict)
     # Until when each version counts.
     _versions: dict[SoftwareVersion, float] = attrs.field(factory=dict)
+    # Those that will be used, but have not begun any stream.
+    _announced: set[SoftwareVersion] = attrs.field(factory=set)
 
     def put_stream(self, key: int, software: SoftwareVersion, now: float) -> None:
         """Records that a stream began at a version."""
@@ -52,8 +54,16 @@
         software, at = self._streams.get(key, (None, -math.inf))
         return software if now - at < self.kept_s else None
 
+    def announce(self, software: SoftwareVersion) -> bool:
+        """Records that a version will be used; returns False if it is known."""
+        is_new = software not in self._announced and not self.is_in_use(software)
+        if is_new:
+            self._announced.add(software)
+        return is_new
+
     def put_version(self, software: SoftwareVersion) -> None:
         """Records that a version is in use."""
+        self._announced.discard(software)
         self._versions[software] = math.inf
 
     def end_version(self, software: SoftwareVersion, now: float) -> None:
@@ -61,20 +71,28 @@
 
         One that is not known may have served at other entries.
         """
+        self._announced.discard(software)
         if self.is_in_use(software) or software not in self._versions:
             self._versions[software] = now + self.kept_s
 
     def drop_version(self, software: SoftwareVersion) -> None:
         """Forgets a version."""
+        self._announced.discard(software)
         self._versions.pop(software, None)
 
     def is_in_use(self, software: SoftwareVersion) -> bool:
         """Returns whether a version is recorded and has not left."""
         return self._versions.get(software) == math.inf
 
-    def in_use(self) -> list[SoftwareVersion]:
-        """Returns the versions that have not left."""
-        return [software for software in self._versions if self.is_in_use(software)]
+    def unfinished(self) -> list[SoftwareVersion]:
+        """Returns the versions that are announced or in use."""
+        in_use = [software for software in self._versions if self.is_in_use(software)]
+        return [*self._announced, *in_use]
+
+    def is_sole(self, software: SoftwareVersion, now: float) -> bool:
+        """Returns whether no other version of its service counts or is announced."""
+        announced = {o for o in self._announced if o.service == software.service}
+        return self.counting({software.service}, now) | announced == {software}
 
     def counting(
         self, services: Collection[str], now: float
--- a/src/pomeloshift/gateway/_stream_log.py
+++ b/src/pomeloshift/gateway/_stream_log.py
@@ -3,6 +3,7 @@
 import hashlib
 import math
 from collections.abc import Callable, Collection
+from enum import IntEnum
 from typing import Any
 
 import attrs
@@ -34,6 +35,7 @@
     STREAM_POLL_S,
     STREAM_READ_GAP_S,
     STREAM_TICK_S,
+    VERSION_ANNOUNCED_S,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
@@ -42,12 +44,20 @@
 VERSION_DIGEST_BYTES = 16
 
 
+class _State(IntEnum):
+    """A version will be used, is used, or has no engine left."""
+
+    ANNOUNCED = 0
+    USED = 1
+    LEFT = 2
+
+
 class _Version(msgspec.Struct, tag="version", array_like=True):
-    """A version is in use, or the last engine of it has left."""
+    """The state of a version."""
 
     service: str
     version: str
-    has_left: bool
+    state: _State
 
 
 class _Streams(msgspec.Struct, tag="streams", array_like=True):
@@ -64,10 +74,11 @@
     """Knows at which version a stream can be taken up.
 
     A version of a service is used once its record is in the store. So whoever has read
-    the topic to its end knows every version that may have begun a stream. While
-    one version is in use, streams have no records. As soon as there are two, each
-    gateway records the streams that it began, those in progress too. A stream without
-    a record has begun at the only version that counts, or at an unknown one.
+    the topic to its end knows every version that may have begun a stream. While one
+    version is in use, streams have no records. A second one is announced before it is
+    used; from then on each gateway records the streams that it began, those in progress
+    too. A stream without a record has begun at the only version that counts, or at an
+    unknown one.
     """
 
     _store: StoreClient
@@ -87,9 +98,12 @@
     _is_writing: bool = attrs.field(default=False, init=False)
     # Whether the records have been read once.
     _is_loaded: bool = attrs.field(default=False, init=False)
-    # Since when the records of new versions are being written.
-    _declaring: dict[SoftwareVersion, float] = attrs.field(factory=dict, init=False)
-    _ending: set[SoftwareVersion] = attrs.field(factory=set, init=False)
+    # Since when versions are known that are not used yet.
+    _new: dict[SoftwareVersion, float] = attrs.field(factory=dict, init=False)
+    # The records of versions that are being written.
+    _publishing: set[tuple[SoftwareVersion, _State]] = attrs.field(
+        factory=set, init=False
+    )
     # The versions in the list of engines at the last tick, and those added since.
     _listed: set[SoftwareVersion] = attrs.field(factory=set, init=False)
     # When stored records may be removed, by key, monotonic seconds; None for versions
@@ -152,24 +166,31 @@
     def note_engine(self, software: SoftwareVersion) -> None:
         """Records the version of an engine in the list, if it is a new one."""
         self._listed.add(software)
-        if not self._is_loaded or software in self._declaring:
+        if not self._is_loaded or self._versions.is_in_use(software):
             return
-        if not self._versions.is_in_use(software):
-            self._declaring[software] = self._now()
-            done = self._publish_version(software, has_left=False)
-            done.addBoth(lambda _: self._declaring.pop(software))
+        now = self._now()
+        since = self._new.setdefault(software, now)
+        others = self._versions.counting({software.service}, now) - {software}
+        if not others or now - since >= VERSION_ANNOUNCED_S:
+            self._publish_version(software, _State.USED)
+        else:
+            self._publish_version(software, _State.ANNOUNCED)
 
     def usable(self, engines: list[Engine]) -> list[Engine]:
         """Returns the engines of the versions that may be used, or all if none may.
 
         A version waits for its record at most `MAX_VERSION_WAIT_S`.
         """
-        return [e for e in engines if self._may_use(e.record.software)] or engines
+        usable = [e for e in engines if self._may_use(e.record.software)]
+        if not usable and self._is_loaded:
+            for software in {engine.record.software for engine in engines}:
+                self._publish_version(software, _State.USED)
+        return usable or engines
 
     def _may_use(self, software: SoftwareVersion) -> bool:
         if self._versions.is_in_use(software):
             return True
-        since = self._declaring.get(software, math.inf)
+        since = self._new.get(software, math.inf)
         return self._now() - since >= MAX_VERSION_WAIT_S
 
     def note_begun(self, request_id: str, software: SoftwareVersion) -> None:
@@ -198,8 +219,12 @@
 
     def counting(self, services: Collection[str]) -> frozenset[SoftwareVersion]:
         """Returns the versions of services at which a stream may have begun."""
-        listed = {one for one in self._listed if one.service in services}
-        return self._versions.counting(services, self._now()) | listed
+        usable = {
+            software
+            for software in self._listed
+            if software.service in services and self._may_use(software)
+        }
+        return self._versions.counting(services, self._now()) | usable
 
     def _only(self, services: Collection[str]) -> SoftwareVersion | None:
         versions = self.counting(services)
@@ -268,7 +293,7 @@
 
     def _take_version(self, key: str, wire: _Version) -> None:
         self._version_keys[key] = SoftwareVersion(wire.service, wire.version)
-        if not wire.has_left:
+        if wire.state is not _State.LEFT:
             self._stored[key] = None
         self._apply_version(wire)
 
@@ -276,11 +301,15 @@
         software = SoftwareVersion(wire.service, wire.version)
         was_in_use = self._versions.is_in_use(software)
         fields = {"service": wire.service, "version": wire.version}
-        if wire.has_left:
+        if wire.state is _State.ANNOUNCED:
+            if self._versions.announce(software):
+                self._write_due()
+        elif wire.state is _State.LEFT:
             self._versions.end_version(software, self._now())
             if was_in_use:
                 self._events.info("version_left", **fields)
         elif not was_in_use:
+            self._new.pop(software, None)
             self._versions.put_version(software)
             self._events.info("version_added", **fields)
             self._write_due()
@@ -297,8 +326,7 @@
         """Whether a stream of this version could be taken for one of another."""
         if not self._follower.is_synced:
             return True
-        counting = self._versions.counting({software.service}, self._now())
-        return counting != {software}
+        return not self._versions.is_sole(software, self._now())
 
     def _write_due(self) -> None:
         if not self._is_writing and any(map(self._needs_record, self._unwritten)):
@@ -333,18 +361,21 @@
             begun.append((software.service, software.version, keys))
         return begun
 
-    def _publish_version(
-        self, software: SoftwareVersion, has_left: bool
-    ) -> Deferred[Any]:
+    def _publish_version(self, software: SoftwareVersion, state: _State) -> None:
+        if (software, state) in self._publishing:
+            return
+        if state is _State.ANNOUNCED and software in self._versions.unfinished():
+            return
+        self._publishing.add((software, state))
         name = f"{software.service}\0{software.version}".encode()
         digest = hashlib.blake2b(name, digest_size=VERSION_DIGEST_BYTES).hexdigest()
-        wire = _Version(software.service, software.version, has_left)
+        wire = _Version(software.service, software.version, state)
         record = (f"version/{digest}", msgspec.msgpack.encode(wire))
         done: Deferred[Any] = self._writer.append([record]).done
         # The record counts here before it is read back.
         done.addCallback(lambda _: self._apply_version(wire))
         done.addErrback(self._note_version_not_recorded, software)
-        return done
+        done.addBoth(lambda _: self._publishing.discard((software, state)))
 
     def _note_version_not_recorded(
         self, failure: Any, software: SoftwareVersion
@@ -364,6 +395,8 @@
         self._versions.expire(now)
         self._drop_old_unwritten(now)
         self._listed = {e.record.software for e in self._fleet.engines.values()}
+        for software in self._new.keys() - self._listed:
+            del self._new[software]
         for software in list(self._listed):
             self.note_engine(software)
         if self._ownership.owns(TOPIC):
@@ -382,14 +415,9 @@
     def _end_versions(self) -> None:
         if not (self._follower.is_synced and self.is_fleet_current()):
             return
-        for software in self._versions.in_use():
-            if software not in self._listed | self._ending:
-                self._end_version(software)
-
-    def _end_version(self, software: SoftwareVersion) -> None:
-        self._ending.add(software)
-        done = self._publish_version(software, has_left=True)
-        done.addBoth(lambda _: self._ending.discard(software))
+        for software in self._versions.unfinished():
+            if software not in self._listed:
+                self._publish_version(software, _State.LEFT)
 
     def _remove_expired(self, now: float) -> None:
         expired = [
--- a/tests/test_gateway_stream_versions.py
+++ b/tests/test_gateway_stream_versions.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import Deferred
 
-from _gateway import config, events, route, text
+from _gateway import SERVICE, config, events, route, text
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
 
@@ -128,7 +128,8 @@
         old = deployment.add_engine(version="v1")
         gateways = [await deployment.add_gateway()]
         new = deployment.add_engine(version="v2")
-        await deployment.pause(0.3)
+        while len(gateways[0].streams.counting({SERVICE})) < 2:
+            await deployment.pause(0.02)
         if has_left:
             deployment.deregister(old)
         gateways = await restart_all(deployment)
--- a/tests/test_stream_log.py
+++ b/tests/test_stream_log.py
@@ -13,11 +13,17 @@
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
 from pomeloshift.gateway._stream_log import StreamLog
-from pomeloshift.gateway._timing import MAX_VERSION_WAIT_S, STREAM_KEPT_S
+from pomeloshift.gateway._timing import (
+    MAX_VERSION_WAIT_S,
+    STREAM_KEPT_S,
+    STREAM_TICK_S,
+    VERSION_ANNOUNCED_S,
+)
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 
 V1, V2, V3 = (SoftwareVersion("lm", f"v{n}") for n in (1, 2, 3))
 READ_S = 0.5  # until records have been read everywhere
+USED_S = VERSION_ANNOUNCED_S + 2 * STREAM_TICK_S  # until a second version is used
 STREAM_S = 5.0  # longest time from a stream's beginning until it is taken up
 SEEDS = range(8)
 
@@ -137,6 +143,20 @@
     assert [day.find(last, s) for s in ("s1", "s2", "s3")] == [V1, V2, None]
 
 
+def test_stream_of_a_gateway_killed_before_a_second_version_is_used_goes_on(day):
+    killed, other = day.add(V1), day.add(V1)
+    day.advance(READ_S)
+    killed.log.note_begun("s1", V1)
+    killed.kill()
+    day.gateways.remove(killed)
+    day.list_engines(V1, V2)
+    day.advance(2 * STEP_S)
+    assert other.usable() == [V1]
+    assert day.find(other, "s1") == V1
+    day.advance(USED_S)
+    assert day.find(other, "s1") is None
+
+
 def test_version_that_has_left_counts_as_long_as_its_streams_are_taken_up(day):
     day.add(V1, V2)
     day.advance(READ_S)
@@ -183,7 +203,7 @@
     day.list_engines(V1, V2)
     assert gateway.usable() == [V1]
     gateway.link.restore()
-    day.advance(READ_S)
+    day.advance(USED_S)
     assert gateway.usable() == [V1, V2]
 
 
