Keep a late announcement from hiding that a version is in use

The announcement of a version and the record that it is in use had the same key. A gateway that learned of a version late, or whose append landed late, replaced the second by the first. The others knew better from memory, but after the loss of all gateways a new one took the version for unused, and an unknown stream for one of the other version, until the version was used again half a second later.

Announcements have keys of their own.

--- a/src/pomeloshift/gateway/_stream_log.py
+++ b/src/pomeloshift/gateway/_stream_log.py
@@ -170,8 +170,9 @@
             return
         now = self._now()
         since = self._new.setdefault(software, now)
-        others = self._versions.counting({software.service}, now) - {software}
-        if not others or now - since >= VERSION_ANNOUNCED_S:
+        counting = self._versions.counting({software.service}, now)
+        is_first = not counting or software in counting
+        if is_first or now - since >= VERSION_ANNOUNCED_S:
             self._publish_version(software, _State.USED)
         else:
             self._publish_version(software, _State.ANNOUNCED)
@@ -292,8 +293,9 @@
                 self._versions.put_stream(key, software, now)
 
     def _take_version(self, key: str, wire: _Version) -> None:
-        self._version_keys[key] = SoftwareVersion(wire.service, wire.version)
-        if wire.state is not _State.LEFT:
+        if wire.state is not _State.ANNOUNCED:
+            self._version_keys[key] = SoftwareVersion(wire.service, wire.version)
+        if wire.state is _State.USED:
             self._stored[key] = None
         self._apply_version(wire)
 
@@ -370,7 +372,9 @@
         name = f"{software.service}\0{software.version}".encode()
         digest = hashlib.blake2b(name, digest_size=VERSION_DIGEST_BYTES).hexdigest()
         wire = _Version(software.service, software.version, state)
-        record = (f"version/{digest}", msgspec.msgpack.encode(wire))
+        # A late announcement must not take the place of the record that follows it.
+        prefix = "announced" if state is _State.ANNOUNCED else "version"
+        record = (f"{prefix}/{digest}", msgspec.msgpack.encode(wire))
         done: Deferred[Any] = self._writer.append([record]).done
         # The record counts here before it is read back.
         done.addCallback(lambda _: self._apply_version(wire))
