Log the response that clears a request or part of crashes

The logs could not show the third hypothesis: a count of crashes fell without a line. `crashes_cleared` names the request, its fingerprint or part and how many crashes were forgotten, at the gateway that relayed the response. It needs no line where the removal is only read from the store: `explain` finds the line by the fingerprint.

--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -1,6 +1,7 @@
 """The crashes of engines under requests and prompt parts, shared through the store."""
 
 import hashlib
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -184,11 +185,17 @@
         """Records that a run was given up before the end of its response."""
         self._silent.add(SilentRun(keys, request_id, engine, self._now()))
 
-    def note_answered(self, keys: CrashKeys) -> None:
+    def note_answered(self, keys: CrashKeys, request_id: str) -> None:
         """Clears a request and its parts of crashes: an engine has completed it."""
         cleared = self._quarantine.note_answered(keys, self._now())
-        if cleared:
-            self._publish([(f"{key}/{crash}", None) for key, crash in cleared])
+        if not cleared:
+            return
+        for key, crashes in Counter(key for key, _ in cleared).items():
+            name = "part" if is_part(key) else "fingerprint"
+            self._events.info(
+                "crashes_cleared", id=request_id, **{name: key}, crashes=crashes
+            )
+        self._publish([(f"{key}/{crash}", None) for key, crash in cleared])
 
     def _tick(self) -> None:
         now = self._now()
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -95,6 +95,9 @@
         "part_crash_recorded",
         "An engine crashed during a request with this prompt part.",
     ),
+    EventSpec(
+        "crashes_cleared", "A response shows that its request or part is no cause."
+    ),
     EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
     EventSpec("crash_ignored", "The record of a crash cannot be read."),
     EventSpec("part_quarantined", "Requests with this prompt part crash engines."),
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -163,7 +163,8 @@
                 if not self._is_whole(is_framed):
                     end = Disconnected(BROKEN_OFF, by_server=not is_framed)
                     return self._disconnected(end)
-                self.crashes.note_answered(self.keys)
+                item = self.work.job.items[self.work.index]
+                self.crashes.note_answered(self.keys, item.id)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
                 return self._broken("events out of order or not text")
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -1,6 +1,7 @@
 """The record of crashes at several gateways over one topic, in virtual time."""
 
 import pytest
+from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
@@ -112,7 +113,7 @@
     first, second = logs.add(), logs.add()
     crash(first, "e1", "e2")
     logs.advance(1.0)
-    second.note_answered(keys("f"))
+    second.note_answered(keys("f"), "r1")
     crash(second, "e3")
     logs.advance(1.0)
     for log in (first, second, logs.add()):
@@ -120,6 +121,19 @@
     assert len(logs.topic.live_keys()) == 1
 
 
+def test_log_names_the_request_whose_response_cleared_the_crashes(logs):
+    lines = []
+    handler = logger.add(lines.append, format="{message}")
+    log = logs.add()
+    crash(log, "e1", "e2")
+    log.note_answered(keys("f"), "r2")
+    log.note_answered(keys("f"), "r3")
+    logger.remove(handler)
+    cleared = [line for line in lines if "crashes_cleared" in line]
+    assert len(cleared) == 1
+    assert "id=r2 fingerprint=f crashes=2" in cleared[0]
+
+
 def test_quarantine_ends_and_its_records_are_removed(logs):
     log = logs.add()
     crash(log, "e1", "e2", "e3")
@@ -141,7 +155,7 @@
     assert not other.take_trial(keys("f"))
     assert owner.take_trial(keys("f"))
     assert not owner.take_trial(keys("f"))
-    owner.note_answered(keys("f"))
+    owner.note_answered(keys("f"), "r1")
     logs.advance(1.0)
     assert not other.is_quarantined(keys("f"))
 
@@ -165,7 +179,7 @@
     logs.advance(1.0)
     crash(second, "e4", request="g")
     logs.topic.records.pop()  # not yet in the store
-    first.note_answered(keys("f"))
+    first.note_answered(keys("f"), "r1")
     logs.topic.first = len(logs.topic.records)
     logs.topic.is_down = False
     logs.advance(2.0)
@@ -304,7 +318,7 @@
     first, second = logs.add(), logs.add()
     crash_part(first, "e1", "e2", "e3")
     logs.advance(1.0)
-    second.note_answered(keys("sound", "p"))
+    second.note_answered(keys("sound", "p"), "r1")
     logs.advance(1.0)
     for log in (first, second, logs.add()):
         assert not log.is_quarantined(keys("new", "p"))
--- a/tests/test_gateway_part_crashes.py
+++ b/tests/test_gateway_part_crashes.py
@@ -206,7 +206,7 @@
         await deployment.submit(gateway, "job1", [b"sound"], prompts=prompts)
         await deployment.pause(HOLD_S)
         runs = len(engine.requests)
-        gateway.crashes.note_answered(CrashKeys("g", (FIRST,)))
+        gateway.crashes.note_answered(CrashKeys("g", (FIRST,)), "r1")
         return runs, await deployment.results(gateway, "job1", 1)
 
     runs, rows = play(scenario)
--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -86,7 +86,7 @@
 class Crashes:
     """Records no crashes."""
 
-    def note_answered(self, keys):
+    def note_answered(self, keys, request_id):
         pass
 
 
--- a/tests/test_part_crash_soak.py
+++ b/tests/test_part_crash_soak.py
@@ -124,7 +124,7 @@
             self.refused += self.is_late(gateway)
             return
         self.sent += self.is_late(gateway)
-        gateway.log.note_answered(keys)
+        gateway.log.note_answered(keys, "r1")
 
 
 class Owner:
