Recognise a request that crashes engines under another query or method

Cause: the fingerprint covered the method and the query. The platform states only that path, caller and body stay the same, so crashes of one request were counted under as many fingerprints as it had queries. Class: an identity that covers what the platform does not promise to stay.

The fingerprint is now the digest of host, path and body. Nothing else on the wire names the caller; the host stays, because it selects the route with the path. A sound request that shares all three with a fatal one is the same request by the platform's rule, and still clears it by completing.

test_request_repeated_with_other_queries_is_not_sent_to_more_engines failed on all four kinds of route before, and passes.

--- a/src/pomeloshift/dispatch/_fingerprint.py
+++ b/src/pomeloshift/dispatch/_fingerprint.py
@@ -5,13 +5,15 @@
 DIGEST_BYTES = 16
 
 
-def fingerprint(method: str, host: str, target: bytes, body: bytes) -> str:
+def fingerprint(host: str, path: str, body: bytes) -> str:
     """Returns a digest of what a request has in common with its retries.
 
-    ``target`` is the path and the query.
+    Retries can differ in the method, the query and the headers.
+
+        fingerprint("App.example", "/a", b"x") == fingerprint("app.example", "/a", b"x")
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    for part in (method.encode(), host.lower().encode(), target, body):
+    for part in (host.lower().encode(), path.encode(), body):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.hexdigest()
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -518,8 +518,7 @@
         self.access.admission.note_arrival(route, req.deadline_s)
         is_stream = route.kind is RouteKind.STREAMING
         relay = ResponseRelay(exchange, is_stream, self.access.now)
-        body = exchange.body
-        digest = fingerprint(req.method, req.host, exchange.head.target, body)
+        digest = fingerprint(req.host, req.path, exchange.body)
         request = OnlineRequest(
             self.access,
             self.crashes,
