Clear a request of crashes only by a response that shows a run

Cause: a response was taken for proof that an engine ran the request. The same cause elsewhere: a stream or an item that is resumed at its end gets a complete 200 without an event, and cleared its request and its parts. Class: absence of a failure taken for evidence.

A request and its parts are now cleared by a complete success only, and by a stream or an item only if the engine has sent an event in this run. A fatal request crashes each engine that begins to run it, so it never has such a response; sound requests get one whenever they complete. A stream without a length that its connection ends after comments only now counts as broken off.

The 16 cases of test_response_that_ran_nothing_does_not_clear_a_request and the two tests of resumes at the end failed before (0 known crashes instead of 2 and 1), and pass.

--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -163,8 +163,9 @@
                 if not self._is_whole(is_framed):
                     end = Disconnected(BROKEN_OFF, by_server=not is_framed)
                     return self._disconnected(end)
-                item = self.work.job.items[self.work.index]
-                self.crashes.note_answered(self.keys, item.id)
+                if self._has_events:
+                    item = self.work.job.items[self.work.index]
+                    self.crashes.note_answered(self.keys, item.id)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
                 return self._broken("events out of order or not text")
@@ -180,7 +181,13 @@
         """
         if self._splitter.rest or self.progress is None:
             return False
-        return is_framed or self.progress.event_id > self.resumed_after
+        return is_framed or self._has_events
+
+    @property
+    def _has_events(self) -> bool:
+        """Whether the engine has sent an event in this run."""
+        known = self.progress.event_id if self.progress else 0
+        return known > self.resumed_after
 
     def _stall_time_s(self) -> float:
         """Returns how long to wait for bytes until the run counts as stalled."""
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -423,11 +423,8 @@
 
     def _note_answered(self, engine: Engine, status: int) -> None:
         self._is_done = True
-        if status < 500:
-            # Only a successful response shows that an engine has run the prompt.
-            is_run = status == 200
-            keys = self.keys if is_run else attrs.evolve(self.keys, parts=())
-            self.crashes.note_answered(keys, self.req.id)
+        if self.relay.shows_run:
+            self.crashes.note_answered(self.keys, self.req.id)
         took_s = self.access.now() - self.exchange.arrived_at
         self.events.metrics.observe_response(
             self.route.name, status, self.relay.first_event_s, took_s
--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -57,6 +57,18 @@
         """Whether another engine's response can continue what was written."""
         return not self.has_begun or self._last_id is not None
 
+    @property
+    def shows_run(self) -> bool:
+        """Whether the last response shows that its engine has run the request.
+
+        A stream does so with its first event. A failure may come from an engine that
+        rejected the request unread, and a stream that is resumed at its end has nothing
+        left to run.
+        """
+        if self._splits_events():
+            return self._run_has_events
+        return self._head is not None and 200 <= self._head.status < 300
+
     def begin_run(self) -> None:
         """Prepares for the response of the next engine."""
         self._splitter = EventSplitter()
@@ -84,7 +96,9 @@
             self._hold_plain(data)
             return True
         events = self._splitter.feed(data)
-        self._run_has_events = self._run_has_events or bool(events)
+        # A comment is no event: it can keep the connection of a waiting request open.
+        has_events = any(event.id is not None or event.data for event in events)
+        self._run_has_events = self._run_has_events or has_events
         in_order = self._events_in_order(events)
         self._write_numbered(in_order)
         return len(in_order) == len(events)
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -5,8 +5,8 @@
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
-from _gateway import HOST, config, events, route, text
-from pomeloshift.dispatch import fingerprint
+from _gateway import HOST, SERVICE, config, events, route, text
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
 from pomeloshift.gateway import _crash_log
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
@@ -112,6 +112,52 @@
     assert status == 503
 
 
+@pytest.mark.parametrize("status", [400, 404, 422, 301])
+@pytest.mark.parametrize("path", ["/plain/a", "/unsafe/a", "/once/a", "/resumable/a"])
+def test_response_that_ran_nothing_does_not_clear_a_request(play, send, path, status):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(2, POISON)
+        gateway = await deployment.add_gateway()
+        crashes = 0
+        while crashes < 2:
+            await send(deployment, gateway, path)
+            crashes = gateway.crashes.count_crashes(fingerprint(HOST, path, POISON))
+        deployment.add_engine().behaviour = Behaviour(status=status)
+        while not gateway.count_engines()["serving"]:
+            await deployment.pause(0.01)
+        resp = await send(deployment, gateway, path)
+        known = gateway.crashes.count_crashes(fingerprint(HOST, path, POISON))
+        return resp.status, known
+
+    assert play(scenario) == (status, 2)
+
+
+def test_resumed_stream_without_an_event_does_not_clear_a_request(play, send):
+    async def scenario(deployment):
+        deployment.add_engine().behaviour = Behaviour(reset_after_events=2)
+        deployment.add_engine(zone="farther").behaviour = Behaviour(events=2)
+        gateway = await deployment.add_gateway()
+        resp = await send(deployment, gateway, "/resumable/a")
+        assert resp.body == events(1, 2)
+        return gateway.crashes.count_crashes(fingerprint(HOST, "/resumable/a", POISON))
+
+    assert play(scenario) == 1
+
+
+def test_item_resumed_without_an_event_does_not_clear_its_parts(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await deployment.submit(gateway, "job1", [b"x"], prompts=["5c1e:9,1:9"])
+        await deployment.store_progress(gateway, "job1", 4)
+        record = EngineRecord("e0", SERVICE, "x:1", "a", 8, False, 1)
+        gateway.crashes.note_crash(CrashKeys("f", ("5c1e",)), Engine(record), "r")
+        deployment.add_engine()
+        (row,) = await deployment.results(gateway, "job1", 1)
+        return row["text"], gateway.crashes.count_crashes("part-5c1e")
+
+    assert play(scenario) == (text(4), 1)
+
+
 def test_request_that_crashes_engines_is_stopped_between_its_attempts(play, send):
     async def scenario(deployment):
         deployment.add_crashing_engines(ENGINES, POISON)
