Write records of crashes again that the store did not take

Callers whose gateway could not publish a crash saw their request crash more engines at other gateways: a record that the store rejected for good (full, or a sequence number out of step), or that was one too many while the store was away, was dropped, and nothing published it later. crash_not_published was the only trace.

Cause: publishing was one append, not a state to be reached. The same cause elsewhere: the removal of a cleared or expired record was dropped too, so that others went on refusing a sound request, and a record stayed in the store that no gateway tracked.

After a loss, once nothing waits and the gateway has read back what it wrote, it compares the crashes it knows with those that it has read, and publishes the difference, removals included; with a growing delay of 2 s at most. No further state is kept for it. A removal of an expired record is repeated until it is read back.

--- a/src/pomeloshift/dispatch/_quarantine.py
+++ b/src/pomeloshift/dispatch/_quarantine.py
@@ -35,6 +35,21 @@
     max_parts: int = attrs.field(default=20_000, validator=v.ge(1))
 
 
+@attrs.frozen
+class KnownCrash:
+    """A crash under a request or part.
+
+    It counts for ``remaining_s`` seconds, unless it is cleared. ``position`` is that of
+    a part in the prompt.
+    """
+
+    key: str
+    crash: str
+    is_cleared: bool
+    remaining_s: float
+    position: int = 0
+
+
 @attrs.define
 class Quarantine:
     """Tracks the crashes of engines under requests and under parts of their prompts.
@@ -141,6 +156,24 @@
             self._positions.pop(key, None)
             self._tried_at.pop(key, None)
 
+    def known_crashes(self, now: float) -> list[KnownCrash]:
+        """Returns all crashes, with the cleared ones."""
+        records = [
+            *self._requests.crash_records(now),
+            *self._parts.crash_records(now),
+        ]
+        return [
+            KnownCrash(
+                record.fingerprint,
+                crash,
+                crash in record.cleared,
+                record.ttl_s,
+                self._positions.get(record.fingerprint, 0),
+            )
+            for record in records
+            for crash in record.crashes | record.cleared
+        ]
+
     # Decisions
 
     def crashes(self, key: str, now: float) -> frozenset[str]:
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -16,20 +16,20 @@
     SilentRuns,
     is_part,
 )
-from ..errors import PomeloshiftError
 from ..jobs import Ownership
 from ..net._periodic_tasks import PeriodicTasks
 from ..platform import KeyedRecord, StoreClient
+from ._crash_publisher import CrashPublisher
 from ._events import EventLog
 from ._log_writer import LogWriter
 from ._timing import (
     CRASH_POLL_S,
     CRASH_READ_GAP_S,
+    CRASH_REMOVAL_S,
     CRASH_TICK_S,
     CRASHES_WAIT_S,
     MAX_SUSPECT_PARTS,
     MAX_TRIAL_CRASHES,
-    MAX_UNWRITTEN_CRASHES,
     PROVEN_PART_CRASHES,
     PROVEN_PART_TRIAL_S,
     QUARANTINE_CRASHES,
@@ -41,8 +41,8 @@
 TOPIC = "keyed.crashes"
 PARTITION = 0
 CRASH_DIGEST_BYTES = 8
-# Largest number of expired records that one append removes.
-MAX_REMOVALS = 200
+# Largest number of records in one append of expired or lost ones.
+MAX_RECORDS_AN_APPEND = 200
 
 
 class _Crash(msgspec.Struct):
@@ -79,7 +79,7 @@
     # When the stored records may be removed, by key; monotonic seconds.
     _stored: dict[str, float] = attrs.field(factory=dict, init=False)
     _known_causes: frozenset[str] = attrs.field(default=frozenset(), init=False)
-    _unwritten: int = attrs.field(default=0, init=False)
+    _publisher: CrashPublisher = attrs.field(init=False)
     _started_at: float = attrs.field(default=0.0, init=False)
     _follower: TopicFollower = attrs.field(init=False)
 
@@ -97,6 +97,10 @@
             )
         )
 
+    @_publisher.default
+    def _new_publisher(self) -> CrashPublisher:
+        return CrashPublisher(self._writer, self._events, self._clock)
+
     @_follower.default
     def _new_follower(self) -> TopicFollower:
         return TopicFollower(
@@ -120,7 +124,7 @@
     def stop(self) -> None:
         """Stops following and writing."""
         self._follower.stop()
-        self._writer.stop()
+        self._publisher.stop()
 
     @property
     def is_ready(self) -> bool:
@@ -131,7 +135,7 @@
     @property
     def has_unwritten(self) -> bool:
         """Whether records are queued for the store."""
-        return self._writer.has_unwritten
+        return self._publisher.has_unwritten
 
     def is_quarantined(self, keys: CrashKeys) -> bool:
         """Whether a request must not be sent to an engine."""
@@ -179,7 +183,7 @@
                 self._log_crash(key, wire, request_id)
                 records.append((f"{key}/{crash}", msgspec.json.encode(wire)))
         if records:
-            self._publish(records)
+            self._publisher.publish(records)
 
     def note_given_up(self, keys: CrashKeys, engine: Engine, request_id: str) -> None:
         """Records that a run was given up before the end of its response."""
@@ -195,7 +199,7 @@
             self._events.info(
                 "crashes_cleared", id=request_id, **{name: key}, crashes=crashes
             )
-        self._publish([(f"{key}/{crash}", None) for key, crash in cleared])
+        self._publisher.publish([(f"{key}/{crash}", None) for key, crash in cleared])
 
     def _tick(self) -> None:
         now = self._now()
@@ -203,34 +207,34 @@
             self.note_crash(run.keys, run.engine, run.request_id)
         self._quarantine.expire(now)
         self._log_causes()
+        if self._follower.is_reachable and self._publisher.take_lost(now):
+            self._publish_again(now)
         if self._ownership.owns(TOPIC):
             self._remove_expired(now)
 
     def _remove_expired(self, now: float) -> None:
-        expired = [key for key, at in self._stored.items() if at <= now][:MAX_REMOVALS]
+        expired = [key for key, at in self._stored.items() if at <= now]
+        expired = expired[:MAX_RECORDS_AN_APPEND]
         for key in expired:
-            del self._stored[key]
+            # Until the removal is read back.
+            self._stored[key] = now + CRASH_REMOVAL_S
         if expired:
-            self._publish([(key, None) for key in expired])
-
-    def _publish(self, records: list[tuple[str, bytes | None]]) -> None:
-        if self._unwritten + len(records) > MAX_UNWRITTEN_CRASHES:
-            self._note_not_published("too many records wait for the store")
-            return
-        self._unwritten += len(records)
-        done = self._writer.append(records).done
-        done.addErrback(self._note_append_failed)
-        done.addBoth(self._note_written, len(records))
+            self._publisher.publish([(key, None) for key in expired])
 
-    def _note_append_failed(self, failure: Any) -> None:
-        failure.trap(PomeloshiftError)
-        self._note_not_published(failure.value.message)
-
-    def _note_written(self, _: Any, count: int) -> None:
-        self._unwritten -= count
-
-    def _note_not_published(self, why: str) -> None:
-        self._events.info("crash_not_published", why=why)
+    def _publish_again(self, now: float) -> None:
+        """Publishes what this gateway knows and the store does not have."""
+        records: list[tuple[str, bytes | None]] = []
+        for known in self._quarantine.known_crashes(now):
+            key = f"{known.key}/{known.crash}"
+            is_stored = key in self._stored
+            if known.is_cleared and is_stored:
+                records.append((key, None))
+            elif not known.is_cleared and not is_stored:
+                at = self._clock.wall() - (QUARANTINE_S - known.remaining_s)
+                wire = _Crash("", 0, at, known.position)
+                records.append((key, msgspec.json.encode(wire)))
+        for start in range(0, len(records), MAX_RECORDS_AN_APPEND):
+            self._publisher.publish(records[start : start + MAX_RECORDS_AN_APPEND])
 
     def _take_new(self, record: KeyedRecord) -> None:
         self._take_record(record, QUARANTINE_S)
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -98,7 +98,10 @@
     EventSpec(
         "crashes_cleared", "A response shows that its request or part is no cause."
     ),
-    EventSpec("crash_not_published", "Other gateways do not learn of a crash."),
+    EventSpec(
+        "crash_not_published",
+        "The store did not take records of crashes; they are written again.",
+    ),
     EventSpec("crash_ignored", "The record of a crash cannot be read."),
     EventSpec("part_quarantined", "Requests with this prompt part crash engines."),
     EventSpec("part_released", "A prompt part is not quarantined any more."),
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -103,6 +103,13 @@
 # Largest number of crash records that wait for the store: 100 crashes of engines
 # with 20 requests each, of which each has three records.
 MAX_UNWRITTEN_CRASHES = 6000
+# After which time records that the store did not take are published again, and the
+# longest such time while it goes on: a crash has to be known everywhere within four
+# seconds.
+REPUBLISH_CRASHES_S = 0.5
+REPUBLISH_CRASHES_MAX_S = 2.0
+# How long the removal of an expired record may take before it is written again.
+CRASH_REMOVAL_S = 10.0
 
 # Time from SIGTERM until new requests are refused: callers are sent to other gateways
 # after two failed readiness checks, one a second.
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -2,10 +2,10 @@
 
 import pytest
 from loguru import logger
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, fail
 from twisted.internet.testing import MemoryReactorClock
 
-from _crash_topic import STEP_S, Append, Topic
+from _crash_topic import STEP_S, Append, Link, Topic
 from _virtual import VirtualClock
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
 from pomeloshift.gateway._crash_log import CrashLog
@@ -19,6 +19,7 @@
     QUARANTINE_TRIAL_S,
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
+from pomeloshift.platform import StoreFullError
 
 
 class SteppedClock(VirtualClock):
@@ -47,11 +48,11 @@
         self.topic = Topic(self.reactor)
         self.tasks = PeriodicTasks(self.reactor)
 
-    def add(self, clock=None, is_owner=True):
-        clock = clock or self.clock
+    def add(self, clock=None, is_owner=True, link=None):
+        clock, link = clock or self.clock, link or self.topic
         events = EventLog(clock, GatewayMetrics("g"))
         owner = Owner(is_owner)
-        log = CrashLog(self.topic, self.topic, owner, events, self.reactor, clock)
+        log = CrashLog(link, link, owner, events, self.reactor, clock)
         log.start(self.tasks)
         return log
 
@@ -340,3 +341,75 @@
         logs.topic.append([(f"part-p/{number}", value)])
     logs.advance(1.0)
     assert log.count_crashes("part-p") == 3
+
+
+# Records that the store does not take
+
+# How soon a crash has to be known everywhere, in seconds.
+CONTACT_S = 4.0
+
+
+@pytest.fixture
+def reject(logs, monkeypatch):
+    """Makes the store reject the next appends for good."""
+
+    def reject(count):
+        appends = []
+
+        def append(records):
+            appends.append(records)
+            if len(appends) <= count:
+                return Append(fail(StoreFullError("the store is full")))
+            return Topic.append(logs.topic, records)
+
+        monkeypatch.setattr(logs.topic, "append", append)
+
+    return reject
+
+
+@pytest.mark.parametrize("rejected", [1, 2])
+def test_crashes_whose_records_the_store_rejected_are_known_everywhere(
+    logs, reject, rejected
+):
+    first, second = logs.add(), logs.add()
+    reject(rejected)
+    crash(first, "e1", "e2", "e3")
+    crash_part(first, "e4", "e5", "e6")
+    logs.advance(CONTACT_S)
+    for log in (second, logs.add()):
+        logs.advance(1.0)
+        assert log.is_quarantined(keys("f"))
+        assert log.is_quarantined(keys("new", "p"))
+
+
+def test_request_whose_clearing_the_store_rejected_is_cleared_everywhere(logs, reject):
+    first, second = logs.add(), logs.add()
+    crash(first, "e1", "e2", "e3")
+    logs.advance(1.0)
+    reject(1)
+    first.note_answered(keys("f"), "r2")
+    logs.advance(CONTACT_S)
+    assert second.count_crashes("f") == 0
+    assert not logs.topic.live_keys()
+
+
+def test_crashes_beyond_the_bound_are_known_everywhere_once_the_store_is_back(logs):
+    link = Link(logs.topic)
+    first, second = logs.add(link=link), logs.add()
+    logs.advance(1.0)
+    link.is_down = True
+    for number in range(MAX_UNWRITTEN_CRASHES):
+        crash(first, "e1", request=f"g{number}")
+    crash(first, "e2", "e3", "e4")
+    link.restore()
+    logs.advance(CONTACT_S)
+    assert second.is_quarantined(keys("f"))
+
+
+def test_expired_record_whose_removal_the_store_rejected_is_removed_later(logs, reject):
+    log = logs.add()
+    crash(log, "e1")
+    logs.advance(1.0)
+    reject(1)
+    logs.advance(QUARANTINE_S + 60.0)
+    assert not logs.topic.live_keys()
