Send nothing to an engine that may have restarted before its report names it

Callers saw one or two engines crash again and again under one request: an engine that starts again under its id serves at once, but its record follows with its next heartbeat, and never if it crashes before. Each further crash was named by the old record and counted as the first one.

Cause: a crash was named by what the record said, not by the start of the engine that crashed. Class: knowledge that may be old is taken as current.

After a crash is known, also one that another gateway recorded, nothing is sent to that incarnation, neither requests nor items, until a report names it, as for streams that go on. An engine that only reset a connection answers with the same incarnation and stays in use, so it costs one report for each crash. The report is asked for before a trial is counted, so that it is not used up, and whether the request is quarantined is looked at again after it.

--- a/src/pomeloshift/dispatch/_engine.py
+++ b/src/pomeloshift/dispatch/_engine.py
@@ -22,8 +22,9 @@
     other entries reported. Times are monotonic seconds. ``avoided_until`` is set when
     the engine refused or failed a request, ``is_gone`` once its record was removed or
     replaced by another incarnation, ``is_leaving`` once one of its responses said that
-    it is about to exit. ``limit`` paces the requests of all entries while
-    the engine names a limit.
+    it is about to exit. ``may_have_restarted`` is set once a crash of this incarnation
+    is known, until a report shows that it still runs. ``limit`` paces the requests of
+    all entries while the engine names a limit.
     """
 
     record: EngineRecord
@@ -31,6 +32,7 @@
     batch: int = 0
     is_gone: bool = False
     is_leaving: bool = False
+    may_have_restarted: bool = False
     avoided_until: float = float("-inf")
     last_byte_at: float = float("-inf")
     peers: RequestCounts = NO_REQUESTS
--- a/src/pomeloshift/dispatch/_fleet.py
+++ b/src/pomeloshift/dispatch/_fleet.py
@@ -46,6 +46,15 @@
             del self._leaving[next(iter(self._leaving))]
         return True
 
+    def note_crashed(self, engine_id: str, incarnation: int) -> None:
+        """Called when a crash is known, also of an incarnation that has been replaced.
+
+        The engine may start again under its id, and its new record can be late.
+        """
+        engine = self.engines.get(engine_id)
+        if engine is not None and engine.record.incarnation == incarnation:
+            engine.may_have_restarted = True
+
     def put(self, record: EngineRecord) -> bool:
         """Applies an engine's record; returns whether the fleet changed."""
         self._missing.discard(record.id)
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -10,6 +10,7 @@
 from ..dispatch import (
     CrashKeys,
     Engine,
+    Fleet,
     Quarantine,
     QuarantineConfig,
     SilentRun,
@@ -70,6 +71,7 @@
 
     _store: StoreClient
     _writer: LogWriter
+    _fleet: Fleet
     _ownership: Ownership
     _events: EventLog
     _reactor: Any
@@ -173,6 +175,7 @@
         """Records that an engine crashed while it had the request."""
         crash = _crash_name(engine)
         record = engine.record
+        self._fleet.note_crashed(record.id, record.incarnation)
         records: list[tuple[str, bytes | None]] = []
         positions = {part: place for place, part in enumerate(keys.part_keys)}
         for key in keys.all:
@@ -271,6 +274,7 @@
         if ttl_s <= 0:
             return
         if self._quarantine.note_crash(key, crash, now, wire.position, ttl_s):
+            self._fleet.note_crashed(wire.engine, wire.incarnation)
             self._log_crash(key, wire, "")
 
     def _forget(self, stored_key: str) -> None:
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -229,6 +229,7 @@
                 known=engine.record.incarnation,
             )
             return False
+        engine.may_have_restarted = False
         return engine.is_serving
 
     async def _report(self, engine: Engine) -> EngineReport | None:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -174,6 +174,7 @@
         self.crashes = CrashLog(
             self._store,
             self._writer(_crash_log.TOPIC, _crash_log.PARTITION),
+            self._fleet,
             ownership,
             events,
             reactor,
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -122,17 +122,33 @@
         if engine is None or self._would_be_late(engine, now):
             self._fail()
             return
-        if self.crashes.is_quarantined(self.keys):
-            self._take_trial()
+        if not await self._is_current(engine):
+            self.plan.record_unreachable(engine.record.id)
+            return
+        if self.crashes.is_quarantined(self.keys) and not self._take_trial():
+            return
         await self._attempt(engine)
 
     def _may_try(self) -> bool:
         return not self.plan.may_have_run and self.crashes.may_try(self.keys)
 
-    def _take_trial(self) -> None:
-        self.crashes.take_trial(self.keys)
+    def _take_trial(self) -> bool:
+        """Returns whether the request may be sent once although it is quarantined."""
+        if not self._may_try() or not self.crashes.take_trial(self.keys):
+            return False
         for key in self.crashes.blocking(self.keys):
             self.events.info("quarantine_trial", id=self.req.id, **_key_field(key))
+        return True
+
+    async def _is_current(self, engine: Engine) -> bool:
+        """Whether an engine may be used, after asking it if its record may be old.
+
+        A stream goes on only at its version. A crash at a start that is not known yet
+        would count as an earlier one.
+        """
+        if self.software is None and not engine.may_have_restarted:
+            return True
+        return await self.access.is_current(engine)
 
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
@@ -247,9 +263,6 @@
 
     async def _attempt(self, engine: Engine) -> None:
         engine_id = engine.record.id
-        if self.software is not None and not await self.access.is_current(engine):
-            self.plan.record_unreachable(engine_id)
-            return
         remaining_s = self.plan.deadline - self.access.now()
         head = to_engine(
             self.exchange.head, engine_id, remaining_s, self.relay.resume_from
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -7,7 +7,7 @@
 
 from _crash_topic import STEP_S, Append, Link, Topic
 from _virtual import VirtualClock
-from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, Fleet, fingerprint
 from pomeloshift.gateway._crash_log import CrashLog
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
@@ -52,7 +52,7 @@
         clock, link = clock or self.clock, link or self.topic
         events = EventLog(clock, GatewayMetrics("g"))
         owner = Owner(is_owner)
-        log = CrashLog(link, link, owner, events, self.reactor, clock)
+        log = CrashLog(link, link, Fleet(), owner, events, self.reactor, clock)
         log.start(self.tasks)
         return log
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -1,13 +1,14 @@
 """Requests that crash the engines that run them, and callers that send them again."""
 
 import itertools
+from functools import partial
 
 import pytest
 from twisted.internet.protocol import Factory, Protocol
 
 from _gateway import HOST, SERVICE, config, events, route, text
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, fingerprint
-from pomeloshift.gateway import _crash_log
+from pomeloshift.gateway import _crash_log, _engine_access
 from pomeloshift.http1 import ConnectionBrokenError
 from pomeloshift.standins.platform import Behaviour
 
@@ -360,3 +361,58 @@
     refused, served = play(scenario)
     assert refused.status == 503
     assert [resp.status for resp in served] == [200, 200]
+
+
+def add_restarting_engines(deployment, count, record_delay_s):
+    """Adds engines that start again under their id and address after each crash.
+
+    The record of a start is in the store ``record_delay_s`` later, never if None.
+    """
+
+    def restart(engine):
+        engine.born += 1
+        if record_delay_s is not None:
+            deployment.reactor.callLater(record_delay_s, deployment.register, engine)
+
+    for _ in range(count):
+        engine = deployment.add_engine()
+        engine.behaviour = Behaviour(crash_body=POISON)
+        engine.on_crash = partial(restart, engine)
+
+
+@pytest.mark.parametrize("record_delay_s", [None, 0.4])
+@pytest.mark.parametrize("path", ["/plain/a", "/unsafe/a", "/once/a", "/resumable/a"])
+def test_crashes_of_engines_whose_new_records_are_late_do_not_count_as_one(
+    play, send, monkeypatch, path, record_delay_s
+):
+    monkeypatch.setattr(_engine_access, "AVOID_FAILED_S", 0.05)
+
+    async def scenario(deployment):
+        add_restarting_engines(deployment, 2, record_delay_s)
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        for gateway in gateways * 10:
+            resp = await send(deployment, gateway, path)
+            await deployment.pause(0.15)
+        return resp.status, deployment.runs_of(POISON)
+
+    status, runs = play(scenario)
+    assert runs <= MAX_RUNS
+    assert status == 503
+
+
+def test_engine_that_reset_a_connection_without_a_crash_is_used_again(
+    play, send, monkeypatch
+):
+    monkeypatch.setattr(_engine_access, "AVOID_FAILED_S", 0.05)
+
+    async def scenario(deployment):
+        deployment.add_crashing_engines(1, POISON)
+        (engine,) = deployment.engines
+        engine.on_crash = lambda: None
+        gateway = await deployment.add_gateway()
+        cut = await send(deployment, gateway, "/once/a")
+        await deployment.pause(0.1)
+        sound = await send(deployment, gateway, "/once/a", b"harmless")
+        return cut.status, sound.status
+
+    assert play(scenario) == (502, 200)
--- a/tests/test_part_crash_soak.py
+++ b/tests/test_part_crash_soak.py
@@ -8,7 +8,7 @@
 
 from _crash_topic import STEP_S, Link, Topic
 from _virtual import VirtualClock
-from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, Fleet
 from pomeloshift.gateway._crash_log import CrashLog
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
@@ -60,7 +60,7 @@
         link = Link(self.topic)
         events = EventLog(self.clock, GatewayMetrics("g"))
         owner = Owner(self.members, self.members[number])
-        log = CrashLog(link, link, owner, events, self.reactor, self.clock)
+        log = CrashLog(link, link, Fleet(), owner, events, self.reactor, self.clock)
         tasks = PeriodicTasks(self.reactor)
         log.start(tasks)
         return Gateway(link, log, tasks, self.now)
