Test crashes beside take-ups of streams and a change of the configuration

Both hold: the fingerprint covers neither the event that a caller resumes after nor anything of the route, and the quarantine is looked up before the stream's version. No test guarded them.

--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -416,3 +416,54 @@
         return cut.status, sound.status
 
     assert play(scenario) == (502, 200)
+
+
+async def crash_three_engines(deployment, send, gateway, path):
+    """Sends the fatal request until it is refused."""
+    for _ in range(MAX_RUNS):
+        resp = await send(deployment, gateway, path)
+        if resp is not None and resp.status == 503:
+            return
+    raise AssertionError("the fatal request is still sent")
+
+
+def test_caller_that_takes_up_a_stream_does_not_get_past_the_quarantine(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        gateway = await deployment.add_gateway()
+        await crash_three_engines(deployment, send, gateway, "/resumable/a")
+        runs = deployment.runs_of(POISON)
+        headers = {"Last_Event_Id": 2, "Resumes": "r0"}
+        resp = await send(deployment, gateway, "/resumable/a", **headers)
+        return resp.status, deployment.runs_of(POISON) - runs
+
+    assert play(scenario) == (503, 0)
+
+
+def test_crashes_of_streams_that_are_taken_up_count_for_their_request(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON, reset_after_events=1)
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        for number, gateway in enumerate(gateways * 6):
+            headers = {"Last_Event_Id": number, "Resumes": "r0"}
+            await send(deployment, gateway, "/resumable/a", **headers)
+        return deployment.runs_of(POISON)
+
+    assert play(scenario) <= MAX_RUNS
+
+
+def test_request_stays_refused_when_its_route_moves_to_another_service(play, send):
+    async def scenario(deployment):
+        deployment.add_crashing_engines(ENGINES, POISON)
+        gateway = await deployment.add_gateway()
+        await crash_three_engines(deployment, send, gateway, "/once/a")
+        other = deployment.add_engine()
+        record = other.record(other.address, "other")
+        deployment.store.state.put("keyed.servers", other.id, record)
+        deployment.publish(config(2, [route("once", service="other", timeoutMs=900)]))
+        while (await send(deployment, gateway, "/once/a", b"harmless")).status != 200:
+            await deployment.pause(0.02)
+        resp = await send(deployment, gateway, "/once/a")
+        return resp.status, len([r for r in other.requests if r.body == POISON])
+
+    assert play(scenario) == (503, 0)
