Use an engine that has restarted although its record is late

Callers would have been refused by a sound engine: since an engine that starts again under its id was not used until its new record arrived. In an outage of the store no record comes, so that such an engine was lost until its end; so were its slots for items.

Cause: the report told which incarnation runs, and only the answer 'another one' was kept of it. The engine now keeps the incarnation that its report named: the next crash counts under that one, the record that names it continues the same state, and other gateways ask again when they read of that crash. Streams that go on still wait for the record, because only it names the version.

--- a/src/pomeloshift/dispatch/_engine.py
+++ b/src/pomeloshift/dispatch/_engine.py
@@ -23,8 +23,9 @@
     the engine refused or failed a request, ``is_gone`` once its record was removed or
     replaced by another incarnation, ``is_leaving`` once one of its responses said that
     it is about to exit. ``may_have_restarted`` is set once a crash of this incarnation
-    is known, until a report shows that it still runs. ``limit`` paces the requests of
-    all entries while the engine names a limit.
+    is known, until a report names the one that runs: ``reported_incarnation``, which
+    is None while that of the record is current. ``limit`` paces the requests of all
+    entries while the engine names a limit.
     """
 
     record: EngineRecord
@@ -33,6 +34,7 @@
     is_gone: bool = False
     is_leaving: bool = False
     may_have_restarted: bool = False
+    reported_incarnation: int | None = None
     avoided_until: float = float("-inf")
     last_byte_at: float = float("-inf")
     peers: RequestCounts = NO_REQUESTS
@@ -45,6 +47,19 @@
     _unanswered: dict[int, float] = attrs.field(factory=dict)
     _next_key: int = 0
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation that runs, as far as known; its record may be late."""
+        if self.reported_incarnation is not None:
+            return self.reported_incarnation
+        return self.record.incarnation
+
+    def note_reported(self, incarnation: int) -> None:
+        """Records the incarnation that a report names."""
+        is_known = incarnation == self.record.incarnation
+        self.reported_incarnation = None if is_known else incarnation
+        self.may_have_restarted = False
+
     @property
     def own(self) -> int:
         """The number of this entry's requests at the engine."""
--- a/src/pomeloshift/dispatch/_fleet.py
+++ b/src/pomeloshift/dispatch/_fleet.py
@@ -41,7 +41,7 @@
         if engine.is_leaving:
             return False
         engine.is_leaving = True
-        self._leaving[engine.record.id, engine.record.incarnation] = None
+        self._leaving[engine.record.id, engine.incarnation] = None
         if len(self._leaving) > MAX_LEAVING:
             del self._leaving[next(iter(self._leaving))]
         return True
@@ -52,25 +52,26 @@
         The engine may start again under its id, and its new record can be late.
         """
         engine = self.engines.get(engine_id)
-        if engine is not None and engine.record.incarnation == incarnation:
+        if engine is not None and engine.incarnation <= incarnation:
             engine.may_have_restarted = True
 
     def put(self, record: EngineRecord) -> bool:
         """Applies an engine's record; returns whether the fleet changed."""
         self._missing.discard(record.id)
         known = self.engines.get(record.id)
-        if known is None or not _is_same_start(known.record, record):
+        is_leaving = (record.id, record.incarnation) in self._leaving
+        if known is None or not _is_same_start(known, record):
             if known is not None:
                 known.is_gone = True
             self.engines[record.id] = Engine(
-                record,
-                peers=self.peers_of(record.id),
-                is_leaving=(record.id, record.incarnation) in self._leaving,
+                record, peers=self.peers_of(record.id), is_leaving=is_leaving
             )
             return True
         if known.record == record and not known.is_gone:
             return False
         known.record = record
+        known.reported_incarnation = None
+        known.is_leaving = is_leaving
         known.is_gone = False
         return True
 
@@ -138,6 +139,7 @@
             engine.is_gone = True
 
 
-def _is_same_start(one: EngineRecord, other: EngineRecord) -> bool:
-    """Whether two records of an id are of the same run of the same software."""
-    return (one.incarnation, one.software) == (other.incarnation, other.software)
+def _is_same_start(engine: Engine, record: EngineRecord) -> bool:
+    """Whether a record is of the same run of the same software as an engine's."""
+    known = (engine.incarnation, engine.record.software)
+    return known == (record.incarnation, record.software)
--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -175,14 +175,14 @@
         """Records that an engine crashed while it had the request."""
         crash = _crash_name(engine)
         record = engine.record
-        self._fleet.note_crashed(record.id, record.incarnation)
+        self._fleet.note_crashed(record.id, engine.incarnation)
         records: list[tuple[str, bytes | None]] = []
         positions = {part: place for place, part in enumerate(keys.part_keys)}
         for key in keys.all:
             position = positions.get(key, 0)
             if self._quarantine.note_crash(key, crash, self._now(), position):
                 wall = self._clock.wall()
-                wire = _Crash(record.id, record.incarnation, wall, position)
+                wire = _Crash(record.id, engine.incarnation, wall, position)
                 self._log_crash(key, wire, request_id)
                 records.append((f"{key}/{crash}", msgspec.json.encode(wire)))
         if records:
@@ -317,5 +317,5 @@
 
 def _crash_name(engine: Engine) -> str:
     """Returns the name of an engine's crash, the same at all gateways."""
-    name = f"{engine.record.incarnation}/{engine.record.id}".encode()
+    name = f"{engine.incarnation}/{engine.record.id}".encode()
     return hashlib.blake2b(name, digest_size=CRASH_DIGEST_BYTES).hexdigest()
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -217,19 +217,29 @@
         An engine that starts again under its id may run another version of its
         software, and its new record can be late.
         """
+        if not await self.identify(engine):
+            return False
+        if engine.incarnation == engine.record.incarnation:
+            return True
+        self.note_replaced(engine)
+        return False
+
+    async def identify(self, engine: Engine) -> bool:
+        """Asks an engine which incarnation it is; returns whether it can be used.
+
+        Its crash then counts under that incarnation, although its record is late.
+        """
         report = await self._report(engine)
         if report is None:
             return False
-        if report.incarnation != engine.record.incarnation:
-            self.note_replaced(engine)
+        if report.incarnation != engine.incarnation:
             self.events.info(
                 "engine_replaced",
                 engine=engine.record.id,
                 incarnation=report.incarnation,
-                known=engine.record.incarnation,
+                known=engine.incarnation,
             )
-            return False
-        engine.may_have_restarted = False
+        engine.note_reported(report.incarnation)
         return engine.is_serving
 
     async def _report(self, engine: Engine) -> EngineReport | None:
@@ -245,6 +255,6 @@
             self.note_failed(engine, f"report: {exc.message}", "")
             return None
         engine.note_load(report.load, self.now())
-        if report.incarnation == engine.record.incarnation:
+        if report.incarnation == engine.incarnation:
             self._note_leaving(engine, resp.headers)
         return report
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -72,9 +72,11 @@
             if self.access.now() - claimed_at > CLAIM_TIMEOUT_S:
                 # The process was frozen: another one may have resumed the item since.
                 return RunEnd.NOT_RUN
-        must_check = self.progress is not None or self.engine.may_have_restarted
-        if must_check and not await self.access.is_current(self.engine):
-            return RunEnd.NOT_RUN
+            if not await self.access.is_current(self.engine):
+                return RunEnd.NOT_RUN
+        elif self.engine.may_have_restarted:
+            if not await self.access.identify(self.engine):
+                return RunEnd.NOT_RUN
         if not self.engine.is_serving:
             # It began to leave while the body was read or the claim was written.
             return RunEnd.NOT_RUN
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -122,7 +122,7 @@
         if engine is None or self._would_be_late(engine, now):
             self._fail()
             return
-        if not await self._is_current(engine):
+        if not await self._is_usable(engine):
             self.plan.record_unreachable(engine.record.id)
             return
         if self.crashes.is_quarantined(self.keys) and not self._take_trial():
@@ -140,15 +140,15 @@
             self.events.info("quarantine_trial", id=self.req.id, **_key_field(key))
         return True
 
-    async def _is_current(self, engine: Engine) -> bool:
-        """Whether an engine may be used, after asking it if its record may be old.
+    async def _is_usable(self, engine: Engine) -> bool:
+        """Whether an engine can be used, after asking it if its record may be old.
 
-        A stream goes on only at its version. A crash at a start that is not known yet
-        would count as an earlier one.
+        A stream goes on only at its version. A crash of an incarnation that is not
+        known yet would count as that of an earlier one.
         """
-        if self.software is None and not engine.may_have_restarted:
-            return True
-        return await self.access.is_current(engine)
+        if self.software is not None:
+            return await self.access.is_current(engine)
+        return not engine.may_have_restarted or await self.access.identify(engine)
 
     def _stop_quarantined(self) -> None:
         self.plan.is_stopped = True
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -467,3 +467,35 @@
         return resp.status, len([r for r in other.requests if r.body == POISON])
 
     assert play(scenario) == (503, 0)
+
+
+@pytest.mark.parametrize("path", ["/plain/a", "/unsafe/a", "/once/a", "/resumable/a"])
+def test_engine_that_has_restarted_serves_while_its_record_is_late(
+    play, send, monkeypatch, path
+):
+    """As in an outage of the store, in which no record comes."""
+    monkeypatch.setattr(_engine_access, "AVOID_FAILED_S", 0.05)
+
+    async def scenario(deployment):
+        add_restarting_engines(deployment, 1, record_delay_s=None)
+        gateways = [await deployment.add_gateway() for _ in range(2)]
+        await send(deployment, gateways[0], path)
+        await deployment.pause(0.3)
+        return [
+            (await send(deployment, gateway, path, b"harmless")).status
+            for gateway in gateways
+        ]
+
+    assert play(scenario) == [200, 200]
+
+
+def test_item_runs_at_an_engine_that_has_restarted_while_its_record_is_late(play, send):
+    async def scenario(deployment):
+        add_restarting_engines(deployment, 1, record_delay_s=None)
+        gateway = await deployment.add_gateway()
+        await send(deployment, gateway, "/once/a")
+        await deployment.submit(gateway, "job1", [b"harmless"])
+        return await deployment.results(gateway, "job1", 1)
+
+    (row,) = play(scenario)
+    assert row["text"] == text(4)
