List a silent crash that is missed, and the seed that refuses most sound requests

Seed 194: the only engine crashes silently and starts again under its id, and bytes of the new start make it look alive since. It lands as a failing test, traced, not fixed.

--- a/tests/test_request_crash_soak.py
+++ b/tests/test_request_crash_soak.py
@@ -234,12 +234,12 @@
         gateway.log.note_answered(keys, "r")
 
 
-@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("seed", [*range(12), 194])
 def test_fatal_request_is_stopped_at_gateways_that_restart_and_lose_the_store(seed):
     assert Soak(seed).late <= MAX_LATE
 
 
-@pytest.mark.parametrize("seed", [*range(6), 21])
+@pytest.mark.parametrize("seed", [*range(6), 21, 297])
 def test_sound_requests_with_the_part_of_a_fatal_request_are_served(seed):
     soak = Soak(seed)
     assert soak.refused <= MAX_REFUSED * (soak.sent + soak.refused)
