List a silent crash that a report hides, and remove an unused property

Found by reading the diff: the record of a start that a report has named continues the state of the engine, so that a run which an earlier start left silent never counts.

--- a/src/pomeloshift/gateway/_crash_log.py
+++ b/src/pomeloshift/gateway/_crash_log.py
@@ -47,6 +47,7 @@
 
 
 class _Crash(msgspec.Struct):
+    # Empty, and the incarnation 0, in a record that was lost and written again.
     engine: str
     incarnation: int
     # Time of the crash in Unix seconds.
--- a/src/pomeloshift/gateway/_crash_publisher.py
+++ b/src/pomeloshift/gateway/_crash_publisher.py
@@ -65,11 +65,6 @@
         self._losses += 1
         return True
 
-    @property
-    def room(self) -> int:
-        """The number of records that may be queued."""
-        return MAX_UNWRITTEN_CRASHES - self._unwritten
-
     def _note_appended(self, _: Any) -> None:
         self._losses = 0
 
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -1,5 +1,6 @@
 """The record of crashes at several gateways over one topic, in virtual time."""
 
+import attrs
 import pytest
 from loguru import logger
 from twisted.internet.defer import Deferred, fail
@@ -268,6 +269,18 @@
     assert log.count_crashes("f") == 1
 
 
+def test_silent_crash_of_an_engine_that_has_restarted_since_counts(logs):
+    log, fleet = logs.add(), Fleet()
+    record = EngineRecord("e1", "lm", "10.0.0.1:1", "a", 8, False, 1)
+    fleet.put(record)
+    restarted = fleet.engines["e1"]
+    log.note_given_up(keys("f"), restarted, "r1")
+    restarted.note_reported(2)
+    fleet.put(attrs.evolve(record, incarnation=2))
+    logs.advance(1.0)
+    assert log.count_crashes("f") == 1
+
+
 def test_fingerprint_is_the_same_only_for_the_same_request():
     parts = ("App.example", "/a", b"body")
     assert fingerprint(*parts) == fingerprint("app.example", *parts[1:])
