--- a/tests/test_part_crash_soak.py
+++ b/tests/test_part_crash_soak.py
@@ -2,17 +2,13 @@
 
 from random import Random
 
-import attrs
 import pytest
 from twisted.internet.testing import MemoryReactorClock
 
+from _crash_soak import Gateway, Owner
 from _crash_topic import STEP_S, Link, Topic
 from _virtual import VirtualClock
-from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, Fleet
-from pomeloshift.gateway._crash_log import CrashLog
-from pomeloshift.gateway._events import EventLog
-from pomeloshift.gateway._metrics import GatewayMetrics
-from pomeloshift.net._periodic_tasks import PeriodicTasks
+from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord
 
 GATEWAYS = 6
 LENGTH_S = 120.0
@@ -25,17 +21,6 @@
 FATAL_SHARE, SOUND_SHARE, DISTURBANCE_SHARE = 0.3, 0.4, 0.03
 
 
-@attrs.define(eq=False)
-class Gateway:
-    """A gateway's record of crashes; it is replaced by a new one at a restart."""
-
-    link: Link
-    log: CrashLog
-    tasks: PeriodicTasks
-    disturbed_at: float
-    cut_until: float = 0.0
-
-
 class Soak:
     def __init__(self, seed):
         self.random = Random(seed)
@@ -50,24 +35,15 @@
         while self.now < LENGTH_S:
             self.step()
         for gateway in self.gateways:
-            self.stop(gateway)
+            gateway.stop()
 
     @property
     def now(self):
         return self.clock.monotonic()
 
     def start(self, number):
-        link = Link(self.topic)
-        events = EventLog(self.clock, GatewayMetrics("g"))
         owner = Owner(self.members, self.members[number])
-        log = CrashLog(link, link, Fleet(), owner, events, self.reactor, self.clock)
-        tasks = PeriodicTasks(self.reactor)
-        log.start(tasks)
-        return Gateway(link, log, tasks, self.now)
-
-    def stop(self, gateway):
-        gateway.tasks.stop()
-        gateway.log.stop()
+        return Gateway.start(Link(self.topic), owner, self.reactor, self.clock)
 
     def step(self):
         self.reactor.advance(STEP_S)
@@ -87,7 +63,7 @@
     def disturb(self, number):
         gateway = self.gateways[number]
         if self.random.random() < 0.5:
-            self.stop(gateway)
+            gateway.stop()
             self.gateways[number] = self.start(number)
             return
         gateway.link.is_down = True
@@ -127,16 +103,6 @@
         gateway.log.note_answered(keys, "r1")
 
 
-class Owner:
-    """Assigns each key to one gateway."""
-
-    def __init__(self, members, name):
-        self.members, self.name = members, name
-
-    def owns(self, key):
-        return self.members[sum(key.encode()) % len(self.members)] == self.name
-
-
 @pytest.mark.parametrize("seed", range(8))
 def test_fatal_part_is_stopped_at_gateways_that_restart_and_lose_the_store(seed):
     soak = Soak(seed)
--- a/tests/test_request_crash_soak.py
+++ b/tests/test_request_crash_soak.py
@@ -11,13 +11,10 @@
 from twisted.internet.defer import fail
 from twisted.internet.testing import MemoryReactorClock
 
+from _crash_soak import Gateway, Owner
 from _crash_topic import STEP_S, Append, Link, Topic
 from _virtual import VirtualClock
-from pomeloshift.dispatch import CrashKeys, EngineRecord, Fleet
-from pomeloshift.gateway._crash_log import CrashLog
-from pomeloshift.gateway._events import EventLog
-from pomeloshift.gateway._metrics import GatewayMetrics
-from pomeloshift.net._periodic_tasks import PeriodicTasks
+from pomeloshift.dispatch import CrashKeys, EngineRecord
 from pomeloshift.platform import StoreFullError
 
 GATEWAYS = 6
@@ -49,18 +46,6 @@
         return super().append(records)
 
 
-@attrs.define(eq=False)
-class Gateway:
-    """A gateway's state; it is replaced by a new one at a restart."""
-
-    link: Link
-    log: CrashLog
-    tasks: PeriodicTasks
-    fleet: Fleet
-    disturbed_at: float
-    cut_until: float = 0.0
-
-
 @attrs.define(eq=False)
 class Server:
     """An engine, and the start that its record in the store names."""
@@ -75,16 +60,6 @@
         return EngineRecord(self.id, "lm", "10.0.0.1:1", "a", 8, False, self.born)
 
 
-class Owner:
-    """Assigns each key to one gateway."""
-
-    def __init__(self, members, name):
-        self.members, self.name = members, name
-
-    def owns(self, key):
-        return self.members[sum(key.encode()) % len(self.members)] == self.name
-
-
 class Soak:
     def __init__(self, seed):
         self.random = Random(seed)
@@ -101,7 +76,7 @@
         while self.now < LENGTH_S:
             self.step()
         for gateway in self.gateways:
-            self.stop(gateway)
+            gateway.stop()
 
     @property
     def now(self):
@@ -111,18 +86,11 @@
         link = FaultyLink(self.topic)
         link.random = self.random
         link.is_down = self.now < self.store_cut_until
-        events = EventLog(self.clock, GatewayMetrics("g"))
         owner = Owner(self.members, self.members[number])
-        fleet = Fleet()
-        log = CrashLog(link, link, fleet, owner, events, self.reactor, self.clock)
-        tasks = PeriodicTasks(self.reactor)
-        log.start(tasks)
-        cut_until = self.store_cut_until if link.is_down else 0.0
-        return Gateway(link, log, tasks, fleet, self.now, cut_until)
-
-    def stop(self, gateway):
-        gateway.tasks.stop()
-        gateway.log.stop()
+        gateway = Gateway.start(link, owner, self.reactor, self.clock)
+        if link.is_down:
+            gateway.cut_until = self.store_cut_until
+        return gateway
 
     def step(self):
         self.reactor.advance(STEP_S)
@@ -143,7 +111,7 @@
     def disturb(self, number):
         gateway = self.gateways[number]
         if self.random.random() < 0.5:
-            self.stop(gateway)
+            gateway.stop()
             self.gateways[number] = self.start(number)
             return
         self.cut(gateway, self.now + self.random.uniform(0.5, 6.0))
