Test that a crash beside a silent store is known within the platform's bound

Five moments of a crash in eight seconds in which the store answers nothing, with the real writer and follower in virtual time: known at the other gateway within 4 s of the end.

--- a/tests/_crash_topic.py
+++ b/tests/_crash_topic.py
@@ -11,8 +11,10 @@
     KeyedRecord,
     NewestPage,
     Page,
+    StoreNoResponseError,
     StoreUnreachableError,
 )
+from pomeloshift.platform._store import CALL_TIMEOUT_S
 
 STEP_S = 0.1
 Append = namedtuple("Append", "done")
@@ -66,6 +68,37 @@
             raise StoreUnreachableError("down")
 
 
+class SilentStore(Topic):
+    """A topic whose store does not answer calls that begin before ``silent_until``."""
+
+    def __init__(self, reactor):
+        super().__init__(reactor)
+        self.silent_until = 0.0
+
+    async def newest(self, topic, partition, after=""):
+        return await self._answer(2 * CALL_TIMEOUT_S, super().newest(topic, partition))
+
+    async def read(self, topic, partition, offset, wait_s):
+        timeout_s = wait_s + CALL_TIMEOUT_S
+        return await self._answer(
+            timeout_s, super().read(topic, partition, offset, wait_s)
+        )
+
+    async def append(self, topic, partition, records, producer, sequence):
+        async def apply():
+            super(SilentStore, self).append(records)
+            return 0
+
+        return await self._answer(CALL_TIMEOUT_S, apply())
+
+    async def _answer(self, timeout_s, call):
+        if self.reactor.seconds() < self.silent_until:
+            call.close()
+            await deferLater(self.reactor, timeout_s, lambda: None)
+            raise StoreNoResponseError("silent")
+        return await call
+
+
 @attrs.define(eq=False)
 class Link(Topic):
     """One gateway's way to a topic; while it is down, appends wait."""
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -6,11 +6,12 @@
 from twisted.internet.defer import Deferred, fail
 from twisted.internet.testing import MemoryReactorClock
 
-from _crash_topic import STEP_S, Append, Link, Topic
+from _crash_topic import STEP_S, Append, Link, SilentStore, Topic
 from _virtual import VirtualClock
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, Fleet, fingerprint
-from pomeloshift.gateway._crash_log import CrashLog
+from pomeloshift.gateway._crash_log import PARTITION, TOPIC, CrashLog
 from pomeloshift.gateway._events import EventLog
+from pomeloshift.gateway._log_writer import LogWriter
 from pomeloshift.gateway._metrics import GatewayMetrics
 from pomeloshift.gateway._timing import (
     CRASHES_WAIT_S,
@@ -22,6 +23,8 @@
 from pomeloshift.net._periodic_tasks import PeriodicTasks
 from pomeloshift.platform import StoreFullError
 
+CALL_BYTES = 65536
+
 
 class SteppedClock(VirtualClock):
     """A clock whose time of day is wrong by ``step_s``."""
@@ -49,11 +52,13 @@
         self.topic = Topic(self.reactor)
         self.tasks = PeriodicTasks(self.reactor)
 
-    def add(self, clock=None, is_owner=True, link=None):
+    def add(self, clock=None, is_owner=True, link=None, writer=None):
         clock, link = clock or self.clock, link or self.topic
         events = EventLog(clock, GatewayMetrics("g"))
         owner = Owner(is_owner)
-        log = CrashLog(link, link, Fleet(), owner, events, self.reactor, clock)
+        log = CrashLog(
+            link, writer or link, Fleet(), owner, events, self.reactor, clock
+        )
         log.start(self.tasks)
         return log
 
@@ -356,12 +361,31 @@
     assert log.count_crashes("part-p") == 3
 
 
-# Records that the store does not take
+# Records that land late, or that the store does not take
 
 # How soon a crash has to be known everywhere, in seconds.
 CONTACT_S = 4.0
 
 
+@pytest.mark.parametrize("crashed_at", [3.0, 6.4, 8.5, 9.3, 9.9])
+def test_crash_beside_a_silent_store_is_known_everywhere_soon_after(logs, crashed_at):
+    logs.topic = store = SilentStore(logs.reactor)
+    gateways = []
+    for name in ("g0", "g1"):
+        events = EventLog(logs.clock, GatewayMetrics(name))
+        writer = LogWriter(
+            TOPIC, PARTITION, store, name, CALL_BYTES, logs.reactor, events
+        )
+        gateways.append(logs.add(writer=writer))
+    logs.advance(2.0)
+    silent_for_s = 8.0
+    store.silent_until = logs.reactor.seconds() + silent_for_s
+    logs.advance(crashed_at - 2.0)
+    crash(gateways[0], "e1", "e2", "e3")
+    logs.advance(2.0 + silent_for_s - crashed_at + CONTACT_S)
+    assert gateways[1].is_quarantined(keys("f"))
+
+
 @pytest.fixture
 def reject(logs, monkeypatch):
     """Makes the store reject the next appends for good."""
