--- a/review/harness.py
+++ b/review/harness.py
@@ -29,6 +29,10 @@
 STORE_IP = f"{NET}.1"
 ENGINE_IP = f"{NET}.2"
 
+# Channels that an engine accepts from all callers, and how long one may be idle.
+CONN_LIMIT = 370
+IDLE_S = 15
+
 # Bounds as on the sheet of the Vezi installation.
 BOUNDS = """
 seedLagS = 3
@@ -142,6 +146,14 @@
     return await reader.readexactly(int(headers.get("content-length", 0)))
 
 
+def _reset(writer):
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, linger
+    )
+    writer.transport.abort()
+
+
 def _response(status, headers, body):
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in headers]
@@ -149,10 +161,17 @@
 
 
 class _Server:
-    """An HTTP/1.1 server that answers one request after another on each channel."""
+    """An HTTP/1.1 server that answers one request after another on each channel.
+
+    Channels beyond ``conn_limit`` are reset, and idle ones are closed after ``idle_s``.
+    """
+
+    conn_limit = 10_000
+    idle_s = None
 
     def __init__(self):
         self.address = ""
+        self.resets = 0
         self._server = None
         self._tasks = set()
 
@@ -166,16 +185,31 @@
         for task in list(self._tasks):
             task.cancel()
 
+    @property
+    def open_channels(self):
+        """The number of open channels."""
+        return len(self._tasks)
+
     async def _serve(self, reader, writer):
+        if len(self._tasks) >= self.conn_limit:
+            self.resets += 1
+            _reset(writer)
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
             while True:
-                first, headers = await _read_head(reader)
+                async with asyncio.timeout(self.idle_s):
+                    first, headers = await _read_head(reader)
                 method, target, _ = first.split(" ", 2)
                 body = await _read_body(reader, headers)
                 await self.handle(method, target, headers, body, reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+        except (
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            TimeoutError,
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self._tasks.discard(task)
@@ -285,6 +319,8 @@
 class Engine(_Server):
     """A sound model engine: streams numbered events and can resume.
 
+    It accepts `CONN_LIMIT` channels and closes those that are idle for `IDLE_S`.
+
     ``events`` is the length of a whole run and ``gap_s`` the time between two events.
     ``runs`` lists the ids of the requests that it ran. ``before_run``, if set, may
     answer a request in place of the run: it returns whether it did.
@@ -292,6 +328,8 @@
 
     def __init__(self, record, name, slots=8, events=40, gap_s=0.02):
         super().__init__()
+        self.conn_limit = CONN_LIMIT
+        self.idle_s = IDLE_S
         self.name = name
         self.slots = slots
         self.events = events
@@ -341,6 +379,7 @@
         fields = [
             ("X-Request-Id", request_id),
             ("X-Server-Load", f"{self.running},0,{self.slots}"),
+            ("Keep-Alive", f"timeout={IDLE_S}"),
         ]
         if self.running >= self.slots:
             fields.append(("X-Not-Executed", "1"))
@@ -540,7 +579,9 @@
     document = {
         "version": version,
         "routes": routes,
-        "services": [{"name": SERVICE, "healthPath": "/health", "connLimit": 370}],
+        "services": [
+            {"name": SERVICE, "healthPath": "/health", "connLimit": CONN_LIMIT}
+        ],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
