--- a/review/harness.py
+++ b/review/harness.py
@@ -144,7 +144,10 @@
     if "chunked" in headers.get("transfer-encoding", ""):
         parts = []
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readline()
+            if not line.endswith(b"\n"):
+                raise asyncio.IncompleteReadError(line, None)
+            size = int(line.split(b";")[0], 16)
             data = await reader.readexactly(size + 2)
             if size == 0:
                 return b"".join(parts)
@@ -357,8 +360,9 @@
         self.before_run = None
         self.record = record
 
-    def register(self, store, zone="a", state="serving"):
-        entry = {
+    def entry(self, zone, state):
+        """Returns what the engine says of itself in the store."""
+        return {
             "service": SERVICE,
             "address": self.address,
             "zone": zone,
@@ -369,7 +373,11 @@
             "seq": 1,
             "born": self.born,
         }
-        store.put("keyed.servers", self.name, json.dumps(entry).encode())
+
+    def register(self, store, zone="a", state="serving"):
+        """Writes the engine's entry."""
+        entry = json.dumps(self.entry(zone, state)).encode()
+        store.put("keyed.servers", self.name, entry)
 
     async def handle(self, method, target, headers, body, reader, writer):
         if target == "/api/report":
