Run waiting items on the route that their path selects now

All engines were idle meanwhile.

Cause: a job was bound to the host and prefix of the route that accepted it. The batch loop passed an item over if no route had that name, the cleaner took that for "never expires", and the cap on waiting tokens counted the items under the old name only.

Fix: ItemRoutes finds the route of an item from its path under the configuration in force, for the order, the due times, the engines, the expiry and the cap. An item that no batch route selects is a dead letter 5 s later, once the store has confirmed the configuration, so that an entry with an old configuration gives up nothing that a newer one accepted.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -13,7 +13,16 @@
 from ..dispatch import Route
 from ..errors import PomeloshiftError, Ran
 from ..http1 import Exchange
-from ..jobs import BlobRef, Job, JobEnded, JobSubmitted, NewItem, Result
+from ..jobs import (
+    BlobRef,
+    ItemRoutes,
+    Job,
+    JobEnded,
+    JobSubmitted,
+    NewItem,
+    Result,
+    queue_name,
+)
 from ..net._periodic_tasks import spawn
 from ..platform import (
     CallerRequest,
@@ -60,6 +69,7 @@
 
     log: JobLog
     blobs: BlobStore
+    routes: ItemRoutes
     events: EventLog
     reactor: Any
     clock: Any
@@ -162,7 +172,7 @@
             if job_id not in table.jobs and now - reservation.made_at < RESERVATION_S
         }
         reserved = (r.tokens for r in self._reserved.values() if r.queue == queue)
-        return table.waiting_tokens(queue) + sum(reserved)
+        return table.waiting_tokens(queue, self.routes) + sum(reserved)
 
     async def _store_job(
         self, req: CallerRequest, queue: str, items: tuple[NewItem, ...]
@@ -306,11 +316,6 @@
         refuse(exchange, 404)
 
 
-def queue_name(route: Route) -> str:
-    """Returns the name of the queue that a route's jobs wait in."""
-    return f"{route.host}{route.path_prefix}"
-
-
 def _page(results: list[Result]) -> list[Result]:
     """Returns the first results that fit into one response, at least one."""
     size = 0
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -5,18 +5,14 @@
 import attrs
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..dispatch import (
-    ConfigHolder,
-    Engine,
-    Route,
-    SoftwareVersion,
-)
+from ..dispatch import Engine, Route, SoftwareVersion
 from ..errors import PomeloshiftError
 from ..jobs import (
     AfterRun,
     BatchSlots,
     ItemKey,
     ItemPolicy,
+    ItemRoutes,
     Ownership,
     Progress,
     Share,
@@ -25,7 +21,6 @@
     claim_of,
 )
 from ..net._periodic_tasks import PeriodicTasks, spawn
-from ._batch_api import queue_name
 from ._blob_store import BlobStore
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
@@ -64,7 +59,7 @@
     item_writer: ItemWriter
     cleaner: JobCleaner
     ownership: Ownership
-    config: ConfigHolder
+    routes: ItemRoutes
     slots: BatchSlots
     crashes: CrashLog
     events: EventLog
@@ -112,7 +107,7 @@
 
     def tick(self) -> None:
         """Starts items in free slots and stops the items of ended jobs."""
-        if self.config.current is None:
+        if self.routes.config.current is None:
             return
         now = self.access.now()
         self._stop_ended()
@@ -125,9 +120,8 @@
         self._release_reserved(now)
         if self._is_stopped:
             return
-        routes = self._routes()
-        self.cleaner.tick(routes, now)
-        self._start_items(engines, routes, now)
+        self.cleaner.tick(now)
+        self._start_items(engines, self.routes.by_queue(), now)
 
     def _own_engines(self) -> list[Engine]:
         return [
@@ -169,7 +163,7 @@
         trials = self._part_trials
         trials.begin_pass(open_engines, self.access.fleet.engines.values())
         for work in trials.without_held(pending):
-            route = routes.get(work.job.queue)
+            route = self.routes.of(work.job, work.index)
             service = self._pick_service(route)
             fitting = [e for e in open_engines if e.record.service == service]
             if route is None or not fitting:
@@ -243,10 +237,6 @@
                 self._stop(key, run, now, "late")
                 return
 
-    def _routes(self) -> dict[str, Route]:
-        assert self.config.current is not None
-        return {queue_name(route): route for route in self.config.current.routes}
-
     def _probe(self, engines: list[Engine], now: float) -> None:
         """Probes engines whose load no response has reported for `PROBE_S`."""
         for engine in engines:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -135,6 +135,6 @@
     EventSpec("item_yielded", "An item was preempted or stopped."),
     EventSpec("item_stopped", "This gateway ended a run of an item."),
     EventSpec("item_run", "A run of an item ended."),
-    EventSpec("item_given_up", "An item expired.", True),
+    EventSpec("item_given_up", "An item expired, or its route has ended.", True),
     EventSpec("item_settled", "An item's result is durable in the log.", True),
 )
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -22,7 +22,7 @@
     HttpListener,
     PoolConfig,
 )
-from ..jobs import BatchSlots, Ownership, WorkQueue
+from ..jobs import BatchSlots, ItemRoutes, Ownership, WorkQueue
 from ..net._periodic_tasks import PeriodicTasks
 from ..platform import (
     CONFIG_KEY,
@@ -146,7 +146,10 @@
             clock,
             events,
         )
-        self._batch_api = BatchApi(self.job_log, self._blobs, events, reactor, clock)
+        item_routes = ItemRoutes(self.config)
+        self._batch_api = BatchApi(
+            self.job_log, self._blobs, item_routes, events, reactor, clock
+        )
         self.job_log.on_change = self._job_changed
         self.peers = PeerExchange(
             self._incarnation,
@@ -171,6 +174,7 @@
             self.peers.loads.is_claimed,
             self._incarnation,
             lambda name: self._directory.is_synced and self.peers.has_ended(name),
+            item_routes.queue_of,
         )
         self.crashes = CrashLog(
             self._store,
@@ -197,6 +201,7 @@
             self.job_log,
             self._blobs,
             item_writer,
+            item_routes,
             ownership,
             events,
             settings.job_status_s,
@@ -209,7 +214,7 @@
             item_writer,
             cleaner,
             ownership,
-            self.config,
+            item_routes,
             BatchSlots(settings.ip, self.peers.loads),
             self.crashes,
             events,
--- a/src/pomeloshift/gateway/_job_cleaner.py
+++ b/src/pomeloshift/gateway/_job_cleaner.py
@@ -6,7 +6,15 @@
 
 from ..dispatch import Route
 from ..errors import PomeloshiftError
-from ..jobs import Job, Ownership, WorkItem
+from ..jobs import (
+    ItemKey,
+    ItemRoutes,
+    Job,
+    Ownership,
+    UnroutedItems,
+    WorkItem,
+    claim_of,
+)
 from ._blob_store import BlobStore
 from ._events import EventLog
 from ._item_writer import ItemWriter
@@ -27,32 +35,57 @@
     log: JobLog
     blobs: BlobStore
     item_writer: ItemWriter
+    routes: ItemRoutes
     ownership: Ownership
     events: EventLog
     job_status_s: float
+    _unrouted: UnroutedItems = attrs.field(factory=UnroutedItems, init=False)
 
-    def tick(self, routes: dict[str, Route], now: float) -> None:
-        """Expires items and removes jobs that are due.
-
-        ``routes`` holds the route of each queue, ``now`` is monotonic seconds.
-        """
+    def tick(self, now: float) -> None:
+        """Expires items and removes jobs that are due; ``now`` is monotonic seconds."""
+        unrouted = []
         for job in list(self.log.table.jobs.values()):
             if not self.ownership.owns(job.id):
                 continue
             if job.is_open:
-                self._expire_items(job, routes.get(job.queue), now)
+                self._expire_items(job, now)
+                unrouted += self._unrouted_items(job)
             elif now - job.accepted_at >= self.job_status_s + REMOVAL_MARGIN_S:
                 self._remove_job(job, now)
+        self._unrouted.update(unrouted, now)
+        for job_id, index in self._unrouted.ended(self.routes.config.confirmed_at):
+            self._give_up(self.log.table.jobs[job_id], index, "its route has ended")
 
-    def _expire_items(self, job: Job, route: Route | None, now: float) -> None:
-        """Records pending items as dead letters after the route's retention time."""
-        retention_s = route.item_retention_s if route else 0.0
-        if retention_s <= 0 or now - job.accepted_at < retention_s:
+    def _expire_items(self, job: Job, now: float) -> None:
+        """Records pending items as dead letters after their routes' retention time."""
+        age_s = now - job.accepted_at
+        route = self.routes.of_job(job)
+        if route is not None and not _is_expired(route, age_s):
             return
-        for index in sorted(job.pending):
-            if (job.id, index) not in self.item_writer.queue.running:
-                self.events.warn("item_given_up", id=job.items[index].id, job=job.id)
-                self.item_writer.write_result(WorkItem(job, index, 0.0), False, b"")
+        for index in self._idle_items(job):
+            route = self.routes.of(job, index)
+            if route is not None and _is_expired(route, age_s):
+                self._give_up(job, index, "its retention time is over")
+
+    def _unrouted_items(self, job: Job) -> list[ItemKey]:
+        """Returns the items without a route that no gateway runs or holds."""
+        if self.routes.of_job(job) is not None:
+            return []
+        return [
+            (job.id, index)
+            for index in self._idle_items(job)
+            if self.routes.of(job, index) is None
+            and not self.item_writer.queue.is_claimed(claim_of(job.id, index))
+        ]
+
+    def _idle_items(self, job: Job) -> list[int]:
+        """Returns the pending items that this gateway does not run."""
+        running = self.item_writer.queue.running
+        return [i for i in sorted(job.pending) if (job.id, i) not in running]
+
+    def _give_up(self, job: Job, index: int, why: str) -> None:
+        self.events.warn("item_given_up", id=job.items[index].id, job=job.id, why=why)
+        self.item_writer.write_result(WorkItem(job, index, 0.0), False, b"")
 
     def _remove_job(self, job: Job, now: float) -> None:
         """Removes the records of a job whose status can no longer be read."""
@@ -65,3 +98,7 @@
     def _note_removal_failed(self, failure: Any) -> None:
         failure.trap(PomeloshiftError)
         self.events.warn("removal_failed", why=failure.value.message)
+
+
+def _is_expired(route: Route, age_s: float) -> bool:
+    return 0 < route.item_retention_s <= age_s
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -9,6 +9,7 @@
 from ._item import Item, ItemKey, ItemState, NewItem, Result
 from ._item_claim import CLAIM_VALID_S, ItemClaim
 from ._item_outcome import AfterRun, ItemPolicy
+from ._item_routes import ItemRoutes, queue_name
 from ._job import DurableProgress, Job
 from ._job_table import JobTable
 from ._ownership import Ownership, claim_of, rank_among
@@ -26,11 +27,13 @@
     encode_record,
 )
 from ._share import Share
+from ._unrouted_items import UNROUTED_S, UnroutedItems
 from ._work_queue import WorkItem, WorkQueue
 
 __all__ = [
     "CLAIM_VALID_S",
     "PEAK_S",
+    "UNROUTED_S",
     "AfterRun",
     "Assembler",
     "BatchSlots",
@@ -44,6 +47,7 @@
     "ItemProgress",
     "ItemReleased",
     "ItemResumed",
+    "ItemRoutes",
     "ItemSettled",
     "ItemState",
     "Job",
@@ -56,10 +60,12 @@
     "Progress",
     "Result",
     "Share",
+    "UnroutedItems",
     "WorkItem",
     "WorkQueue",
     "base_key",
     "claim_of",
+    "queue_name",
     "rank_among",
     "decode_record",
     "encode_record",
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -7,6 +7,7 @@
 from ._fragments import Assembler, base_key
 from ._item import Item, ItemState
 from ._item_claim import ItemClaim
+from ._item_routes import ItemRoutes
 from ._job import DurableProgress, Job
 from ._records import (
     ItemFailed,
@@ -78,12 +79,12 @@
             return job.id
         return job.id if self._change(job, record) else None
 
-    def waiting_tokens(self, queue: str) -> int:
-        """Returns the tokens of all unfinished items of a queue."""
+    def waiting_tokens(self, queue: str, routes: ItemRoutes) -> int:
+        """Returns the tokens of all unfinished items that wait in a queue."""
         return sum(
-            job.waiting_tokens
+            routes.waiting_tokens(job, queue)
             for job in self.jobs.values()
-            if job.queue == queue and job.is_open
+            if job.is_open
         )
 
     def _accept(
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -42,6 +42,11 @@
     return False
 
 
+def _accepted_in(job: Job, index: int) -> str | None:
+    """The default of ``queue_of``: the queue of the route that accepted the job."""
+    return job.queue
+
+
 @attrs.frozen
 class WorkItem:
     """An item to run and when it is due (monotonic seconds).
@@ -97,15 +102,17 @@
 
     ``is_claimed`` returns whether another entry runs an item or holds it. ``name`` is
     this process's name in the job log, and ``has_ended`` returns whether the process
-    with a name has been replaced. ``salt`` differs between entries, so that they rarely
-    choose the same item at once. ``reserved`` maps each item that was stopped here to
-    the time until which it is reserved for this entry.
+    with a name has been replaced. ``queue_of`` returns the name of the queue that an
+    item waits in, None if it has no route. ``salt`` differs between entries, so that
+    they rarely choose the same item at once. ``reserved`` maps each item that was
+    stopped here to the time until which it is reserved for this entry.
     """
 
     salt: int
     is_claimed: Callable[[int], bool]
     name: str = ""
     has_ended: Callable[[str], bool] = attrs.field(default=_never)
+    queue_of: Callable[[Job, int], str | None] = attrs.field(default=_accepted_in)
     running: set[ItemKey] = attrs.field(factory=set)
     reserved: dict[ItemKey, float] = attrs.field(factory=dict)
     _not_before: dict[ItemKey, float] = attrs.field(factory=dict)
@@ -147,7 +154,7 @@
         engines: dict[str, dict[str, SoftwareVersion]] | None = None,
         serving: Collection[SoftwareVersion] = (),
     ) -> list[WorkItem]:
-        """Returns the items to run, the most urgent first.
+        """Returns the items to run, the most urgent first; none without a route.
 
         ``due_after_s`` holds, for each queue, the seconds from a job's acceptance until
         its items are due. ``run_s`` is the typical duration of a whole run; each event
@@ -163,19 +170,26 @@
         """
         items = []
         ready_since: dict[ItemKey, float] = {}
+        versions_of = {
+            queue: frozenset(usable.values())
+            for queue, usable in (engines or {}).items()
+        }
         for job in table.jobs.values():
             if not job.is_open:
                 continue
-            due = job.accepted_at + due_after_s.get(job.queue, 0.0)
-            share = (shares or {}).get(job.queue, ALL_ITEMS)
-            usable = (engines or {}).get(job.queue, {})
-            versions = frozenset(usable.values())
             for index in job.pending:
                 key = (job.id, index)
                 if not self._is_ready(key, now):
                     continue
                 if self._is_claimed_in_log(job, index, now):
                     continue
+                queue = self.queue_of(job, index)
+                if queue is None:
+                    continue
+                due = job.accepted_at + due_after_s.get(queue, 0.0)
+                share = (shares or {}).get(queue, ALL_ITEMS)
+                usable = (engines or {}).get(queue, {})
+                versions = versions_of.get(queue, frozenset())
                 ready_since[key] = self._ready_since.get(key, now)
                 claim = claim_of(*key)
                 is_own = share.holds(claim)
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -113,8 +113,8 @@
         self.engines.append(engine)
         return engine
 
-    def register(self, engine, **fields):
-        record = engine.record(engine.address, SERVICE, **fields)
+    def register(self, engine, service=SERVICE, **fields):
+        record = engine.record(engine.address, service, **fields)
         self.store.state.put("keyed.servers", engine.id, record)
 
     def add_crashing_engines(self, count, body=None, **behaviour):
--- a/tests/test_jobs_cores.py
+++ b/tests/test_jobs_cores.py
@@ -5,11 +5,16 @@
 from hypothesis import strategies as st
 
 from pomeloshift.dispatch import (
+    ConfigHolder,
     Engine,
     EngineRecord,
     PeerLoads,
     PeerState,
     RequestCounts,
+    Route,
+    RouteKind,
+    ServingConfig,
+    Split,
 )
 from pomeloshift.jobs import (
     CLAIM_VALID_S,
@@ -23,6 +28,7 @@
     ItemProgress,
     ItemReleased,
     ItemResumed,
+    ItemRoutes,
     ItemSettled,
     JobEnded,
     JobSubmitted,
@@ -154,14 +160,24 @@
     assert set(keys) == {key for key, value in log.rows[:-1] if value is not None}
 
 
-def test_waiting_tokens_decrease_as_items_finish(log):
+@pytest.fixture
+def item_routes():
+    """The routes of items where jobs of the route /p/ are accepted."""
+    splits = (Split("lm", 1.0),)
+    accepting = Route("p", "h", "/p/", RouteKind.BATCH, splits, 8.0, 2.0)
+    holder = ConfigHolder()
+    holder.offer(ServingConfig(1, (accepting,)))
+    return ItemRoutes(holder)
+
+
+def test_waiting_tokens_decrease_as_items_finish(log, item_routes):
     log.add(submitted("j1", items=3, tokens=10))
     log.add(submitted("j2", items=2, tokens=5))
-    assert log.replay().waiting_tokens("h/p/") == 40
+    assert log.replay().waiting_tokens("h/p/", item_routes) == 40
     log.add(ItemSettled("j1", 0, False, None))
     log.add(JobEnded("j2"))
-    assert log.replay().waiting_tokens("h/p/") == 20
-    assert log.replay().waiting_tokens("other") == 0
+    assert log.replay().waiting_tokens("h/p/", item_routes) == 20
+    assert log.replay().waiting_tokens("other", item_routes) == 0
 
 
 def test_job_age_survives_a_restart_and_is_zero_if_the_clock_is_set_back(log):
