Serve the calls of a job after its route has been removed

Cause: the dispatcher took a request for a call of the batch interface only if the host had a batch route in force. Otherwise it looked for a route of that path, found none and answered 404 without looking for the job.

Fix: a call is recognised by its job as well, if the host is the job's, and a repeat by the job's id, host and path. A 404 for a path without a route now needs the job log, read to its end, beside the configuration.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -91,6 +91,22 @@
         else:
             self._start(exchange, req, self._read_item(exchange, call))
 
+    def has_job(self, job_id: str, host: str) -> bool:
+        """Returns whether a job that this host's callers submitted is known here."""
+        job = self.log.table.jobs.get(job_id)
+        return job is not None and job.host == host
+
+    def is_repeat(self, req: CallerRequest) -> bool:
+        """Returns whether a request submits a job again that is known here."""
+        if req.method != "POST" or not self.has_job(req.id, req.host):
+            return False
+        return self.log.table.jobs[req.id].path == req.path
+
+    def accept_repeat(self, exchange: Exchange, req: CallerRequest) -> None:
+        """Accepts a job again for which `is_repeat` is true."""
+        items = len(self.log.table.jobs[req.id].items)
+        self._respond_accepted(exchange, req, "known", items)
+
     def job_changed(self, job_id: str) -> None:
         """Wakes the calls that wait for a job's next result."""
         for waiter in self._waiting.pop(job_id, ()):
@@ -137,7 +153,7 @@
             return
         if not self.log.follower.is_reachable:
             raise LogUnavailableError("the store did not respond to the last read")
-        await self._require_fresh()
+        await self.require_fresh()
         if req.id in self.log.table.jobs:
             self._respond_accepted(exchange, req, "known", len(items))
             return
@@ -225,7 +241,7 @@
         if job is None:
             job = await self._find(call.job_id)
         elif len(job.results) <= call.position:
-            await self._require_fresh()
+            await self.require_fresh()
         while job is not None and self._awaits_result(job, call.position):
             remaining_s = until - self.clock.monotonic()
             if remaining_s <= 0:
@@ -303,7 +319,7 @@
             job = self.log.table.jobs.get(job_id)
         return job
 
-    async def _require_fresh(self) -> None:
+    async def require_fresh(self) -> None:
         """Replays the log if the replayed state is older than `RESULTS_MAX_AGE_S`.
 
         Raises an error of the store if the log cannot be read.
--- a/src/pomeloshift/gateway/_request_dispatcher.py
+++ b/src/pomeloshift/gateway/_request_dispatcher.py
@@ -22,7 +22,9 @@
 class RequestDispatcher:
     """Dispatches requests by route to the online service or the batch API.
 
-    Once ``is_closed`` is set, it refuses all requests as not run.
+    Calls that concern an accepted job go to the batch API also after the job's route
+    has ended: callers may read the results for as long as they are kept. Once
+    ``is_closed`` is set, it refuses all requests as not run.
     """
 
     config: ConfigHolder
@@ -45,13 +47,18 @@
             spawn(self._handle_unmatched(exchange, req))
 
     async def _handle_unmatched(self, exchange: Exchange, req: CallerRequest) -> None:
-        """Responds 404 only if the newest configuration has no such route either."""
-        if self.config.age(self.clock.monotonic()) > CONFIG_MAX_AGE_S:
-            try:
+        """Responds 404 only if the newest configuration has no such route either.
+
+        Nor may the request concern a job that was accepted before its route ended.
+        """
+        try:
+            if self.config.age(self.clock.monotonic()) > CONFIG_MAX_AGE_S:
                 await self.config_follower.catch_up()
-            except PomeloshiftError as exc:
-                self._refuse(exchange, req, f"configuration not current: {exc.message}")
-                return
+            await self.batch.require_fresh()
+        except PomeloshiftError as exc:
+            why = f"configuration or jobs not current: {exc.message}"
+            self._refuse(exchange, req, why)
+            return
         config = self.config.current
         assert config is not None
         if not self._dispatch(exchange, req, config):
@@ -61,18 +68,23 @@
     def _dispatch(
         self, exchange: Exchange, req: CallerRequest, config: ServingConfig
     ) -> bool:
-        """Dispatches a request; returns False if no route matches."""
+        """Dispatches a request; returns False if no route and no job matches."""
         call = read_batch_call(req)
-        if call is not None and _has_batch_route(config.routes_of(req.host)):
+        if call is not None and (
+            _has_batch_route(config.routes_of(req.host))
+            or self.batch.has_job(call.job_id, req.host)
+        ):
             self.batch.call(exchange, req, call)
             return True
         route = config.match(req.host, req.path)
-        if route is None:
-            return False
-        if route.kind is RouteKind.BATCH:
+        if route is not None and route.kind is RouteKind.BATCH:
             self.batch.submit(exchange, req, route)
-        else:
+        elif self.batch.is_repeat(req):
+            self.batch.accept_repeat(exchange, req)
+        elif route is not None:
             self.online.handle(exchange, req, route, config)
+        else:
+            return False
         return True
 
     def _refuse(self, exchange: Exchange, req: CallerRequest, why: str) -> None:
--- a/tests/test_gateway_changed_routes.py
+++ b/tests/test_gateway_changed_routes.py
@@ -4,6 +4,8 @@
 import pytest
 
 from _gateway import config, job, route, text
+from pomeloshift.gateway import _batch_api
+from pomeloshift.http1 import Headers, RequestHead
 from pomeloshift.jobs import _unrouted_items
 
 
@@ -110,3 +112,126 @@
         return [r.state.value for r in await finished(deployment, gateway)]
 
     assert play(scenario) == ["done"]
+
+
+@pytest.fixture
+def removed_route(play):
+    """Plays a scenario that begins with a finished job whose route has been removed.
+
+    The scenario gets the deployment, its gateways and the results as read before.
+    """
+
+    def run(scenario, *routes):
+        async def whole(deployment):
+            engine = deployment.add_engine()
+            gateways = [await deployment.add_gateway() for _ in range(2)]
+            await submit(deployment, gateways[0], "/jobs/0", "/jobs/1")
+            rows = [await deployment.results(g, "job1", 2) for g in gateways]
+            await remove_route(deployment, gateways, *routes)
+            requests = len(engine.requests)
+            outcome = await scenario(deployment, gateways, rows[0])
+            assert len(engine.requests) == requests
+            return outcome
+
+        return play(whole)
+
+    return run
+
+
+async def remove_route(deployment, gateways, *routes):
+    deployment.publish(config(2, routes or [route("plain")]))
+    for gateway in gateways:
+        while gateway.config.current.version < 2:
+            await deployment.pause(0.01)
+
+
+# The second is an online route whose prefix covers the paths of the batch calls.
+@pytest.mark.parametrize("routes", [(), (route("plain", pathPrefix="/"),)])
+def test_results_are_read_after_the_removal_of_their_route(removed_route, routes):
+    """Each read got 404 although the results had been read before."""
+
+    async def scenario(deployment, gateways, rows):
+        return [
+            await deployment.call(gateway, "GET", "/api/lots/job1?after=0")
+            for gateway in gateways
+        ], rows
+
+    responses, rows = removed_route(scenario, *routes)
+    assert [resp.status for resp in responses] == [200, 200]
+    assert all(msgspec.json.decode(r.body)["results"] == rows for r in responses)
+
+
+def test_gateway_that_starts_after_the_removal_of_a_route_serves_its_jobs(
+    removed_route,
+):
+    async def scenario(deployment, gateways, rows):
+        gateway = await deployment.add_gateway()
+        resp = await deployment.call(gateway, "GET", "/api/lots/job1?after=0")
+        return msgspec.json.decode(resp.body)["results"] == rows
+
+    assert removed_route(scenario)
+
+
+def test_job_is_accepted_again_and_ended_after_the_removal_of_its_route(removed_route):
+    """A caller that had missed the 202 was told by 404 that there is no such job."""
+
+    async def scenario(deployment, gateways, rows):
+        body = job_at("/jobs/0", "/jobs/1")
+        calls = [("POST", "/jobs/new", body), ("DELETE", "/api/lots/job1", b"")]
+        return [
+            (await deployment.call(gateway, *call, request_id="job1")).status
+            for gateway in gateways
+            for call in calls
+        ]
+
+    assert removed_route(scenario) == [202, 200, 202, 200]
+
+
+def test_body_of_an_item_is_read_after_the_removal_of_its_route(play):
+    async def scenario(deployment):
+        gateway = await deployment.add_gateway()
+        await submit(deployment, gateway, "/jobs/0")
+        await remove_route(deployment, [gateway])
+        return await deployment.call(gateway, "GET", "/api/items/job1?id=item0")
+
+    resp = play(scenario)
+    assert (resp.status, resp.body) == (200, b"body")
+
+
+def test_calls_that_concern_no_job_of_the_host_are_not_found_without_a_route(
+    removed_route,
+):
+    async def scenario(deployment, gateways, rows):
+        calls = [
+            ("GET", "/api/lots/job9?after=0", "r1", "app.example"),
+            ("GET", "/api/lots/job1?after=0", "r1", "other.example"),
+            ("POST", "/jobs/new", "job9", "app.example"),
+            ("POST", "/jobs/other", "job1", "app.example"),
+        ]
+        return [await status(deployment, gateways[0], *call) for call in calls]
+
+    async def status(deployment, gateway, method, target, request_id, host):
+        fields = [(b"Host", host.encode()), (b"X-Request-Id", request_id.encode())]
+        head = RequestHead(method.encode(), target.encode(), Headers(fields))
+        resp = await deployment.client.call(gateway.caller_address, head, b"", 20.0)
+        return resp.status
+
+    assert removed_route(scenario) == [404] * 4
+
+
+def test_unknown_job_of_a_removed_route_is_not_found_only_if_the_log_is_readable(
+    removed_route, monkeypatch
+):
+    monkeypatch.setattr(_batch_api, "RESULTS_MAX_AGE_S", -1.0)
+
+    async def scenario(deployment, gateways, rows):
+        deployment.store.is_busy = True
+        while gateways[0].job_log.follower.is_reachable:
+            await deployment.pause(0.02)
+        targets = ["/api/lots/job9?after=0", "/api/lots/job1?after=0"]
+        return [
+            (await deployment.call(gateways[0], "GET", target)).status
+            for target in targets
+        ]
+
+    assert removed_route(scenario) == [503, 200]
