Let a planned stop wait for every response that is not sent

Cause: the drain added up what it knew to be open, which was online requests, runs of items and unwritten records. Calls of the batch interface were in none of these counts, nor were requests that wait for the configuration before a 404, nor responses that a slow caller had not read completely. Gateway.stop aborts all connections.

Fix: the listener counts the requests whose responses have not been sent completely, and the drain waits until there are none, within the grace period as before. Reads that wait for results get those there are once the port closes.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -75,6 +75,7 @@
     clock: Any
     _reserved: dict[str, _Reservation] = attrs.field(factory=dict)
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
+    _is_stopping: bool = False
 
     def submit(self, exchange: Exchange, req: CallerRequest, route: Route) -> None:
         """Accepts a job once it is durable in the log."""
@@ -113,6 +114,12 @@
             if not waiter.called:
                 waiter.callback(None)
 
+    def stop_waiting(self) -> None:
+        """Responds to reads that wait for results: their callers wait elsewhere."""
+        self._is_stopping = True
+        for job_id in list(self._waiting):
+            self.job_changed(job_id)
+
     def _start(self, exchange: Exchange, req: CallerRequest, coroutine: Any) -> None:
         task = spawn(self._guard(exchange, req, coroutine))
         exchange.on_disconnect = task.cancel
@@ -267,9 +274,9 @@
     async def _text(self, result: Result) -> bytes:
         return b"" if result.text is None else await self.blobs.get(result.text)
 
-    @staticmethod
-    def _awaits_result(job: Job, position: int) -> bool:
-        return len(job.results) <= position and job.is_open
+    def _awaits_result(self, job: Job, position: int) -> bool:
+        has_result = len(job.results) > position
+        return not has_result and job.is_open and not self._is_stopping
 
     async def _wait_for_change(self, job_id: str, timeout_s: float) -> None:
         waiter: Deferred[None] = Deferred()
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -355,13 +355,16 @@
         began = self._clock.monotonic()
         self.members.is_draining = True
         self._caller_listener.is_closing = True
-        self._events.info("draining", open_requests=self.online.open_requests)
+        self._events.info(
+            "draining", open_requests=self._caller_listener.open_responses
+        )
         self.batch_loop.stop_starting()
         last = began + self._settings.grace_s - CLOSE_MARGIN_S
         await sleep(self._reactor, LEAVE_ROTATION_S)
         # Requests that arrive from here on could not finish within the grace period:
         # they are refused as not run.
         self._dispatcher.is_closed = True
+        self._batch_api.stop_waiting()
         await self._caller_listener.stop_accepting()
         # A connection that was just accepted has no request yet: its first one is read
         # and refused.
@@ -370,14 +373,14 @@
         self._caller_listener.close_idle()
         while self._clock.monotonic() < last:
             await sleep(self._reactor, DRAIN_TICK_S)
-            is_idle = self.online.open_requests == 0 and self.batch_loop.running == 0
-            if is_idle and not self._has_unwritten:
+            open_requests = self._caller_listener.open_responses
+            if open_requests + self.batch_loop.running == 0 and not self._has_unwritten:
                 break
             if self._clock.monotonic() > last - HAND_OFF_S:
                 self.batch_loop.hand_off()
         self._events.info(
             "drained",
-            open_requests=self.online.open_requests,
+            open_requests=self._caller_listener.open_responses,
             took_s=self._clock.monotonic() - began,
         )
 
--- a/src/pomeloshift/http1/_listener.py
+++ b/src/pomeloshift/http1/_listener.py
@@ -36,6 +36,7 @@
         self.is_closing = False
         self._max_connections = max_connections
         self._connections: set[ServerConnection] = set()
+        self._flushing: set[ServerConnection] = set()
         self._port: Any = None
 
     def listen(self, host: str, port: int) -> int:
@@ -55,9 +56,21 @@
         """Adds a connection that has opened."""
         self._connections.add(connection)
 
+    def flush(self, connection: ServerConnection) -> None:
+        """Takes a connection that closes once what was written has been sent."""
+        self._connections.discard(connection)
+        self._flushing.add(connection)
+
     def remove(self, connection: ServerConnection) -> None:
         """Removes a connection that has closed."""
         self._connections.discard(connection)
+        self._flushing.discard(connection)
+
+    @property
+    def open_responses(self) -> int:
+        """The number of requests whose responses have not been sent completely."""
+        under_way = sum(conn.has_exchange for conn in self._connections)
+        return under_way + len(self._flushing)
 
     def close_idle(self) -> None:
         """Closes the connections that have no request under way."""
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -156,10 +156,15 @@
     def stopProducing(self) -> None:  # noqa: N802
         """Called when the connection has ended; `connectionLost` follows."""
 
+    @property
+    def has_exchange(self) -> bool:
+        """Whether a request has been read whose response is not complete."""
+        return self._exchange is not None
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
-        return self._exchange is None and self._head is None
+        return not self.has_exchange and self._head is None
 
     def send_head(self, status: int, headers: HeaderList) -> None:
         """Writes the head of the response."""
@@ -202,7 +207,7 @@
     def _close_after_writing(self) -> None:
         self._is_open = False
         self._disarm()
-        self._listener.remove(self)
+        self._listener.flush(self)
         transport: Any = self.transport
         transport.unregisterProducer()
         transport.loseConnection()
--- a/src/pomeloshift/standins/platform/_store_server.py
+++ b/src/pomeloshift/standins/platform/_store_server.py
@@ -22,15 +22,17 @@
     """Serves appends, reads, and pages of each key's newest record.
 
     With ``is_silent`` calls get no response, and with ``is_busy`` they are rejected
-    with 503. The next ``responses_to_drop`` appends are applied, but the connection
-    is reset instead of a response. Reads of ``overlooked_topics`` that wait for records
-    respond only when their time is up.
+    with 503. Calls are handled ``delay_s`` seconds after they arrive. The next
+    ``responses_to_drop`` appends are applied, but the connection is reset instead of a
+    response. Reads of ``overlooked_topics`` that wait for records respond only when
+    their time is up.
     """
 
     def __init__(self, reactor: Any, clock: Any) -> None:
         self.state = StoreState()
         self.is_silent = False
         self.is_busy = False
+        self.delay_s = 0.0
         self.responses_to_drop = 0
         self.overlooked_topics: set[str] = set()
         self.appends = 0
@@ -47,7 +49,13 @@
         await self._listener.stop()
 
     def _handle(self, exchange: Exchange) -> None:
-        if self.is_silent:
+        if self.delay_s > 0:
+            self._reactor.callLater(self.delay_s, self._respond_to, exchange)
+        else:
+            self._respond_to(exchange)
+
+    def _respond_to(self, exchange: Exchange) -> None:
+        if self.is_silent or exchange.is_over:
             return
         if self.is_busy:
             exchange.respond(503, [], b"")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -318,11 +318,10 @@
 
     def __init__(self, clock, limits=None):
         self.exchanges = []
-        listener = HttpListener(clock, clock, self.exchanges.append, 10)
+        self.listener = HttpListener(clock, clock, self.exchanges.append, 10)
         if limits is not None:
-            listener.limits = limits
-        self.listener = listener
-        self.connection = ServerConnection(listener)
+            self.listener.limits = limits
+        self.connection = ServerConnection(self.listener)
         self.transport = Transport()
         self.connection.makeConnection(self.transport)
 
@@ -369,6 +368,19 @@
     assert caller.received.endswith(b"0\r\n\r\n")
 
 
+def test_response_is_open_until_it_has_been_sent(caller):
+    """A planned stop cut off what a slow caller had not read yet."""
+    assert caller.listener.open_responses == 0
+    caller.send(REQUEST)
+    caller.listener.is_closing = True
+    assert caller.listener.open_responses == 1
+    caller.exchanges[0].respond(200, [], b"one")
+    assert caller.transport.ended == "closed"
+    assert caller.listener.open_responses == 1
+    caller.connection.connectionLost(Failure(ConnectionDone()))
+    assert caller.listener.open_responses == 0
+
+
 def test_aborted_response_does_not_look_complete(caller):
     caller.send(REQUEST)
     exchange = caller.exchanges[0]
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.defer import Deferred, gatherResults
 
-from _gateway import events
+from _gateway import events, job
 from pomeloshift.gateway import _gateway as gateway_module
 from pomeloshift.gateway._request_dispatcher import RequestDispatcher
 from pomeloshift.http1 import ConnectError, ConnectionBrokenError
@@ -85,3 +85,69 @@
         return b"".join(received)
 
     assert play(scenario).startswith(b"HTTP/1.1 503")
+
+
+@pytest.fixture
+def stopping(play, monkeypatch):
+    """Plays calls that wait at a gateway while it stops as the platform stops it.
+
+    ``start`` gets the deployment, a gateway that accepted `job1`, and a function that
+    sends a call; it starts the calls and returns their deferreds.
+    """
+    monkeypatch.setattr(gateway_module, "LEAVE_ROTATION_S", 0.05)
+
+    def run(start):
+        async def scenario(deployment):
+            gateway = await deployment.add_gateway()
+            await deployment.submit(gateway, "job1", [b"one"])
+
+            def send(*call, **headers):
+                coroutine = deployment.call(gateway, *call, **headers)
+                return Deferred.fromCoroutine(coroutine)
+
+            calls = await start(deployment, gateway, send)
+            await gateway.drain()
+            await gateway.stop()
+            return await gatherResults(calls, consumeErrors=True)
+
+        return play(scenario)
+
+    return run
+
+
+def test_planned_stop_answers_reads_that_wait_for_results(stopping):
+    """They were reset without an answer, up to a second after they were sent."""
+
+    async def start(deployment, gateway, send):
+        read = ("GET", "/api/lots/job1?after=0")
+        calls = [send(*read, X_Wait_Ms=1000) for _ in range(3)]
+        while len(gateway._batch_api._waiting.get("job1", ())) < 3:
+            await deployment.pause(0.01)
+        return calls
+
+    responses = stopping(start)
+    assert [resp.status for resp in responses] == [200] * 3
+    assert all(resp.body == responses[0].body for resp in responses)
+
+
+@pytest.mark.parametrize(
+    ("call", "status"),
+    [
+        (("GET", "/api/items/job1?id=item0"), 200),
+        (("GET", "/api/lots/job9?after=0"), 404),
+        (("DELETE", "/api/lots/job1"), 200),
+        (("POST", "/jobs/new", job([b"one"])), 202),
+        (("GET", "/nowhere/"), 404),
+    ],
+)
+def test_planned_stop_answers_calls_that_wait_for_the_store(stopping, call, status):
+    """The drain counted online requests only, and reset all other calls under way."""
+
+    async def start(deployment, gateway, send):
+        gateway._blobs._cache.clear()
+        deployment.store.delay_s = 0.7
+        await deployment.pause(0.5)  # The log and the configuration are not current.
+        return [send(*call)]
+
+    (resp,) = stopping(start)
+    assert resp.status == status
