Tell repeated refusals from those of the request under way

What callers saw, by a report of operators: a request that an engine ran was answered "not run, try again" (REFUSED), or ran at a second engine (TWICE), after a faulty engine had written an earlier refusal once more on a kept connection.

Cause: the client took a response without X-Request-Id for the one it expected. Reports are a second way, as their connections are kept after a rejection. A copy with an id but without a length was recognised, but everything after it was read as its body.

Fix: on a reused connection a response without an id is held back, and a report call is sent after it. Responses come in order, so the one that follows shows what was held back. Where nothing can follow, the request counts as one that may have run.

Ruled out: that connections of refused requests are kept; they are closed at the head of the refusal.

--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -132,7 +132,8 @@
         """
         if not is_batch:
             self.charge_limit(engine)
-        call = await self.pool.send(engine.record.address, head, body)
+        address = engine.record.address
+        call = await self.pool.send(address, head, body, report_request(address))
         return EngineRun(self, engine, call, is_batch)
 
     def limit_wait_s(self, engine: Engine) -> float:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -89,6 +89,10 @@
         "attempt_refused",
         "The engine rejected a request and proved that it did not run it.",
     ),
+    EventSpec(
+        "response_doubted",
+        "A response on a reused connection names no request; its order decides.",
+    ),
     EventSpec(
         "crash_recorded",
         "An engine crashed during an online request, seen here or not.",
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -110,6 +110,7 @@
         self._incarnation = f"{settings.name}.{random.getrandbits(48):012x}"
 
         self._pool = ConnectionPool(reactor, clock, PoolConfig())
+        self._pool.on_doubt = self._note_doubt
         client = Client(self._pool, clock)
         self._store = StoreClient(settings.store, client, clock)
         self._store.on_call = self._metrics.observe_store_call
@@ -281,6 +282,9 @@
         is_read = self._engine_follower.is_synced
         return is_read and not self._fleet.is_store_unavailable
 
+    def _note_doubt(self, request_id: str, address: str) -> None:
+        self._events.info("response_doubted", id=request_id, address=address)
+
     def _job_changed(self, job_id: str) -> None:
         self._batch_api.job_changed(job_id)
         self.batch_loop.job_changed(job_id)
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -1,7 +1,8 @@
 """An HTTP/1.1 server and client on top of h11 and Twisted."""
 
 from ._client import Client
-from ._client_connection import Call, ConnectionPool
+from ._client_connection import Call
+from ._connection_pool import ConnectionPool
 from ._errors import CallTimeoutError, ConnectError, ConnectionBrokenError
 from ._listener import HttpListener
 from ._mailbox import Mailbox
--- a/src/pomeloshift/http1/_client.py
+++ b/src/pomeloshift/http1/_client.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from ._client_connection import ConnectionPool
+from ._connection_pool import ConnectionPool
 from ._errors import CallTimeoutError, ConnectionBrokenError
 from ._messages import (
     Chunk,
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -1,16 +1,12 @@
-"""Client connections and the pool that reuses them."""
+"""Client connections: send requests and read the responses."""
 
+from enum import Enum
 from typing import Any
 
-import attrs
 import h11
-from twisted.internet.defer import CancelledError, Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.error import ConnectingCancelledError, ConnectionDone
-from twisted.internet.protocol import Factory, Protocol
-from twisted.internet.task import LoopingCall
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
 
-from ._errors import ConnectError
 from ._mailbox import Mailbox
 from ._messages import (
     Chunk,
@@ -21,21 +17,37 @@
     ResponseHead,
 )
 from ._overhead import Overhead
-from ._pool_config import PoolConfig
 
 # Informational (1xx) and stale responses that are skipped before the response.
 MAX_SKIPPED_RESPONSES = 16
+REQUEST_ID = b"x-request-id"
+
+# The status of the response to a probe.
+PROBE_STATUS = 200
 
 ResponseEvent = ResponseHead | Chunk | ResponseEnd | Disconnected
 
 
+class _Origin(Enum):
+    """What a response answers.
+
+    ``OWN`` answers the request under way, ``STALE`` an earlier one, and ``PROBE`` the
+    probe. ``DOUBTFUL`` answers either of the first two.
+    """
+
+    OWN = "own"
+    STALE = "stale"
+    PROBE = "probe"
+    DOUBTFUL = "doubtful"
+
+
 class Call:
     """A request under way and the events of its response.
 
     await call.next(2.0)  # ResponseHead, Chunk ..., ResponseEnd or Disconnected
     """
 
-    def __init__(self, connection: "_Connection", reactor: Any) -> None:
+    def __init__(self, connection: "ClientConnection", reactor: Any) -> None:
         self._connection = connection
         self._mailbox: Mailbox[ResponseEvent] = Mailbox(reactor)
         self.is_over = False
@@ -74,22 +86,30 @@
             self._connection.abort()
 
 
-class _Connection(Protocol):
-    """A connection that has at most one request under way."""
+class ClientConnection(Protocol):
+    """A connection that has at most one request under way.
+
+    A faulty server may send an earlier response once more, also one that names no
+    request. What a reused connection receives without an id is therefore held back
+    until a probe, sent after it, has been answered: if the response to the request
+    comes first, what was held back belonged to an earlier one.
+    """
 
-    def __init__(self, pool: "ConnectionPool", address: str) -> None:
+    def __init__(self, pool: Any, address: str) -> None:
         self.address = address
         self._pool = pool
         self._h11 = h11.Connection(h11.CLIENT)
         self._call: Call | None = None
         self._head: RequestHead | None = None
         self._body = b""
+        self._probe: RequestHead | None = None
+        self._held: list[ResponseEvent] = []
         self._completed_calls = 0
         self._has_received = False
         self._overhead = Overhead()
         self._skipped_responses = 0
         self._is_unframed = False
-        self._is_stale = False
+        self._origin = _Origin.OWN
         self._is_open = True
         self._is_paused = False
         self.idle_until = 0.0
@@ -102,9 +122,13 @@
     def is_usable(self) -> bool:
         return self._is_open and self._call is None
 
-    def send(self, head: RequestHead, body: bytes) -> Call:
+    def send(
+        self, head: RequestHead, body: bytes, probe: RequestHead | None = None
+    ) -> Call:
+        """Sends a request; see `ConnectionPool.send`."""
         self._call = Call(self, self._pool.reactor)
-        self._head, self._body = head, body
+        self._head, self._body, self._probe = head, body, probe
+        self._held = []
         self._has_received = False
         self._overhead = Overhead()
         self._skipped_responses = 0
@@ -186,46 +210,70 @@
         if call is None:
             return
         if isinstance(event, h11.Response):
-            self._is_stale = not self._is_expected(event)
-            if self._is_stale:
-                self._count_skipped()
-                return
-            headers = Headers(event.headers.raw_items())
-            self._is_unframed = not _is_framed(event)
-            call.deliver(
-                ResponseHead(event.status_code, headers, not self._is_unframed)
-            )
+            self._begin_response(call, event)
         elif isinstance(event, h11.Data):
-            if not self._is_stale:
-                self._overhead.body += len(event.data)
-                call.deliver(Chunk(bytes(event.data)))
+            self._take_data(call, Chunk(bytes(event.data)))
         elif isinstance(event, h11.InformationalResponse):
             self._count_skipped()
         elif isinstance(event, h11.EndOfMessage):
-            if self._is_stale:
-                self._skip_stale_response()
-            else:
-                self._finish(call)
+            self._end_response(call)
         elif isinstance(event, h11.ConnectionClosed):
             self._fail("closed by the server", by_server=True)
 
-    def _is_expected(self, response: h11.Response) -> bool:
-        """Returns whether a response belongs to the request under way.
+    def _begin_response(self, call: Call, event: h11.Response) -> None:
+        headers = Headers(event.headers.raw_items())
+        head = ResponseHead(event.status_code, headers, _is_framed(event))
+        self._origin = self._find_origin(head)
+        if self._origin is _Origin.OWN:
+            self._is_unframed = not head.is_framed
+            call.deliver(head)
+        elif not head.is_framed:
+            # It ends with the connection, and nothing can follow it.
+            self._fail(f"a response without a length, {self._origin.value}")
+        elif self._origin is _Origin.DOUBTFUL and self._held:
+            self._fail("two responses that name no request")
+        else:
+            if self._origin is _Origin.DOUBTFUL:
+                self._held.append(head)
+            self._count_skipped()
 
-        A server may send a second response to an earlier request. Such a stale
-        response is recognised by its request id.
-        """
+    def _find_origin(self, head: ResponseHead) -> _Origin:
         assert self._head is not None
-        sent = self._head.headers.get(b"x-request-id")
-        echoed = Headers(list(response.headers)).get(b"x-request-id")
-        return sent is None or echoed is None or sent == echoed
+        sent = self._head.headers.get(REQUEST_ID)
+        echoed = head.headers.get(REQUEST_ID)
+        if sent is None or sent == echoed:
+            return _Origin.OWN
+        if echoed is not None:
+            return _Origin.STALE
+        if self._held and head.status == PROBE_STATUS:
+            return _Origin.PROBE
+        is_first = self._completed_calls == 0
+        return _Origin.OWN if is_first or not self._probe else _Origin.DOUBTFUL
+
+    def _take_data(self, call: Call, chunk: Chunk) -> None:
+        if self._origin is _Origin.OWN:
+            self._overhead.body += len(chunk.data)
+            call.deliver(chunk)
+        elif self._origin is _Origin.DOUBTFUL:
+            self._held.append(chunk)
+
+    def _end_response(self, call: Call) -> None:
+        if self._origin is _Origin.OWN:
+            self._finish(call)
+        elif self._origin is _Origin.PROBE:
+            held, self._held = self._held, []
+            self._finish(call, held)
+        else:
+            is_doubtful = self._origin is _Origin.DOUBTFUL
+            self._skip_response()
+            if is_doubtful and self._is_open:
+                self._send_probe()
 
-    def _skip_stale_response(self) -> None:
-        """Resets the parser after a stale response to read the next one."""
+    def _skip_response(self) -> None:
+        """Resets the parser after a response to read the next one."""
         assert self._head is not None
         trailing, is_closed = self._h11.trailing_data
         self._h11 = h11.Connection(h11.CLIENT)
-        self._is_stale = False
         # The request was sent before; encoding it again only sets the parser's state.
         self._encode(self._head, self._body)
         if trailing:
@@ -233,7 +281,20 @@
         if is_closed:
             self._h11.receive_data(b"")
 
-    def _finish(self, call: Call) -> None:
+    def _send_probe(self) -> None:
+        assert self._head is not None
+        assert self._probe is not None
+        self._pool.on_doubt(self._head.headers.text(REQUEST_ID), self.address)
+        fields = list(self._probe.headers)
+        request = h11.Request(
+            method=self._probe.method, target=self._probe.target, headers=fields
+        )
+        encoder = h11.Connection(h11.CLIENT)
+        transport: Any = self.transport
+        transport.write(encoder.send(request))
+
+    def _finish(self, call: Call, held: list[ResponseEvent] | None = None) -> None:
+        """Ends the call, whose response is complete, and delivers what was held."""
         self._call = None
         self._completed_calls += 1
         trailing, is_closed = self._h11.trailing_data
@@ -241,6 +302,8 @@
             self._is_open
             and not trailing
             and not is_closed
+            # The response to the probe is still due.
+            and not self._held
             and self._h11.our_state is h11.DONE
             and self._h11.their_state is h11.DONE
         )
@@ -250,6 +313,9 @@
             self._pool.release(self)
         else:
             self._close()
+        call.is_over = True
+        for event in held or ():
+            call.deliver(event)
         call.deliver(ResponseEnd())
 
     def _fail(self, reason: str, by_server: bool = False) -> None:
@@ -257,6 +323,8 @@
         self._close()
         if call is not None:
             was_reused = self._completed_calls > 0 and not self._has_received
+            # A server that ends a connection after a response has not crashed.
+            by_server = by_server and not self._held
             call.deliver(Disconnected(reason, was_reused, by_server))
 
     def _close(self) -> None:
@@ -274,95 +342,3 @@
         or b"transfer-encoding" in names
         or response.status_code in (204, 304)
     )
-
-
-class ConnectionPool:
-    """Opens connections and reuses idle ones, the most recently used first."""
-
-    def __init__(self, reactor: Any, clock: Any, config: PoolConfig) -> None:
-        self.reactor = reactor
-        self._clock = clock
-        self._config = config
-        self._idle: dict[str, list[_Connection]] = {}
-        self.opened = 0
-        self._sweeper = LoopingCall(self._sweep)
-        self._sweeper.clock = reactor
-
-    def start(self) -> None:
-        """Starts to close connections that have been idle for ``idle_s`` seconds."""
-        self._sweeper.start(self._config.sweep_interval_s, now=False)
-
-    def stop(self) -> None:
-        """Closes all idle connections."""
-        if self._sweeper.running:
-            self._sweeper.stop()
-        for connections in list(self._idle.values()):
-            for connection in list(connections):
-                connection._close()
-
-    async def send(self, address: str, head: RequestHead, body: bytes) -> Call:
-        """Sends a request over an idle or a new connection.
-
-        Raises `ConnectError` if nothing was sent.
-        """
-        connection = self._take_idle(address)
-        if connection is None:
-            connection = await self._connect(address)
-        return connection.send(head, body)
-
-    def release(self, connection: _Connection) -> None:
-        """Makes a connection available for the next call."""
-        idle_s = self._config.idle_s
-        connection.idle_until = self._clock.monotonic() + idle_s
-        self._idle.setdefault(connection.address, []).append(connection)
-
-    def discard(self, connection: _Connection) -> None:
-        """Removes a closed connection, if it is in the pool."""
-        idle = self._idle.get(connection.address)
-        if idle and connection in idle:
-            idle.remove(connection)
-
-    def _take_idle(self, address: str) -> _Connection | None:
-        idle = self._idle.get(address, [])
-        now = self._clock.monotonic()
-        while idle:
-            connection = idle.pop()
-            if connection.is_usable and connection.idle_until > now:
-                return connection
-            connection._close()
-        return None
-
-    def _sweep(self) -> None:
-        now = self._clock.monotonic()
-        for address, idle in list(self._idle.items()):
-            for connection in [c for c in idle if c.idle_until <= now]:
-                connection._close()
-            if not idle:
-                self._idle.pop(address, None)
-
-    async def _connect(self, address: str) -> _Connection:
-        host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self.reactor, host, int(port), timeout=self._config.connect_timeout_s
-        )
-        factory: Any = _Factory(self, address)
-        try:
-            connecting: Deferred[Any] = endpoint.connect(factory)
-            self.opened += 1
-            return await connecting
-        except CancelledError:
-            raise
-        except ConnectingCancelledError as exc:
-            raise CancelledError from exc
-        except Exception as exc:
-            raise ConnectError(f"{address}: {type(exc).__name__}") from exc
-
-
-@attrs.define(eq=False)
-class _Factory(Factory):
-    _pool: ConnectionPool
-    _address: str
-    noisy = False
-
-    def buildProtocol(self, addr: Any) -> _Connection:  # noqa: N802
-        return _Connection(self._pool, self._address)
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -20,7 +20,7 @@
     ResponseEnd,
     ResponseHead,
 )
-from pomeloshift.http1._client_connection import _Connection
+from pomeloshift.http1._client_connection import ClientConnection
 from pomeloshift.http1._overhead import MAX_OVERHEAD_BYTES
 from pomeloshift.http1._server_connection import ServerConnection
 
@@ -62,7 +62,7 @@
 
 @pytest.fixture
 def connection(pool):
-    connection = _Connection(pool, "10.0.0.1:80")
+    connection = ClientConnection(pool, "10.0.0.1:80")
     connection.makeConnection(Transport())
     return connection
 
--- a/tests/test_http1_fuzz.py
+++ b/tests/test_http1_fuzz.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from pomeloshift.http1 import ConnectionPool, Disconnected, PoolConfig, ResponseEnd
-from pomeloshift.http1._client_connection import _Connection
+from pomeloshift.http1._client_connection import ClientConnection
 from test_http1 import (
     REQUEST,
     Caller,
@@ -48,7 +48,9 @@
 
 def make_connection():
     clock = VirtualClock()
-    connection = _Connection(ConnectionPool(clock, clock, PoolConfig()), "10.0.0.1:80")
+    connection = ClientConnection(
+        ConnectionPool(clock, clock, PoolConfig()), "10.0.0.1:80"
+    )
     connection.makeConnection(Transport())
     return connection
 
