Keep an engine's errors out of streams that have begun

Cause: bytes counted as events by their position. Events without an id were written at the end of a stream, whoever had sent them; a resumed response of another type without any event counted as the end; and the head of an error within a stream was read as the rest of the event that it cut off.

A status other than 200 ended the attempt before already.

Fix: an event whose lines are not those of an event ends the attempt before it; where a stream or an item resumes, the response needs the type of a stream and the next event.

--- a/src/pomeloshift/dispatch/_event_stream.py
+++ b/src/pomeloshift/dispatch/_event_stream.py
@@ -12,6 +12,10 @@
 MAX_EVENT_END_BYTES = 4
 # `int()` rejects very long numbers; an id with more digits is ignored.
 MAX_ID_DIGITS = 18
+# The fields of an event, with the empty name of a comment and of the last line. Engines
+# add fields with names of headers in lower case.
+KNOWN_FIELDS = frozenset({b"", b"id", b"data", b"event", b"retry"})
+FIELD_NAME = re.compile(rb"[a-z][a-z0-9_-]*")
 
 
 @attrs.frozen
@@ -19,11 +23,20 @@
     """One complete event: its bytes on the wire, its id and its data.
 
     ``id`` is None if the event has none or if it is not a decimal number.
+    ``is_malformed`` is set if its lines are not those of an event, as where the head of
+    an HTTP response follows a part of one.
     """
 
     raw: bytes
     id: int | None
     data: bytes
+    is_malformed: bool = False
+
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event has no field."""
+        lines = self.raw.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
 
     @classmethod
     def parse(cls, raw: bytes) -> "StreamEvent":
@@ -38,7 +51,16 @@
             elif name == b"id":
                 is_count = value.isdigit() and len(value) <= MAX_ID_DIGITS
                 event_id = int(value) if is_count else None
-        return cls(raw, event_id, b"\n".join(data))
+        return cls(raw, event_id, b"\n".join(data), _is_malformed(raw))
+
+
+def _is_malformed(raw: bytes) -> bool:
+    has_other_ends = raw.endswith(b"\r\n\r\n") and (
+        raw.count(b"\n") != raw.count(b"\r\n")
+    )
+    names = {line.partition(b":")[0].rstrip(b"\r") for line in raw.split(b"\n")}
+    unknown = names - KNOWN_FIELDS
+    return has_other_ends or not all(map(FIELD_NAME.fullmatch, unknown))
 
 
 class OversizedEventError(PomeloshiftError):
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -12,6 +12,7 @@
     Engine,
     EventSplitter,
     OversizedEventError,
+    StreamEvent,
     WatchedRun,
 )
 from ..http1 import CallTimeoutError, ConnectError, Disconnected, ResponseEnd
@@ -178,6 +179,9 @@
             return self._broken(f"unusable response, status {event.status}")
         if event.status != 200:
             return RunEnd.ANSWERED
+        if self.resumed_after and event.media_type not in ("", EVENT_STREAM):
+            # Its end would look like that of the whole stream.
+            return self._broken(f"a resumed stream of type {event.media_type}")
         self._progressed_at = self.access.now()
         is_framed = event.is_framed
         while True:
@@ -193,7 +197,7 @@
                     self.crashes.note_answered(self.keys, item.id)
                 return RunEnd.COMPLETE
             if not self._apply_data(event.data):
-                return self._broken("events out of order or not text")
+                return self._broken("events out of order, malformed or not text")
             if self.progress and len(self.progress.text) > MAX_OUTPUT_BYTES:
                 # Whatever runs the item next starts it again.
                 self.progress = None
@@ -225,7 +229,7 @@
         in_order = [
             event
             for event, _ in takewhile(
-                lambda pair: pair[0].id == pair[1] and _is_text(pair[0].data),
+                lambda pair: _is_usable(*pair),
                 zip(events, count(first_id), strict=False),
             )
         ]
@@ -254,9 +258,15 @@
 
 
 FIRST_EVENT_ID = 1
+EVENT_STREAM = "text/event-stream"
 BROKEN_OFF = "ended in the middle of an event"
 
 
+def _is_usable(event: StreamEvent, next_id: int) -> bool:
+    is_next = event.id == next_id and not event.is_malformed
+    return is_next and _is_text(event.data)
+
+
 def _is_text(data: bytes) -> bool:
     """Whether data can be part of a result, which is JSON."""
     try:
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -344,7 +344,8 @@
             return
         if not self.relay.take_head(head):
             self._note_failure(
-                engine, f"response status {head.status} to a resumed stream"
+                engine,
+                f"response status {head.status} {head.media_type} to a resumed stream",
             )
             return
         while True:
@@ -366,7 +367,7 @@
             if self.relay.shows_run and self._watched is not None:
                 self._watched.note_event(self.relay.progressed_at)
             if not in_order:
-                self._note_failure(engine, "events out of order")
+                self._note_failure(engine, "events out of order or malformed")
                 return
 
     def _note_begun(self, engine: Engine) -> None:
--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -23,7 +23,9 @@
     `MAX_HELD_BYTES`. Until then the request can be retried on another engine. The
     relay writes only complete events, so that another engine can resume a stream
     after the last one. Events without an id, such as comments, are written with the
-    next one that has an id, because garbage looks like them.
+    next one that has an id, because garbage looks like them. What an engine sends where
+    it resumes a stream has to be a stream of the same type that goes on with the next
+    event: an error of the engine is no part of the stream.
 
     ``progressed_at`` is the monotonic time of the last event or body byte that the
     caller can use. ``stream_s`` is the time from a stream's first event to its end; it
@@ -42,6 +44,7 @@
     _head: ResponseHead | None = None
     _is_framed: bool = True
     _run_has_events: bool = False
+    _awaits_next: bool = False
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _unnumbered: bytearray = attrs.field(factory=bytearray)
     _held: bytearray = attrs.field(factory=bytearray)
@@ -75,6 +78,7 @@
         self._unnumbered.clear()
         self._held.clear()
         self._run_has_events = False
+        self._awaits_next = self.has_begun
         self.progressed_at = self._now()
 
     def take_head(self, head: ResponseHead) -> bool:
@@ -82,13 +86,16 @@
         self.progressed_at = self._now()
         self._is_framed = head.is_framed
         if self.has_begun:
+            assert self._head is not None
             self._is_resumed = True
-            return head.status == 200
+            return head.status == 200 and head.media_type == self._head.media_type
         self._head = head
         return True
 
     def take_data(self, data: bytes) -> bool:
-        """Handles a chunk of the body; returns False if its events are out of order.
+        """Handles a chunk of the body; returns False if its events cannot be used.
+
+        They are out of order, or malformed.
 
         Raises `OversizedEventError` if the stream goes on without an event to write.
         """
@@ -150,14 +157,19 @@
         self._exchange.start(self._head.status, self._head.headers.end_to_end())
 
     def _events_in_order(self, events: list[StreamEvent]) -> list[StreamEvent]:
-        """Returns the events before the first one that is out of order."""
+        """Returns the events before the first one that cannot be used."""
         last_id = self._last_id
         for at, event in enumerate(events):
+            if event.is_malformed:
+                return events[:at]
             if event.id is None:
+                if self._awaits_next and not event.is_comment:
+                    return events[:at]
                 continue
             if last_id is not None and event.id != last_id + 1:
                 return events[:at]
             last_id = event.id
+            self._awaits_next = False
         return events
 
     def _write_numbered(self, events: list[StreamEvent]) -> None:
--- a/src/pomeloshift/http1/_messages.py
+++ b/src/pomeloshift/http1/_messages.py
@@ -93,6 +93,12 @@
     headers: Headers
     is_framed: bool = True
 
+    @property
+    def media_type(self) -> str:
+        """The media type of the body in lower case, empty if none is stated."""
+        value = self.headers.text(b"content-type")
+        return value.partition(";")[0].strip().lower()
+
 
 @attrs.frozen
 class Chunk:
