--- a/tests/_raw_engine.py
+++ b/tests/_raw_engine.py
@@ -97,6 +97,14 @@
         self._is_busy = False
         self._serve_next()
 
+    def end(self, data, delay_s=0.0):
+        """Writes the rest of a response after a time and closes the channel."""
+        self.engine._raw_reactor.callLater(delay_s, self._end, data)
+
+    def _end(self, data):
+        self.send(data)
+        self.close()
+
     def close(self):
         """Closes the channel after what was written."""
         self.transport.loseConnection()
