Let a stream that its caller takes up go on with the next event only

A 200 with an error's text, or a stream that began again with its first event, was relayed as it came, and the caller joined it to the events that it had.

Cause: the relay treated such a request as one that begins a stream.

Fix: the relay starts with the caller's last event, so that the checks for a resume within one response hold for the first engine too. The attempt fails, and goes to another engine where the route allows that.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -16,6 +16,7 @@
 from ._engine_load import EngineLoad, EngineReport
 from ._engine_record import EngineRecord
 from ._event_stream import (
+    EVENT_STREAM,
     MAX_EVENT_BYTES,
     EventSplitter,
     OversizedEventError,
@@ -46,6 +47,7 @@
 
 __all__ = [
     "DIRECT",
+    "EVENT_STREAM",
     "EXPIRY_GRACE_S",
     "MAX_EVENT_BYTES",
     "NO_REQUESTS",
--- a/src/pomeloshift/dispatch/_event_stream.py
+++ b/src/pomeloshift/dispatch/_event_stream.py
@@ -6,6 +6,8 @@
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
 
+# The media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
 # Limit of the bytes of an incomplete event, which holds a few tokens.
 MAX_EVENT_BYTES = 256 * 1024
 EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -8,6 +8,7 @@
 import attrs
 
 from ..dispatch import (
+    EVENT_STREAM,
     CrashKeys,
     Engine,
     EventSplitter,
@@ -258,7 +259,6 @@
 
 
 FIRST_EVENT_ID = 1
-EVENT_STREAM = "text/event-stream"
 BROKEN_OFF = "ended in the middle of an event"
 
 
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -544,7 +544,8 @@
         )
         self.access.admission.note_arrival(route, req.deadline_s)
         is_stream = route.kind is RouteKind.STREAMING
-        relay = ResponseRelay(exchange, is_stream, self.access.now)
+        resumed_after = req.last_event_id if is_stream else None
+        relay = ResponseRelay(exchange, is_stream, self.access.now, resumed_after)
         digest = fingerprint(req.host, req.path, exchange.body)
         request = OnlineRequest(
             self.access,
--- a/src/pomeloshift/gateway/_response_relay.py
+++ b/src/pomeloshift/gateway/_response_relay.py
@@ -5,6 +5,7 @@
 import attrs
 
 from ..dispatch import (
+    EVENT_STREAM,
     MAX_EVENT_BYTES,
     EventSplitter,
     OversizedEventError,
@@ -25,7 +26,8 @@
     after the last one. Events without an id, such as comments, are written with the
     next one that has an id, because garbage looks like them. What an engine sends where
     it resumes a stream has to be a stream of the same type that goes on with the next
-    event: an error of the engine is no part of the stream.
+    event: an error of the engine is no part of the stream. ``resumed_after`` is the id
+    of the last event that the caller has, if it takes up a stream.
 
     ``progressed_at`` is the monotonic time of the last event or body byte that the
     caller can use. ``stream_s`` is the time from a stream's first event to its end; it
@@ -35,6 +37,7 @@
     _exchange: Exchange
     _is_stream: bool
     _now: Callable[[], float]
+    _resumed_after: int | None = None
     has_begun: bool = False
     first_event_s: float = 0.0
     stream_s: float = 0.0
@@ -48,7 +51,11 @@
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _unnumbered: bytearray = attrs.field(factory=bytearray)
     _held: bytearray = attrs.field(factory=bytearray)
-    _last_id: int | None = None
+    _last_id: int | None = attrs.field(init=False)
+
+    @_last_id.default
+    def _last_received(self) -> int | None:
+        return self._resumed_after
 
     @property
     def resume_from(self) -> int | None:
@@ -78,7 +85,7 @@
         self._unnumbered.clear()
         self._held.clear()
         self._run_has_events = False
-        self._awaits_next = self.has_begun
+        self._awaits_next = self.has_begun or self._resumed_after is not None
         self.progressed_at = self._now()
 
     def take_head(self, head: ResponseHead) -> bool:
@@ -89,6 +96,9 @@
             assert self._head is not None
             self._is_resumed = True
             return head.status == 200 and head.media_type == self._head.media_type
+        is_resumed = self._resumed_after is not None and head.status == 200
+        if is_resumed and head.media_type not in ("", EVENT_STREAM):
+            return False
         self._head = head
         return True
 
--- a/src/pomeloshift/platform/_caller_request.py
+++ b/src/pomeloshift/platform/_caller_request.py
@@ -31,6 +31,8 @@
     new ones. ``parts`` holds the ids of the parts of its prompt that other requests may
     share, the first one first. ``resumes`` is set if the caller takes up a stream: the
     id of the request that brought the first event, empty if it names none.
+    ``last_event_id`` is the id of the last event that it has received of that stream,
+    `None` if it names none.
     """
 
     id: str
@@ -42,6 +44,7 @@
     wait_s: float
     parts: tuple[str, ...] = ()
     resumes: str | None = None
+    last_event_id: int | None = None
 
 
 @attrs.frozen
@@ -86,6 +89,7 @@
         wait_s=wait_s or 0.0,
         parts=shared_parts(headers.text(PROMPT_PARTS)),
         resumes=headers.text(RESUMES) if _is_resume(headers) else None,
+        last_event_id=_last_event_id(headers),
     )
 
 
@@ -106,6 +110,11 @@
     return min(max(0, milliseconds), MAX_WAIT_S * 1000) / 1000
 
 
+def _last_event_id(headers: Headers) -> int | None:
+    number = headers.integer(LAST_EVENT_ID)
+    return number if number is not None and number >= 0 else None
+
+
 def _is_resume(headers: Headers) -> bool:
     names = (LAST_EVENT_ID, RESUMES)
     return any(headers.get(name) is not None for name in names)
--- a/tests/test_errors_in_streams.py
+++ b/tests/test_errors_in_streams.py
@@ -39,11 +39,11 @@
 def call(play):
     """Plays a call at a gateway with engines that answer as given, the nearest first.
 
-    Returns what the caller received, which is None for a response that broke off, and
-    each engine's number of requests.
+    Returns the body of a success that is complete, None without one, and each engine's
+    number of requests.
     """
 
-    def run(path, *answers):
+    def run(path, *answers, **headers):
         async def scenario(deployment):
             for zone, answer in zip("abc", answers, strict=False):
                 add(deployment, answer, zone)
@@ -51,7 +51,8 @@
             while gateway.count_engines()["serving"] < len(answers):
                 await deployment.pause(0.01)
             try:
-                body = (await deployment.call(gateway, "POST", path)).body
+                resp = await deployment.call(gateway, "POST", path, **headers)
+                body = resp.body if resp.status == 200 else None
             except ConnectionBrokenError:
                 body = None
             return body, [len(engine.requests) for engine in deployment.engines]
@@ -103,6 +104,38 @@
     assert requests == [1, 1]
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("error", ERRORS)
+def test_error_does_not_get_into_a_stream_that_its_caller_takes_up(
+    call, error, framing
+):
+    """The caller joined its text to the events that it had."""
+
+    def fail(channel, request):
+        send_error(channel, request, error, framing)
+
+    def go_on(channel, request):
+        first = int(request.headers["last-event-id"]) + 1
+        fields = [*stamped(request.id), STREAM]
+        channel.finish(with_length(200, events(first, 4), *fields))
+
+    body, requests = call("/resumable/a", fail, go_on, Last_Event_Id=2)
+    assert body in (None, events(3, 4))
+    assert (body is None) == (error == "404")
+    body, requests = call("/once/a", fail, go_on, Last_Event_Id=2)
+    assert (body, requests) == (None, [1, 0])
+
+
+def test_stream_that_is_taken_up_goes_on_with_the_next_event_only(call):
+    """An engine that began again had its first events joined to those of the caller."""
+
+    def begin_again(channel, request):
+        fields = [*stamped(request.id), STREAM]
+        channel.finish(with_length(200, events(1, 4), *fields))
+
+    assert call("/once/a", begin_again, Last_Event_Id=2) == (None, [1])
+
+
 @pytest.mark.parametrize("error", ERRORS)
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_error_of_the_next_engine_does_not_get_into_an_item(play, error, framing):
--- a/tests/test_faulty_engine_soak.py
+++ b/tests/test_faulty_engine_soak.py
@@ -110,8 +110,11 @@
         channel.close()
 
 
-def problems(path, request_id, outcome, runs):
-    """Returns what an outcome breaks; it is a response or None if it broke off."""
+def problems(path, request_id, after, outcome, runs):
+    """Returns what an outcome breaks; it is a response or None if it broke off.
+
+    ``after`` is the last event that the caller had, 0 without any.
+    """
     found = []
     is_repeatable = path.startswith(("/resumable", "/plain"))
     if runs > 1 and not is_repeatable:
@@ -121,7 +124,8 @@
     if outcome.status in NOT_RUN and runs and not is_repeatable:
         found.append(f"{outcome.status} although it ran")
     if outcome.status == 200:
-        whole = events(1, LAST_EVENT) if is_stream(path) else request_id.encode()
+        stream = events(after + 1, LAST_EVENT)
+        whole = stream if is_stream(path) else request_id.encode()
         if outcome.body != whole or runs == 0:
             found.append(f"200 with {outcome.body!r} after {runs} runs")
     return [f"{path} {request_id}: {one}" for one in found]
@@ -144,13 +148,17 @@
 
     async def send(deployment, gateway, faulty, number):
         path, request_id = random.choice(PATHS), f"r{number}"
+        after = random.choice([0, 2]) if is_stream(path) else 0
+        headers = {"Last_Event_Id": after} if after else {}
         try:
-            call = deployment.call(gateway, "POST", path, request_id=request_id)
+            call = deployment.call(
+                gateway, "POST", path, request_id=request_id, **headers
+            )
             outcome = await call
         except (ConnectError, ConnectionBrokenError):
             outcome = None
         runs = sum(one.ran.count(request_id) for one in faulty)
-        return problems(path, request_id, outcome, runs)
+        return problems(path, request_id, after, outcome, runs)
 
     async def scenario(deployment):
         routes = [route(p.split("/")[1], timeoutMs=1500) for p in PATHS]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -226,6 +226,14 @@
     assert read_caller_request(head).resumes == resumes
 
 
+@pytest.mark.parametrize(
+    ("value", "last"), [("7", 7), ("0", 0), ("-1", None), ("x", None), ("", None)]
+)
+def test_last_event_of_a_stream_that_is_taken_up_is_a_count(value, last):
+    head = request(b"/a/1", b"POST", Last_Event_Id=value)
+    assert read_caller_request(head).last_event_id == last
+
+
 def test_parts_of_a_prompt_are_bounded_in_number_and_length():
     ids = [f"{number:x}" for number in range(1000)]
     head = request(b"/a/1", X_Prompt_Prefix=",".join([10000 * "f", "not hex", *ids]))
