--- a/tests/test_gateway_changed_routes.py
+++ b/tests/test_gateway_changed_routes.py
@@ -7,6 +7,7 @@
 from pomeloshift.gateway import _batch_api
 from pomeloshift.http1 import Headers, RequestHead
 from pomeloshift.jobs import _unrouted_items
+from pomeloshift.standins.platform import Behaviour
 
 
 @pytest.fixture(autouse=True)
@@ -36,10 +37,19 @@
 
 async def finished(deployment, gateway):
     """Waits until a gateway knows a result of each item, and returns the results."""
-    jobs = gateway.job_log.table.jobs
-    while "job1" not in jobs or jobs["job1"].is_open:
+    while True:
+        known = gateway.job_log.table.jobs.get("job1")
+        if known is not None and not known.is_open:
+            return known.results
         await deployment.pause(0.02)
-    return jobs["job1"].results
+
+
+async def remove_route(deployment, gateways, *routes):
+    """Puts a configuration without the jobs' route in force."""
+    deployment.publish(config(2, routes or [route("plain")]))
+    for gateway in gateways:
+        while gateway.config.current.version < 2:
+            await deployment.pause(0.01)
 
 
 def states(rows):
@@ -73,7 +83,7 @@
     async def scenario(deployment):
         gateways = [await deployment.add_gateway() for _ in range(2)]
         await submit(deployment, gateways[0], "/jobs/0", "/jobs/1")
-        deployment.publish(config(2, [route("plain")]))
+        await remove_route(deployment, gateways)
         deployment.add_engine()
         return [
             [r.state.value for r in await finished(deployment, gateway)]
@@ -89,9 +99,7 @@
     async def scenario(deployment):
         gateway = await deployment.add_gateway()
         await submit(deployment, gateway, "/jobs/0")
-        deployment.publish(config(2, [route("plain")]))
-        while gateway.config.current.version < 2:
-            await deployment.pause(0.01)
+        await remove_route(deployment, [gateway])
         deployment.add_engine()
         await deployment.pause(0.3)
         deployment.publish(config(3, [route("plain"), route("jobs")]))
@@ -103,12 +111,12 @@
 def test_running_item_finishes_although_its_route_ends(play):
     async def scenario(deployment):
         engine = deployment.add_engine()
-        engine.behaviour = engine.behaviour.__class__(events=8, event_gap_s=0.2)
+        engine.behaviour = Behaviour(events=8, event_gap_s=0.2)
         gateway = await deployment.add_gateway()
         await submit(deployment, gateway, "/jobs/0")
         while not engine.running:
             await deployment.pause(0.01)
-        deployment.publish(config(2, [route("plain")]))
+        await remove_route(deployment, [gateway])
         return [r.state.value for r in await finished(deployment, gateway)]
 
     assert play(scenario) == ["done"]
@@ -138,13 +146,6 @@
     return run
 
 
-async def remove_route(deployment, gateways, *routes):
-    deployment.publish(config(2, routes or [route("plain")]))
-    for gateway in gateways:
-        while gateway.config.current.version < 2:
-            await deployment.pause(0.01)
-
-
 # The second is an online route whose prefix covers the paths of the batch calls.
 @pytest.mark.parametrize("routes", [(), (route("plain", pathPrefix="/"),)])
 def test_results_are_read_after_the_removal_of_their_route(removed_route, routes):
