--- a/tests/_raw_engine.py
+++ b/tests/_raw_engine.py
@@ -37,6 +37,16 @@
             channel.transport.abortConnection()
 
 
+def add_raw_engine(deployment, answer, **fields):
+    """Starts an engine that answers as given; ``fields`` are those of its record."""
+    name = f"i-{len(deployment.engines)}"
+    engine = RawEngine(deployment.reactor, deployment.clock, name, answer)
+    engine.address = engine.listen()
+    deployment.register(engine, **fields)
+    deployment.engines.append(engine)
+    return engine
+
+
 class Channel(Protocol):
     """One channel to the engine; ``seen`` holds its requests."""
 
--- a/tests/test_errors_in_streams.py
+++ b/tests/test_errors_in_streams.py
@@ -3,7 +3,7 @@
 import pytest
 
 from _gateway import events, text
-from _raw_engine import FRAMINGS, RawEngine, head, stamped, with_length
+from _raw_engine import FRAMINGS, add_raw_engine, head, stamped, with_length
 from pomeloshift.http1 import ConnectionBrokenError
 
 STREAM = b"Content-Type: text/event-stream"
@@ -46,7 +46,7 @@
     def run(path, *answers, **headers):
         async def scenario(deployment):
             for zone, answer in zip("abc", answers, strict=False):
-                add(deployment, answer, zone)
+                add_raw_engine(deployment, answer, zone=zone)
             gateway = await deployment.add_gateway()
             while gateway.count_engines()["serving"] < len(answers):
                 await deployment.pause(0.01)
@@ -62,15 +62,6 @@
     return run
 
 
-def add(deployment, answer, zone):
-    number = len(deployment.engines)
-    engine = RawEngine(deployment.reactor, deployment.clock, f"i-{number}", answer)
-    engine.address = engine.listen()
-    deployment.register(engine, zone=zone)
-    deployment.engines.append(engine)
-    return engine
-
-
 @pytest.fixture
 def received(monkeypatch):
     """What callers received of each response, also of those that broke off."""
@@ -155,7 +146,7 @@
             channel.finish(with_length(200, events(first, 4), *fields))
 
     async def scenario(deployment):
-        add(deployment, answer, "a")
+        add_raw_engine(deployment, answer)
         gateway = await deployment.add_gateway()
         await deployment.submit(gateway, "job1", [b"one"])
         return await deployment.results(gateway, "job1", 1)
--- a/tests/test_faulty_engine_soak.py
+++ b/tests/test_faulty_engine_soak.py
@@ -11,7 +11,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from _gateway import config, events, route, text
-from _raw_engine import FRAMINGS, REPORT, RawEngine, head, stamped, with_length
+from _raw_engine import FRAMINGS, REPORT, add_raw_engine, head, stamped, with_length
 from pomeloshift.http1 import ConnectError, ConnectionBrokenError
 
 FIRST, LAST = (int(n) for n in os.environ.get("SOAK_SEEDS", "1-12").split("-"))
@@ -40,7 +40,7 @@
     def answer(self, channel, request):
         # Only on a kept channel can anything be written once more.
         if len(channel.seen) > 1 and self.random.random() < 0.4:
-            channel.send(self.earlier(channel, request))
+            channel.send(self.earlier(channel))
         draw = self.random.random()
         if draw < 0.25:
             self.refuse(channel, request)
@@ -53,8 +53,8 @@
         else:
             self.break_off(channel, request)
 
-    def earlier(self, channel, request):
-        """Returns an earlier response, which is not that to the request."""
+    def earlier(self, channel):
+        """Returns the response to an earlier request, or to an earlier report."""
         framing = self.random.choice(["length", "chunks"])
         before = self.whole(channel.seen[-2], framing)
         return self.random.choice([with_length(200, REPORT), before, *self.refusals])
@@ -136,12 +136,8 @@
 
 def add_faulty_engines(deployment, random):
     faulty = [FaultyEngine(Random(random.random())) for _ in range(2)]
-    for number, one in enumerate(faulty):
-        name = f"i-{number}"
-        engine = RawEngine(deployment.reactor, deployment.clock, name, one.answer)
-        engine.address = engine.listen()
-        deployment.register(engine)
-        deployment.engines.append(engine)
+    for one in faulty:
+        add_raw_engine(deployment, one.answer)
     return faulty
 
 
--- a/tests/test_repeated_refusals.py
+++ b/tests/test_repeated_refusals.py
@@ -3,7 +3,7 @@
 import pytest
 
 from _gateway import events, text
-from _raw_engine import FRAMINGS, REPORT, RawEngine, stamped, with_length
+from _raw_engine import FRAMINGS, REPORT, add_raw_engine, stamped, with_length
 
 # How long the engine takes to run a request, in seconds.
 RUN_S = 0.3
@@ -32,11 +32,8 @@
 
     def run(answer, paths, answer_report=None, before=None, after=None):
         async def scenario(deployment):
-            engine = RawEngine(deployment.reactor, deployment.clock, "i-0", answer)
+            engine = add_raw_engine(deployment, answer)
             engine.answer_report = answer_report
-            engine.address = engine.listen()
-            deployment.register(engine)
-            deployment.engines.append(engine)
             gateway = await deployment.add_gateway()
             if before is not None:
                 await before(deployment, gateway)
--- a/tests/test_truncated_heads.py
+++ b/tests/test_truncated_heads.py
@@ -3,7 +3,7 @@
 import pytest
 
 from _gateway import events, text
-from _raw_engine import FRAMINGS, RawEngine, stamped, with_length
+from _raw_engine import FRAMINGS, add_raw_engine, stamped, with_length
 
 BODY = {"/plain/a": b"whole", "/unsafe/a": b"whole"}
 CUTS = ["status", "status-line", "field", "length", "blank-line"]
@@ -47,10 +47,7 @@
 
     def run(answer, scenario):
         async def whole(deployment):
-            engine = RawEngine(deployment.reactor, deployment.clock, "i-0", answer)
-            engine.address = engine.listen()
-            deployment.register(engine)
-            deployment.engines.append(engine)
+            add_raw_engine(deployment, answer)
             return await scenario(deployment, await deployment.add_gateway())
 
         return play(whole)
@@ -93,15 +90,10 @@
         stop(channel, cut_head(response(path, request.id), cut), False)
 
     async def scenario(deployment, gateway):
-        sound = RawEngine(
-            deployment.reactor,
-            deployment.clock,
-            "i-1",
-            lambda channel, request: channel.finish(response(path, request.id)),
-        )
-        sound.address = sound.listen()
-        deployment.register(sound, zone="b")
-        deployment.engines.append(sound)
+        def answer_whole(channel, request):
+            channel.finish(response(path, request.id))
+
+        add_raw_engine(deployment, answer_whole, zone="b")
         while gateway.count_engines()["serving"] < 2:
             await deployment.pause(0.01)
         return await deployment.call(gateway, "POST", path)
