Wait for the version in force by the output of the status command

Cause: the tests polled the command "status" through a function that asserts exit code 0 at each poll. The command exits with 1 as long as an instance lacks the version, which a sidecar that has just registered does. A poll in that moment ended the test.

The known failure of test_answer_goes_on_elsewhere_while_a_sidecar_is_stopped is the same: only "status" prints "lacking:", while a publication that timed out prints "not in force on:".

Change: wait_for_servers polls the output until all servers are listed and the version is in force on all instances, and then asserts the exit code of a last call. The tests wait for one condition more than before.

--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -159,22 +159,39 @@
         return self.command("publish", str(path), "--base", "0", entry=entry, token=KEY)
 
     def command(self, *arguments, entry="entry-1", token=None):
-        """Runs an operator's command and returns its standard output."""
+        """Runs an operator's command, which succeeds, and returns its output."""
+        done = self._run(arguments, entry, token)
+        assert done.returncode == 0, done.stdout + done.stderr + self.all_logs()
+        return done.stdout
+
+    def wait_for_servers(self, *names):
+        """Waits until backend servers serve the newest version.
+
+        Until then the command ``status`` exits with 1, as some instances lack it.
+        """
+
+        def are_serving():
+            lines = self._run(["status"], "entry-1", None).stdout.splitlines()
+            is_listed = all(any(name in line for line in lines) for name in names)
+            return is_listed and "in force on all instances" in lines
+
+        self.wait_until(are_serving)
+        self.command("status")
+
+    def _run(self, arguments, entry, token):
         env = {
             **os.environ,
             "PYTHONPATH": str(SOURCE),
             "POMELOSHIFT_ENTRY": f"http://{self.addresses[entry]}",
             "POMELOSHIFT_TOKEN": token or self.operator_token,
         }
-        done = subprocess.run(
+        return subprocess.run(
             [sys.executable, "-m", "pomeloshift", *arguments],
             capture_output=True,
             text=True,
             env=env,
             timeout=TIMEOUT_S,
         )
-        assert done.returncode == 0, done.stdout + done.stderr + self.all_logs()
-        return done.stdout
 
     def call(self, method, path, body=None, entry="entry-1", headers=None):
         """Sends a caller's request and returns the status and JSON body."""
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -82,16 +82,10 @@
         engine = fleet.start_engine(f"engine-{name}", step_base_s=STEP_S, load_lag_s=0)
         programs[name] = (fleet.start_sidecar(name, f"engine-{name}"), engine)
     fleet.publish()
-    fleet.wait_until(lambda: ready_server_count(fleet) == 2)
+    fleet.wait_for_servers(*programs)
     return programs
 
 
-def ready_server_count(fleet):
-    return sum(
-        line.startswith("vezi-lm-") for line in fleet.command("status").split("\n")
-    )
-
-
 def running_requests(fleet, name):
     url = f"http://{fleet.addresses[f'engine-{name}']}/control/load"
     with urllib.request.urlopen(url, timeout=RESPONSE_TIMEOUT_S) as response:
@@ -138,7 +132,7 @@
     relay = Relay(fleet.addresses["vezi-lm-1"], "127.0.0.1")
     try:
         fleet.publish()
-        fleet.wait_until(lambda: ready_server_count(fleet) == 1)
+        fleet.wait_for_servers("vezi-lm-1")
         stream = Stream(fleet, 4)
         assert stream.started.wait(RESPONSE_TIMEOUT_S)
         stalled_connections = relay.stall()
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -18,7 +18,7 @@
     assert fleet.call("GET", "/readyz")[0] == 503
     fleet.publish()
     assert fleet.call("GET", "/readyz")[0] == 200
-    fleet.wait_until(lambda: "vezi-lm-1" in fleet.command("status"))
+    fleet.wait_for_servers("vezi-lm-1")
 
     status, response = fleet.call("POST", "/v1/chat/completions", chat())
     assert status == 200, response
@@ -41,7 +41,7 @@
     fleet.start_engine("engine-1")
     fleet.start_sidecar("vezi-lm-1", "engine-1")
     fleet.publish()
-    fleet.wait_until(lambda: "vezi-lm-1" in fleet.command("status"))
+    fleet.wait_for_servers("vezi-lm-1")
     url = f"http://{fleet.addresses['entry-1']}/v1"
     with openai.OpenAI(base_url=url, api_key=fleet.caller_key) as client:
         assert "vezi-lm" in [model.id for model in client.models.list()]
