--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -44,6 +44,7 @@
 from ._store_path import DIRECT, StorePath
 from ._stream_versions import StreamVersions, stream_key
 from ._watched_runs import WatchedRun, WatchedRuns
+from ._workspace import Workspace
 
 __all__ = [
     "DIRECT",
@@ -93,6 +94,7 @@
     "TrialDelay",
     "WatchedRun",
     "WatchedRuns",
+    "Workspace",
     "find_causes",
     "fingerprint",
     "is_isolated",
--- a/src/pomeloshift/dispatch/_engine_record.py
+++ b/src/pomeloshift/dispatch/_engine_record.py
@@ -11,8 +11,9 @@
 
     ``slots`` is the number of requests that it runs concurrently. ``incarnation`` is
     the start time that the engine reports; it changes when the engine restarts under
-    the same id. ``version`` is that of the engine's software,
-    and ``software`` names the service with it.
+    the same id. ``version`` is that of the engine's software, and ``software`` names
+    the service with it. ``cold_left_s`` is how much longer it stays slow after its
+    start, at the time of the record.
     """
 
     id: str
@@ -23,6 +24,7 @@
     is_draining: bool
     incarnation: int
     version: str = ""
+    cold_left_s: float = 0.0
     software: SoftwareVersion = attrs.field(init=False, eq=False, repr=False)
 
     @software.default
--- a/src/pomeloshift/dispatch/_route.py
+++ b/src/pomeloshift/dispatch/_route.py
@@ -29,7 +29,7 @@
     Times are in seconds. ``objective_s`` is the latency objective: the time from a
     request's arrival to its first event. ``max_attempts`` bounds the engines on which
     a repeatable request may run. ``queue_token_cap`` bounds the tokens of waiting
-    batch items; 0 means no bound.
+    batch items; 0 means no bound. Requests to an ``is_anonymous`` route need no key.
     """
 
     name: str
@@ -46,6 +46,7 @@
     job_deadline_s: float = 0.0
     item_retention_s: float = 0.0
     queue_token_cap: int = 0
+    is_anonymous: bool = False
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/pomeloshift/dispatch/_serving_config.py
+++ b/src/pomeloshift/dispatch/_serving_config.py
@@ -3,6 +3,7 @@
 import attrs
 
 from ._route import Route
+from ._workspace import Workspace
 
 
 @attrs.frozen
@@ -10,11 +11,13 @@
     """A group of engines.
 
     ``connection_cap`` is the number of connections that one engine accepts from all
-    entries together.
+    entries together. ``engine_tokens`` is the memory of one engine in tokens, 0 if it
+    is not known.
     """
 
     name: str
     connection_cap: int = 0
+    engine_tokens: int = 0
 
 
 @attrs.frozen
@@ -29,12 +32,17 @@
 
 @attrs.frozen
 class ServingConfig:
-    """One version of the configuration; routes are matched by host and path prefix."""
+    """One version of the configuration; routes are matched by host and path prefix.
+
+    Without ``workspaces``, callers need no keys. The keys of all workspaces differ.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[Service, ...] = ()
     limits: HttpLimits = HttpLimits()
+    workspaces: tuple[Workspace, ...] = ()
+    _by_key: dict[str, Workspace] = attrs.field(init=False, repr=False, eq=False)
     _by_host: dict[str, tuple[Route, ...]] = attrs.field(
         init=False, repr=False, eq=False
     )
@@ -48,6 +56,17 @@
             for host, routes in by_host.items()
         }
         object.__setattr__(self, "_by_host", ordered)
+        by_key = {key: one for one in self.workspaces for key in one.keys}
+        object.__setattr__(self, "_by_key", by_key)
+
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether callers need keys."""
+        return bool(self.workspaces)
+
+    def workspace_of_key(self, key: str) -> Workspace | None:
+        """Returns the workspace that holds a key, or None."""
+        return self._by_key.get(key)
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the host's route with the longest prefix of ``path``, if any."""
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -49,7 +49,7 @@
 from ._log_writer import LogWriter
 from ._members import Members
 from ._metrics import GatewayMetrics
-from ._online import OnlineService
+from ._online_service import OnlineService
 from ._peer_directory import PeerDirectory
 from ._peer_exchange import PeerAddress, PeerExchange
 from ._refusal import refuse
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -1,4 +1,4 @@
-"""Serves online requests."""
+"""Runs one online request."""
 
 import math
 from typing import Any
@@ -17,7 +17,6 @@
     SoftwareVersion,
     Step,
     WatchedRun,
-    fingerprint,
     is_part,
 )
 from ..http1 import (
@@ -29,7 +28,6 @@
     ResponseEnd,
     ResponseHead,
 )
-from ..net._periodic_tasks import spawn
 from ..platform import CallerRequest, is_stamped, proves_not_run, to_engine
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess, EngineRun
@@ -516,72 +514,5 @@
             refuse(self.exchange, status)
 
 
-@attrs.define
-class OnlineService:
-    """Starts an `OnlineRequest` for each request of an online route."""
-
-    access: EngineAccess
-    crashes: CrashLog
-    streams: StreamLog
-    events: EventLog
-    open_requests: int = 0
-
-    def handle(
-        self,
-        exchange: Exchange,
-        req: CallerRequest,
-        route: Route,
-        config: ServingConfig,
-    ) -> None:
-        """Serves a request under the configuration in force at its arrival."""
-        timeout_s = route.timeout_s
-        if req.deadline_s is not None:
-            timeout_s = min(timeout_s, req.deadline_s)
-        plan = AttemptPlan(
-            is_repeatable=route.is_repeatable,
-            max_runs=route.max_attempts,
-            deadline=exchange.arrived_at + timeout_s,
-        )
-        self.access.admission.note_arrival(route, req.deadline_s)
-        is_stream = route.kind is RouteKind.STREAMING
-        resumed_after = req.last_event_id if is_stream else None
-        relay = ResponseRelay(exchange, is_stream, self.access.now, resumed_after)
-        digest = fingerprint(req.host, req.path, exchange.body)
-        request = OnlineRequest(
-            self.access,
-            self.crashes,
-            self.streams,
-            self.events,
-            exchange,
-            req,
-            route,
-            config,
-            plan,
-            relay,
-            CrashKeys(digest, req.parts),
-        )
-        self.open_requests += 1
-        task = spawn(self._serve(request))
-        exchange.on_disconnect = task.cancel
-
-    async def _serve(self, request: OnlineRequest) -> None:
-        try:
-            await request.serve()
-        except CancelledError:
-            self.events.info(
-                "caller_gone",
-                id=request.req.id,
-                runs=request.plan.runs,
-                took_s=self.access.now() - request.exchange.arrived_at,
-            )
-            raise
-        except Exception:
-            if not request.exchange.is_over:
-                request.exchange.abort()
-            raise
-        finally:
-            self.open_requests -= 1
-
-
 def _key_field(key: str) -> dict[str, str]:
     return {"part" if is_part(key) else "fingerprint": key}
--- a/src/pomeloshift/gateway/_request_dispatcher.py
+++ b/src/pomeloshift/gateway/_request_dispatcher.py
@@ -12,7 +12,7 @@
 from ._batch_api import BatchApi
 from ._engine_access import EngineAccess
 from ._events import EventLog
-from ._online import OnlineService
+from ._online_service import OnlineService
 from ._refusal import refuse
 from ._timing import CONFIG_MAX_AGE_S
 from ._topic_follower import TopicFollower
--- a/src/pomeloshift/platform/_caller_request.py
+++ b/src/pomeloshift/platform/_caller_request.py
@@ -7,6 +7,7 @@
 from ..http1 import Headers, RequestHead
 from ._address import is_count
 from ._names import (
+    AUTHORIZATION,
     DEADLINE_MS,
     ITEM_PATH,
     JOB_PATH,
@@ -14,12 +15,14 @@
     PROMPT_PARTS,
     REQUEST_ID,
     RESUMES,
+    TOKEN_COUNT,
     WAIT_MS,
 )
 from ._prompt_parts import shared_parts
 
 # No caller waits for longer.
 MAX_WAIT_S = 86_400
+BEARER = "bearer "
 
 
 @attrs.frozen
@@ -32,7 +35,9 @@
     share, the first one first. ``resumes`` is set if the caller takes up a stream: the
     id of the request that brought the first event, empty if it names none.
     ``last_event_id`` is the id of the last event that it has received of that stream,
-    `None` if it names none.
+    `None` if it names none. ``api_key`` is the key that it carries, `None` without one;
+    it must not be logged. ``tokens`` is the sum of the tokens of its prompt and of its
+    longest output, `None` if it is not stated.
     """
 
     id: str
@@ -45,6 +50,8 @@
     parts: tuple[str, ...] = ()
     resumes: str | None = None
     last_event_id: int | None = None
+    api_key: str | None = attrs.field(default=None, repr=False)
+    tokens: int | None = None
 
 
 @attrs.frozen
@@ -90,6 +97,8 @@
         parts=shared_parts(headers.text(PROMPT_PARTS)),
         resumes=headers.text(RESUMES) if _is_resume(headers) else None,
         last_event_id=_last_event_id(headers),
+        api_key=_api_key(headers),
+        tokens=_tokens(headers),
     )
 
 
@@ -115,6 +124,20 @@
     return number if number is not None and number >= 0 else None
 
 
+def _api_key(headers: Headers) -> str | None:
+    value = headers.text(AUTHORIZATION)
+    if value[: len(BEARER)].lower() != BEARER:
+        return None
+    return value[len(BEARER) :].strip()
+
+
+def _tokens(headers: Headers) -> int | None:
+    counts = [part.strip() for part in headers.text(TOKEN_COUNT).split(",")]
+    if len(counts) != 2 or not all(map(is_count, counts)):
+        return None
+    return sum(map(int, counts))
+
+
 def _is_resume(headers: Headers) -> bool:
     names = (LAST_EVENT_ID, RESUMES)
     return any(headers.get(name) is not None for name in names)
--- a/src/pomeloshift/platform/_configuration.py
+++ b/src/pomeloshift/platform/_configuration.py
@@ -5,7 +5,15 @@
 
 import msgspec
 
-from ..dispatch import HttpLimits, Route, RouteKind, Service, ServingConfig, Split
+from ..dispatch import (
+    HttpLimits,
+    Route,
+    RouteKind,
+    Service,
+    ServingConfig,
+    Split,
+    Workspace,
+)
 from ._errors import UNREADABLE, MalformedError
 
 T = TypeVar("T")
@@ -37,11 +45,25 @@
     retention_s: float = msgspec.field(default=0.0, name="retentionS")
     # Limit on the tokens of items that wait on the route; 0 means no limit.
     cap: float = 0
+    anonymous: bool = False
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    kv_capacity: int = 0
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     conn_limit: int = 0
+    engine: _Engine = msgspec.field(default_factory=_Engine)
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -56,6 +78,7 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
 
 
 _DECODER = msgspec.json.Decoder(_Config, strict=False)
@@ -66,10 +89,27 @@
     try:
         wire = _DECODER.decode(value)
         routes = tuple(_to_route(route) for route in wire.routes)
+        workspaces = tuple(_to_workspace(tenant) for tenant in wire.tenants)
     except UNREADABLE as exc:
         raise MalformedError(f"the configuration cannot be read: {exc}") from exc
-    services = tuple(Service(s.name, s.conn_limit) for s in wire.services)
-    return ServingConfig(wire.version, routes, services, _to_limits(wire.limits))
+    services = tuple(
+        Service(s.name, s.conn_limit, s.engine.kv_capacity) for s in wire.services
+    )
+    limits = _to_limits(wire.limits)
+    return ServingConfig(wire.version, routes, services, limits, workspaces)
+
+
+def _to_workspace(wire: _Tenant) -> Workspace:
+    if not all(0 <= number < math.inf for number in (wire.rate_per_s, wire.burst)):
+        # The error must not quote the keys.
+        raise ValueError(f"a number of the tenant {wire.name!r} is out of range")
+    return Workspace(
+        name=wire.name,
+        keys=frozenset(wire.api_keys),
+        priority=wire.priority,
+        rate_per_s=wire.rate_per_s,
+        burst=wire.burst,
+    )
 
 
 def _to_route(wire: _Route) -> Route:
@@ -102,6 +142,7 @@
         job_deadline_s=wire.run_deadline_ms / MS,
         item_retention_s=wire.retention_s,
         queue_token_cap=int(wire.cap),
+        is_anonymous=wire.anonymous,
     )
 
 
--- a/src/pomeloshift/platform/_engine_request.py
+++ b/src/pomeloshift/platform/_engine_request.py
@@ -2,15 +2,19 @@
 
 from ..http1 import HeaderList, Headers, RequestHead, ResponseHead
 from ._names import (
+    AUTHORIZATION,
     DEADLINE_MS,
     EXPECT_ENGINE,
     LAST_EVENT_ID,
     NOT_EXECUTED,
     REQUEST_ID,
     RESPONSE_STAMP,
+    WORKSPACE,
 )
 
 REPLACED = frozenset({DEADLINE_MS, EXPECT_ENGINE})
+# Callers' keys stay here, and only the gateway names a workspace to an engine.
+OF_WORKSPACE = frozenset({AUTHORIZATION, WORKSPACE})
 REPORT_TARGET = b"/api/report"
 
 
@@ -19,13 +23,18 @@
     engine_id: str,
     deadline_s: float,
     last_event_id: int | None = None,
+    workspace: str | None = None,
 ) -> RequestHead:
     """Returns a caller's request as it is sent to an engine.
 
     ``deadline_s`` is the time left until the caller's deadline. ``last_event_id`` is
-    given if the engine resumes a stream that another engine began.
+    given if the engine resumes a stream that another engine began. ``workspace`` is the
+    name of the caller's workspace, empty for an anonymous caller, None where callers
+    have no workspaces and all their headers are passed on.
     """
     replaced = REPLACED | ({LAST_EVENT_ID} if last_event_id is not None else set())
+    if workspace is not None:
+        replaced |= OF_WORKSPACE
     fields = [
         (key, value)
         for key, value in head.headers.end_to_end()
@@ -34,6 +43,7 @@
     remaining_ms = max(1, int(deadline_s * 1000))
     fields.append((b"X-Deadline-Ms", str(remaining_ms).encode()))
     fields += _target_fields(engine_id, last_event_id)
+    fields += _workspace_fields(workspace)
     return RequestHead(head.method, head.target, Headers(fields))
 
 
@@ -44,18 +54,24 @@
     headers: tuple[tuple[str, str], ...],
     engine_id: str,
     last_event_id: int | None,
+    workspace: str | None = None,
 ) -> RequestHead:
     """Returns the request to run a job's item on an engine.
 
-    ``last_event_id`` is given if the engine resumes an earlier run.
+    ``last_event_id`` is given if the engine resumes an earlier run. ``workspace`` is as
+    for `to_engine`.
     """
+    replaced = {REQUEST_ID, b"host", LAST_EVENT_ID}
+    if workspace is not None:
+        replaced |= OF_WORKSPACE
     fields = [(b"Host", host.encode()), (b"X-Request-Id", item_id.encode())]
     fields += [
         (name.encode(), value.encode())
         for name, value in headers
-        if name.lower().encode() not in (REQUEST_ID, b"host", LAST_EVENT_ID)
+        if name.lower().encode() not in replaced
     ]
     fields += _target_fields(engine_id, last_event_id)
+    fields += _workspace_fields(workspace)
     return RequestHead(b"POST", path.encode(), Headers(fields))
 
 
@@ -67,6 +83,10 @@
     return fields
 
 
+def _workspace_fields(workspace: str | None) -> HeaderList:
+    return [(b"X-Tenant", workspace.encode())] if workspace else []
+
+
 def report_request(address: str) -> RequestHead:
     """Returns the request for an engine's report."""
     return RequestHead(b"GET", REPORT_TARGET, Headers([(b"Host", address.encode())]))
--- a/src/pomeloshift/platform/_engines.py
+++ b/src/pomeloshift/platform/_engines.py
@@ -17,6 +17,8 @@
 MAX_INTEGER = 2**53
 # Longer names do not fit into the keys of records.
 MAX_NAME_CHARS = 128
+# A machine that is a thousand times slower than usual is useless, however much slower.
+MAX_SLOWDOWN_PERCENT = 100_000
 # The longest decimal form of a double has 24 characters.
 MAX_DECIMAL_CHARS = 32
 
@@ -31,6 +33,8 @@
     state: str
     # Start time of the engine in Unix milliseconds: its incarnation.
     born: int = 0
+    # How much longer the engine stays slow after its start, in milliseconds.
+    cold_left_ms: float = 0.0
 
 
 class _Report(msgspec.Struct, rename="camel"):
@@ -62,6 +66,7 @@
         is_draining=wire.state == "draining",
         incarnation=wire.born,
         version=wire.version,
+        cold_left_s=wire.cold_left_ms / 1000,
     )
 
 
@@ -75,6 +80,8 @@
         return "its number of slots is out of range"
     if not 0 <= wire.born <= MAX_INTEGER:
         return "the time of its start is out of range"
+    if not 0 <= wire.cold_left_ms <= MAX_INTEGER:
+        return "the time for which it stays slow is out of range"
     if max(map(len, (wire.service, wire.zone, wire.version))) > MAX_NAME_CHARS:
         return "a name is too long"
     return ""
@@ -92,13 +99,24 @@
 
 
 def decode_load_header(headers: Headers) -> EngineLoad | None:
-    """Returns the load in an engine's response headers, or `None`."""
+    """Returns the load in an engine's response headers, or `None`.
+
+    A slowdown that is out of range does not count, while the other figures do.
+    """
     value = headers.text(SERVER_LOAD)
-    parts = value.split(",")
-    if len(parts) != 3 or not all(is_count(part.strip()) for part in parts):
+    parts = [part.strip() for part in value.split(",")]
+    if len(parts) not in (3, 4) or not all(map(is_count, parts[:3])):
+        return None
+    running, waiting, slots = map(int, parts[:3])
+    return EngineLoad(running, waiting, slots, _slowdown(parts[3:]))
+
+
+def _slowdown(parts: list[str]) -> float | None:
+    """Returns the fourth figure of a load, in which 100 stands for the usual pace."""
+    if not parts or not is_count(parts[0]):
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return EngineLoad(running, waiting, slots)
+    percent = int(parts[0])
+    return percent / 100 if 0 < percent <= MAX_SLOWDOWN_PERCENT else None
 
 
 def decode_limit_header(headers: Headers) -> float | None:
--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -29,7 +29,12 @@
 
     ``regions`` maps availability zones to their regions. ``grace_s`` is the time from
     the request to stop until the process has to exit, and ``job_status_s`` how long
-    after its submission a job can be read.
+    after its submission a job can be read. ``memory_bytes`` is the memory above which
+    the process is killed, 0 if it is not known. ``revocation_s`` is the time after
+    which a request with a revoked key must not run, None where that is not enforced.
+    The rate limits of workspaces hold in each window of ``rate_window_s``, up to the
+    share ``rate_overrun`` and ``rate_slack`` requests more. ``is_first_start`` is set
+    only if the whole deployment starts for the first time.
     """
 
     name: str
@@ -44,6 +49,12 @@
     grace_s: float
     job_status_s: float
     store: StoreSettings
+    memory_bytes: int = 0
+    revocation_s: float | None = None
+    rate_window_s: float = 5.0
+    rate_overrun: float = 0.0
+    rate_slack: float = 0.0
+    is_first_start: bool = False
 
 
 class _Reader:
@@ -72,6 +83,16 @@
         self.faults.append(Fault(path, FaultCode.MISSING_KEY, "is missing"))
         return kind_default(kind)
 
+    def flag(self, path: str) -> bool:
+        """Returns a field that is true or false, false if it is missing."""
+        value: Any = self._data
+        for key in path.split("."):
+            value = value.get(key, False) if isinstance(value, Mapping) else False
+        if not isinstance(value, bool):
+            fault = Fault(path, FaultCode.WRONG_TYPE, "is not true or false")
+            self.faults.append(fault)
+        return value is True
+
     def address(self, path: str) -> str:
         value: str = self.get(path, str)
         host, _, port = value.rpartition(":")
@@ -82,6 +103,7 @@
 
 
 NUMBER = (int, float)
+MB = 1024 * 1024
 
 
 def kind_default(kind: Any) -> Any:
@@ -120,6 +142,12 @@
         grace_s=reader.get("bounds.graceS", NUMBER, 8),
         job_status_s=reader.get("bounds.statusS", NUMBER, 120),
         store=_read_store(reader),
+        memory_bytes=int(reader.get("limits.memoryMb", NUMBER, 0) * MB),
+        revocation_s=_read_revocation(reader),
+        rate_window_s=reader.get("bounds.quotaWindowS", NUMBER, 5),
+        rate_overrun=reader.get("bounds.quotaOverrun", NUMBER, 0),
+        rate_slack=reader.get("bounds.quotaSlack", NUMBER, 0),
+        is_first_start=reader.flag("bootstrap"),
     )
     if reader.faults:
         raise SettingsError(reader.faults, path)
@@ -136,6 +164,12 @@
     )
 
 
+def _read_revocation(reader: _Reader) -> float | None:
+    if not reader.flag("bounds.strictRevoke"):
+        return None
+    return float(reader.get("bounds.revokeMs", NUMBER)) / 1000
+
+
 def _port_range(ports: list[Any], reader: _Reader) -> tuple[int, int]:
     if len(ports) == 2 and all(type(port) is int for port in ports):
         return ports[0], ports[1]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,6 +7,7 @@
     EngineReport,
     RouteKind,
     SoftwareVersion,
+    Workspace,
 )
 from pomeloshift.http1 import Client, Headers, RequestHead, Response, ResponseHead
 from pomeloshift.net import SystemClock
@@ -27,6 +28,7 @@
     decode_load_header,
     decode_report,
     is_stamped,
+    item_request,
     load_platform_settings,
     parse_platform_settings,
     proves_not_run,
@@ -401,3 +403,85 @@
         return info.value.first
 
     assert run_async(scenario()) == 1
+
+
+def test_workspaces_and_their_keys_are_read():
+    document = {
+        "version": 3,
+        "routes": [{**ROUTE_WITHOUT_KEYS, "anonymous": True}],
+        "services": [{"name": "lm", "engine": {"kvCapacity": 72000}}],
+        "tenants": [
+            {"name": "a", "apiKeys": ["k1", "k2"], "ratePerS": 6, "burst": 9},
+            {"name": "b", "apiKeys": ["k3"], "priority": 1},
+        ],
+    }
+    config = decode_config(msgspec.json.encode(document))
+    assert config.has_workspaces
+    assert config.workspace_of_key("k2") == Workspace(
+        "a", frozenset({"k1", "k2"}), None, 6.0, 9.0
+    )
+    assert config.workspace_of_key("k3").priority == 1
+    assert config.workspace_of_key("k4") is None
+    assert config.routes[0].is_anonymous
+    assert config.services[0].engine_tokens == 72000
+    # A key in a log line could be used by whoever reads the log.
+    assert "k1" not in repr(config)
+
+
+@pytest.mark.parametrize("field", ["ratePerS", "burst"])
+def test_workspace_with_a_number_out_of_range_is_rejected_without_its_keys(field):
+    tenant = {"name": "a", "apiKeys": ["secret-key"], field: -1}
+    document = {"version": 3, "routes": [], "tenants": [tenant]}
+    with pytest.raises(MalformedError) as caught:
+        decode_config(msgspec.json.encode(document))
+    assert "secret-key" not in str(caught.value)
+
+
+ROUTE_WITHOUT_KEYS = {
+    "name": "r",
+    "host": "app.example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "service": "lm",
+}
+
+
+@pytest.mark.parametrize(
+    ("value", "slowdown"),
+    [("3,0,8,250", 2.5), ("3,0,8", None), ("3,0,8,x", None), ("3,0,8,0", None)],
+)
+def test_odd_slowdown_costs_only_itself(value, slowdown):
+    headers = Headers([(b"X-Server-Load", value.encode())])
+    assert decode_load_header(headers) == EngineLoad(3, 0, 8, slowdown)
+
+
+def test_engine_gets_the_workspace_that_the_gateway_names_and_no_key():
+    fields = [
+        (b"Authorization", b"Bearer k1"),
+        (b"X-Tenant", b"forged"),
+        (b"X-A", b"1"),
+    ]
+    head = RequestHead(b"POST", b"/a/", Headers(fields))
+    sent = to_engine(head, "i-1", 1.0, workspace="a").headers
+    assert sent.get(b"authorization") is None
+    assert [value for key, value in sent if key == b"X-Tenant"] == [b"a"]
+    assert sent.get(b"x-a") == b"1"
+    anonymous = to_engine(head, "i-1", 1.0, workspace="").headers
+    assert anonymous.get(b"x-tenant") is None
+    item_fields = (("authorization", "Bearer k1"), ("x-tenant", "forged"))
+    item = item_request("h", "/a/", "id", item_fields, "i-1", None, "a").headers
+    assert item.get(b"authorization") is None
+    assert [value for key, value in item if key.lower() == b"x-tenant"] == [b"a"]
+
+
+def test_headers_pass_on_where_callers_have_no_workspaces():
+    head = RequestHead(b"POST", b"/a/", Headers([(b"Authorization", b"Bearer k1")]))
+    sent = to_engine(head, "i-1", 1.0).headers
+    assert sent.get(b"authorization") == b"Bearer k1"
+
+
+def test_key_and_tokens_of_a_request_are_read():
+    fields = [(b"authorization", b"bearer k1"), (b"x-token-count", b"450, 24")]
+    req = read_caller_request(RequestHead(b"GET", b"/a/", Headers(fields)))
+    assert (req.api_key, req.tokens) == ("k1", 474)
+    assert "k1" not in repr(req)
