Serve requests by API key, and name workspaces to engines

Cause: gateways read workspaces from the configuration, but served every request and passed callers' Authorization and X-Tenant headers on to engines.

Change: where the configuration has workspaces, KeyCheck decides by key, configuration and lease: serve, 401, 503, or read the configuration first. The lease (ConfigLease) counts from the request of the confirming read on a clock that includes suspended time; with strict revocation it expires, is checked again before each attempt, for jobs and items, and by the readiness check, and is renewed by shorter polls and by reads through other gateways. Job records name the workspace; jobs of another workspace do not exist for a caller.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -1,5 +1,6 @@
 """Serves the calls of the batch API."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -32,7 +33,9 @@
     MalformedError,
     decode_items,
     encode_results,
+    without_caller_fields,
 )
+from ..workspaces import Caller
 from ._blob_store import BlobStore
 from ._events import EventLog
 from ._job_log import JobLog
@@ -65,7 +68,11 @@
 
 @attrs.define
 class BatchApi:
-    """Accepts jobs and serves their results from the state replayed from the log."""
+    """Accepts jobs and serves their results from the state replayed from the log.
+
+    A caller uses only the jobs of its own workspace; others do not exist for it. No job
+    is accepted while ``may_accept`` returns false.
+    """
 
     log: JobLog
     blobs: BlobStore
@@ -73,40 +80,53 @@
     events: EventLog
     reactor: Any
     clock: Any
+    may_accept: Callable[[], bool] = lambda: True
     _reserved: dict[str, _Reservation] = attrs.field(factory=dict)
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
     _is_stopping: bool = False
 
-    def submit(self, exchange: Exchange, req: CallerRequest, route: Route) -> None:
+    def submit(
+        self, exchange: Exchange, req: CallerRequest, route: Route, caller: Caller
+    ) -> None:
         """Accepts a job once it is durable in the log."""
-        self._start(exchange, req, self._submit(exchange, req, route))
+        self._start(exchange, req, self._submit(exchange, req, route, caller))
 
     def call(
-        self, exchange: Exchange, req: CallerRequest, call: JobRead | JobEnd | ItemRead
+        self,
+        exchange: Exchange,
+        req: CallerRequest,
+        call: JobRead | JobEnd | ItemRead,
+        caller: Caller,
     ) -> None:
         """Serves a read of a job or an item, or ends a job."""
         if isinstance(call, JobRead):
-            self._start(exchange, req, self._read(exchange, req, call))
+            self._start(exchange, req, self._read(exchange, req, call, caller))
         elif isinstance(call, JobEnd):
-            self._start(exchange, req, self._end(exchange, req, call))
+            self._start(exchange, req, self._end(exchange, req, call, caller))
         else:
-            self._start(exchange, req, self._read_item(exchange, call))
+            self._start(exchange, req, self._read_item(exchange, call, caller))
 
     def has_job(self, job_id: str, host: str) -> bool:
         """Returns whether a job that this host's callers submitted is known here."""
         job = self.log.table.jobs.get(job_id)
         return job is not None and job.host == host
 
+    def is_anonymous(self, job_id: str) -> bool:
+        """Returns whether a known job has no workspace, so that it needs no key."""
+        job = self.log.table.jobs.get(job_id)
+        return job is not None and not job.workspace
+
     def is_repeat(self, req: CallerRequest) -> bool:
         """Returns whether a request submits a job again that is known here."""
         if req.method != "POST" or not self.has_job(req.id, req.host):
             return False
         return self.log.table.jobs[req.id].path == req.path
 
-    def accept_repeat(self, exchange: Exchange, req: CallerRequest) -> None:
+    def accept_repeat(
+        self, exchange: Exchange, req: CallerRequest, caller: Caller
+    ) -> None:
         """Accepts a job again for which `is_repeat` is true."""
-        items = len(self.log.table.jobs[req.id].items)
-        self._respond_accepted(exchange, req, "known", items)
+        self._respond_known(exchange, req, self.log.table.jobs[req.id], caller)
 
     def job_changed(self, job_id: str) -> None:
         """Wakes the calls that wait for a job's next result."""
@@ -147,7 +167,7 @@
             raise
 
     async def _submit(
-        self, exchange: Exchange, req: CallerRequest, route: Route
+        self, exchange: Exchange, req: CallerRequest, route: Route, caller: Caller
     ) -> None:
         try:
             items = decode_items(exchange.body)
@@ -155,15 +175,19 @@
             self.events.warn("job_malformed", id=req.id, why=exc.message)
             refuse(exchange, 400)
             return
-        if req.id in self.log.table.jobs:
-            self._respond_accepted(exchange, req, "known", len(items))
+        known = self.log.table.jobs.get(req.id)
+        if known is not None:
+            self._respond_known(exchange, req, known, caller)
             return
         if not self.log.follower.is_reachable:
             raise LogUnavailableError("the store did not respond to the last read")
         await self.require_fresh()
-        if req.id in self.log.table.jobs:
-            self._respond_accepted(exchange, req, "known", len(items))
+        known = self.log.table.jobs.get(req.id)
+        if known is not None:
+            self._respond_known(exchange, req, known, caller)
             return
+        if not self.may_accept():
+            raise LogUnavailableError("the lease on the configuration has expired")
         queue = queue_name(route)
         tokens = sum(item.tokens for item in items)
         waiting = self._waiting_tokens(queue)
@@ -179,7 +203,7 @@
             return
         self._reserved[req.id] = _Reservation(queue, tokens, self.clock.monotonic())
         try:
-            await self._store_job(req, queue, items)
+            await self._store_job(req, queue, items, caller)
         except LogUnavailableError:
             del self._reserved[req.id]
             raise
@@ -198,7 +222,11 @@
         return table.waiting_tokens(queue, self.routes) + sum(reserved)
 
     async def _store_job(
-        self, req: CallerRequest, queue: str, items: tuple[NewItem, ...]
+        self,
+        req: CallerRequest,
+        queue: str,
+        items: tuple[NewItem, ...],
+        caller: Caller,
     ) -> None:
         """Stores the bodies and then the job record, which refers to them."""
         until = self.clock.monotonic() + SUBMIT_TIMEOUT_S
@@ -210,7 +238,7 @@
             # Only the job record refers to the bodies. It was not appended, so the job
             # is certainly not accepted.
             raise LogUnavailableError(exc.message) from exc
-        record = self._record(req, queue, items, refs)
+        record = self._record(req, queue, items, refs, caller)
         await self.log.append_within(record, until - self.clock.monotonic())
 
     def _record(
@@ -219,13 +247,24 @@
         queue: str,
         items: tuple[NewItem, ...],
         bodies: list[BlobRef],
+        caller: Caller,
     ) -> JobSubmitted:
         rows = [
-            (item.id, item.path, list(item.headers), body, item.tokens)
+            (item.id, item.path, _stored_headers(item, caller), body, item.tokens)
             for item, body in zip(items, bodies, strict=True)
         ]
         wall = self.clock.wall()
-        return JobSubmitted(req.id, queue, req.host, req.path, wall, rows)
+        workspace = caller.name or ""
+        return JobSubmitted(req.id, queue, req.host, req.path, wall, rows, workspace)
+
+    def _respond_known(
+        self, exchange: Exchange, req: CallerRequest, job: Job, caller: Caller
+    ) -> None:
+        """Accepts a job again, unless another workspace submitted it."""
+        if caller.may_use(job.workspace):
+            self._respond_accepted(exchange, req, "known", len(job.items))
+        else:
+            self._respond_unknown(exchange, job.id)
 
     def _respond_accepted(
         self, exchange: Exchange, req: CallerRequest, how: str, items: int
@@ -241,13 +280,12 @@
         respond_json(exchange, 202, b"{}")
 
     async def _read(
-        self, exchange: Exchange, req: CallerRequest, call: JobRead
+        self, exchange: Exchange, req: CallerRequest, call: JobRead, caller: Caller
     ) -> None:
-        job = self.log.table.jobs.get(call.job_id)
+        is_known = call.job_id in self.log.table.jobs
         until = self.clock.monotonic() + min(req.wait_s, MAX_LONG_POLL_S)
-        if job is None:
-            job = await self._find(call.job_id)
-        elif len(job.results) <= call.position:
+        job = await self._find(call.job_id, caller)
+        if job is not None and is_known and len(job.results) <= call.position:
             await self.require_fresh()
         while job is not None and self._awaits_result(job, call.position):
             remaining_s = until - self.clock.monotonic()
@@ -295,8 +333,10 @@
         if not waiter.called:
             waiter.callback(None)
 
-    async def _end(self, exchange: Exchange, req: CallerRequest, call: JobEnd) -> None:
-        job = await self._find(call.job_id)
+    async def _end(
+        self, exchange: Exchange, req: CallerRequest, call: JobEnd, caller: Caller
+    ) -> None:
+        job = await self._find(call.job_id, caller)
         if job is None:
             self._respond_unknown(exchange, call.job_id)
             return
@@ -305,8 +345,10 @@
         self.events.info("job_end_accepted", id=job.id)
         respond_json(exchange, 200, b"{}")
 
-    async def _read_item(self, exchange: Exchange, call: ItemRead) -> None:
-        job = await self._find(call.job_id)
+    async def _read_item(
+        self, exchange: Exchange, call: ItemRead, caller: Caller
+    ) -> None:
+        job = await self._find(call.job_id, caller)
         item = job.item_by_id(call.item_id) if job is not None else None
         if item is None:
             self._respond_unknown(exchange, call.job_id)
@@ -315,8 +357,8 @@
         headers = [(b"Content-Type", b"application/octet-stream")]
         exchange.respond(200, headers, body)
 
-    async def _find(self, job_id: str) -> Job | None:
-        """Returns a job, or None if the log, read to its end, does not hold the job.
+    async def _find(self, job_id: str, caller: Caller) -> Job | None:
+        """Returns a job, or None if the log, read to its end, has none for the caller.
 
         Raises an error of the store if the log cannot be read.
         """
@@ -324,7 +366,7 @@
         if job is None:
             await self.log.follower.catch_up()
             job = self.log.table.jobs.get(job_id)
-        return job
+        return job if job is not None and caller.may_use(job.workspace) else None
 
     async def require_fresh(self) -> None:
         """Replays the log if the replayed state is older than `RESULTS_MAX_AGE_S`.
@@ -339,6 +381,13 @@
         refuse(exchange, 404)
 
 
+def _stored_headers(item: NewItem, caller: Caller) -> list[tuple[str, str]]:
+    """Returns the headers of an item for the log, which all gateways read."""
+    if caller.name is None:
+        return list(item.headers)
+    return without_caller_fields(item.headers)
+
+
 def _page(results: list[Result]) -> list[Result]:
     """Returns the first results that fit into one response, at least one."""
     size = 0
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -1,11 +1,12 @@
 """Runs batch items on the engines that this gateway owns."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 from twisted.internet.defer import CancelledError, Deferred
 
-from ..dispatch import Engine, Route, SoftwareVersion
+from ..dispatch import Engine, Route
 from ..errors import PomeloshiftError
 from ..jobs import (
     AfterRun,
@@ -26,6 +27,7 @@
 from ._engine_access import EngineAccess
 from ._events import EventLog
 from ._item_run import ItemRun, RunEnd
+from ._item_workspace import item_workspace
 from ._item_writer import ItemWriter
 from ._job_cleaner import JobCleaner
 from ._job_log import JobLog
@@ -40,6 +42,7 @@
     ITEM_STORE_RETRY_S,
     PROBE_S,
 )
+from ._usable_engines import usable_engines
 
 # Weight of a new sample in the moving average of an item's run time.
 SMOOTHING = 0.1
@@ -49,7 +52,8 @@
 class BatchLoop:
     """Fills the free slots of this gateway's engines with batch items.
 
-    Ownership assigns each engine's batch work to one gateway.
+    Ownership assigns each engine's batch work to one gateway. No item starts while
+    ``may_start`` returns false.
     """
 
     access: EngineAccess
@@ -63,6 +67,7 @@
     slots: BatchSlots
     crashes: CrashLog
     events: EventLog
+    may_start: Callable[[], bool] = lambda: True
     _run_s: float = ITEM_RUN_S
     _event_s: float = 0.0
     _runs: dict[ItemKey, ItemRun] = attrs.field(factory=dict)
@@ -121,7 +126,8 @@
         if self._is_stopped:
             return
         self.cleaner.tick(now)
-        self._start_items(engines, self.routes.by_queue(), now)
+        if self.may_start():
+            self._start_items(engines, self.routes.by_queue(), now)
 
     def _own_engines(self) -> list[Engine]:
         return [
@@ -148,7 +154,7 @@
             self._event_s,
             self._run_s,
             self._shares(routes),
-            _usable_engines(open_engines, routes),
+            usable_engines(open_engines, routes),
             {
                 e.record.software
                 for e in self.access.fleet.engines.values()
@@ -347,6 +353,7 @@
             is_trial,
             _stall_s(route),
             claim_offset=claim.offset if claim is not None else -1,
+            workspace=item_workspace(work.job, self.routes.config.current),
         )
         self.events.info(
             "item_started",
@@ -475,17 +482,3 @@
 
 def _events(run: ItemRun) -> int:
     return run.progress.event_id if run.progress else 0
-
-
-def _usable_engines(
-    engines: list[Engine], routes: dict[str, Route]
-) -> dict[str, dict[str, SoftwareVersion]]:
-    """Returns, for each queue, the versions of the engines that can run its items."""
-    return {
-        name: {
-            engine.record.id: engine.record.software
-            for engine in engines
-            if engine.record.service in route.services
-        }
-        for name, route in routes.items()
-    }
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -123,6 +123,18 @@
         hold_s = self.placement.hold_s(service)
         return hold_s * self.count_gateways() / max(1, slots)
 
+    def count_engines(self) -> dict[str, int]:
+        """Returns the number of engines by state: serving, draining or avoided."""
+        counts = {"serving": 0, "draining": 0, "avoided": 0}
+        for engine in self.fleet.engines.values():
+            if not engine.is_serving:
+                counts["draining"] += 1
+            elif self.placement.is_healthy(engine, self.now()):
+                counts["serving"] += 1
+            else:
+                counts["avoided"] += 1
+        return counts
+
     async def send(
         self, engine: Engine, head: RequestHead, body: bytes, is_batch: bool
     ) -> EngineRun:
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -13,6 +13,7 @@
     Placement,
     PlacementConfig,
     RetryAfter,
+    ServingConfig,
     StorePath,
 )
 from ..http1 import (
@@ -25,20 +26,18 @@
 from ..jobs import BatchSlots, ItemRoutes, Ownership, WorkQueue
 from ..net._periodic_tasks import PeriodicTasks
 from ..platform import (
-    CONFIG_KEY,
     CONFIG_TOPIC,
     ENGINES_TOPIC,
     READY_PATH,
-    KeyedRecord,
-    MalformedError,
     PlatformSettings,
     StoreClient,
-    decode_config,
 )
+from ..workspaces import ConfigLease, KeyCheck
 from . import _blob_store, _crash_log, _job_log, _peer_directory, _stream_log
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
+from ._config_reader import ConfigReader
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
 from ._engine_list import EngineList
@@ -69,10 +68,12 @@
     METRICS_PORT,
     PEER_REFRESH_S,
     PEER_TICK_S,
+    POLL_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
+from ._workspace_access import WorkspaceAccess
 
 DROP_MISSING_TICK_S = 0.2
 
@@ -220,10 +221,21 @@
             self.crashes,
             events,
         )
+        lease = ConfigLease(settings.revocation_s)
+        reader = ConfigReader(self.config, lease.confirm, self._apply_config, events)
         self._config_follower = self._follow(
-            CONFIG_TOPIC,
-            TopicHandlers(self._apply_config, confirmed=self.config.confirm),
+            CONFIG_TOPIC, reader.handlers(), min(POLL_S, lease.poll_s)
         )
+        self.workspaces = WorkspaceAccess(
+            self.config,
+            KeyCheck(lease),
+            self._config_follower,
+            self.peers.relays,
+            random,
+            events,
+            clock,
+        )
+        self.workspaces.attach(self.online, self._batch_api, self.batch_loop)
         self._engine_list = EngineList(
             self._fleet,
             events,
@@ -266,6 +278,7 @@
             access,
             events,
             clock,
+            self.workspaces,
         )
         self._caller_listener = HttpListener(
             reactor, clock, self._dispatcher.handle, max_caller_connections
@@ -309,9 +322,18 @@
             or self.streams.has_unwritten
         )
 
-    def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
+    def _follow(
+        self, topic: str, handlers: TopicHandlers, poll_s: float = POLL_S
+    ) -> TopicFollower:
         return TopicFollower(
-            topic, 0, self._store, self._reactor, self._clock, self._events, handlers
+            topic,
+            0,
+            self._store,
+            self._reactor,
+            self._clock,
+            self._events,
+            handlers,
+            poll_s=poll_s,
         )
 
     async def start(self) -> None:
@@ -334,6 +356,7 @@
         self._periodic_tasks.repeat(self.members.update_members, MEMBERS_TICK_S)
         self._periodic_tasks.repeat(self._store_link.probe, DIRECT_PROBE_S)
         self.batch_loop.start(self._periodic_tasks)
+        self.workspaces.start(self._periodic_tasks)
         self._events.info(
             "started",
             instance=self._incarnation,
@@ -426,6 +449,7 @@
             and self._engine_follower.is_synced
             and self.crashes.is_ready
             and not self.members.is_isolated
+            and self.workspaces.may_start()
         )
         refuse(exchange, 200 if is_ready else 503)
 
@@ -436,16 +460,7 @@
 
     def count_engines(self) -> dict[str, int]:
         """Returns the number of engines by state: serving, draining or avoided."""
-        now = self._clock.monotonic()
-        counts = {"serving": 0, "draining": 0, "avoided": 0}
-        for engine in self._fleet.engines.values():
-            if not engine.is_serving:
-                counts["draining"] += 1
-            elif self._access.placement.is_healthy(engine, now):
-                counts["serving"] += 1
-            else:
-                counts["avoided"] += 1
-        return counts
+        return self._access.count_engines()
 
     def _respond_scrape(self, exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
@@ -453,22 +468,7 @@
 
     # Configuration
 
-    def _apply_config(self, record: KeyedRecord) -> None:
-        if record.key != CONFIG_KEY or record.value is None:
-            return
-        try:
-            config = decode_config(record.value)
-        except MalformedError as exc:
-            self._events.warn("config_ignored", offset=record.offset, why=exc.message)
-            return
-        if not self.config.offer(config):
-            return
-        self._events.info(
-            "config_applied",
-            version=config.version,
-            offset=record.offset,
-            routes=len(config.routes),
-        )
+    def _apply_config(self, config: ServingConfig) -> None:
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
 
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -46,7 +46,7 @@
     ``status`` is the engine's HTTP status, and ``why`` says why a run broke off.
     ``crashes`` records the crashes of engines under ``keys``; ``is_trial`` is set if
     the item tries a quarantined part of its prompt. A pause of ``stall_s`` seconds ends
-    the run.
+    the run. ``workspace`` is the name that the engine is told, as for `item_request`.
     """
 
     access: EngineAccess
@@ -65,6 +65,7 @@
     resumed_after: int = 0
     status: int = 0
     why: str = ""
+    workspace: str | None = None
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _progressed_at: float = 0.0
     _watched: WatchedRun = attrs.field(init=False)
@@ -111,6 +112,7 @@
             item.headers,
             self.engine.record.id,
             self.resumed_after or None,
+            self.workspace,
         )
         try:
             run = await self.access.send(self.engine, head, body, True)
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -1,6 +1,7 @@
 """Runs one online request."""
 
 import math
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -29,10 +30,11 @@
     ResponseHead,
 )
 from ..platform import CallerRequest, is_stamped, proves_not_run, to_engine
+from ..workspaces import Caller
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess, EngineRun
 from ._events import EventLog
-from ._refusal import refuse
+from ._online_failure import FailureReply
 from ._response_relay import ResponseRelay
 from ._stream_log import StreamLog
 from ._timing import (
@@ -57,7 +59,7 @@
     """One request from its arrival to its response.
 
     ``software`` is the version that began the request's stream, None before it began:
-    the stream goes on only there.
+    the stream goes on only there. No attempt is sent while ``may_send`` is false.
     """
 
     access: EngineAccess
@@ -72,6 +74,8 @@
     relay: ResponseRelay
     keys: CrashKeys
     software: SoftwareVersion | None = None
+    caller: Caller = Caller()
+    may_send: Callable[[], bool] = lambda: True
     _run: EngineRun | None = None
     _watched: WatchedRun | None = None
     _wait_s: float = 0.0
@@ -131,6 +135,9 @@
         if not await self._is_usable(engine):
             self.plan.record_unreachable(engine.record.id)
             return
+        if not self.may_send():
+            self._fail()
+            return
         is_trial = self.crashes.is_quarantined(self.keys)
         if is_trial and not self._take_trial():
             return
@@ -272,7 +279,11 @@
         engine_id = engine.record.id
         remaining_s = self.plan.deadline - self.access.now()
         head = to_engine(
-            self.exchange.head, engine_id, remaining_s, self.relay.resume_from
+            self.exchange.head,
+            engine_id,
+            remaining_s,
+            self.relay.resume_from,
+            self.caller.name,
         )
         try:
             run = await self.access.send(engine, head, self.exchange.body, False)
@@ -474,12 +485,6 @@
             took_s=took_s,
         )
 
-    def _time_left_s(self, now: float) -> float:
-        timeout_s = self.req.deadline_s
-        if timeout_s is None:
-            timeout_s = self.route.timeout_s
-        return max(0.0, timeout_s - (now - self.exchange.arrived_at))
-
     def _fail(self) -> None:
         self._is_done = True
         now = self.access.now()
@@ -497,21 +502,15 @@
             failed_at=",".join(sorted(self.plan.failed_at)),
             is_started=self.relay.has_begun,
             took_s=took_s,
+            has_lease=self.may_send(),
         )
         if self.relay.has_begun:
             self.exchange.abort()
-        elif status == 503 and self._is_take_up and not self.plan.is_stopped:
-            refuse(self.exchange, 503, self.access.retry_after.elsewhere())
-        elif status == 503 and self.plan.is_stopped:
-            refuse(self.exchange, 503, self.crashes.quarantined_for(self.keys))
-        elif status == 503:
-            retry_after_s = self.access.retry_after.after_burst(self._time_left_s(now))
-            self.access.admission.note_refusal(
-                self.route, self.req.deadline_s, now + retry_after_s
-            )
-            refuse(self.exchange, 503, retry_after_s)
-        else:
-            refuse(self.exchange, status)
+            return
+        is_local = self._is_take_up or not self.may_send()
+        FailureReply(
+            self.access, self.crashes, self.exchange, self.req, self.route, self.keys
+        ).send(status, self.plan.is_stopped, is_local, now)
 
 
 def _key_field(key: str) -> dict[str, str]:
--- a/src/pomeloshift/gateway/_online_service.py
+++ b/src/pomeloshift/gateway/_online_service.py
@@ -1,5 +1,8 @@
 """Serves online requests."""
 
+from collections.abc import Callable
+from functools import partial
+
 import attrs
 from twisted.internet.defer import CancelledError
 
@@ -14,6 +17,7 @@
 from ..http1 import Exchange
 from ..net._periodic_tasks import spawn
 from ..platform import CallerRequest
+from ..workspaces import Caller
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
 from ._events import EventLog
@@ -24,13 +28,17 @@
 
 @attrs.define
 class OnlineService:
-    """Starts an `OnlineRequest` for each request of an online route."""
+    """Starts an `OnlineRequest` for each request of an online route.
+
+    ``may_send`` says whether a caller's requests may be sent to engines now.
+    """
 
     access: EngineAccess
     crashes: CrashLog
     streams: StreamLog
     events: EventLog
     open_requests: int = 0
+    may_send: Callable[[Caller], bool] = lambda caller: True
 
     def handle(
         self,
@@ -38,6 +46,7 @@
         req: CallerRequest,
         route: Route,
         config: ServingConfig,
+        caller: Caller,
     ) -> None:
         """Serves a request under the configuration in force at its arrival."""
         timeout_s = route.timeout_s
@@ -65,6 +74,8 @@
             plan,
             relay,
             CrashKeys(digest, req.parts),
+            caller=caller,
+            may_send=partial(self.may_send, caller),
         )
         self.open_requests += 1
         task = spawn(self._serve(request))
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -9,7 +9,8 @@
 # Delays after failed calls to the store: a few calls per second and topic in an outage.
 STORE_RETRY_S = 0.15
 STORE_RETRY_MAX_S = 0.6
-# Before a 404 response, a configuration confirmed within this time counts as current.
+# Before a response of 404 or 401, a configuration confirmed within this time counts as
+# current.
 CONFIG_MAX_AGE_S = 0.3
 # Results confirmed within this time count as current; the platform allows a second.
 RESULTS_MAX_AGE_S = 0.4
@@ -187,3 +188,6 @@
 MAX_STREAMS_A_RECORD = 2000
 # Largest number of expired records that one append removes.
 MAX_STREAM_REMOVALS = 200
+
+# Interval at which the age of the lease on the configuration is looked at.
+LEASE_TICK_S = 0.1
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -37,8 +37,10 @@
     ``begin_snapshot`` is called instead with the newest record of each key, then
     ``in_snapshot``, by default ``record``, with each of them, and ``end_snapshot`` with
     the end of the partition. ``confirmed`` is called with the monotonic time whenever
-    all records are applied. ``reachable`` is called with true when the store starts to
-    respond and with false when it stops. A record whose handler raises is skipped.
+    all records are applied, and ``confirmed_since`` with the time, including suspended
+    time, at which the read that showed it was requested. ``reachable`` is called with
+    true when the store starts to respond and with false when it stops. A record whose
+    handler raises is skipped.
     """
 
     record: RecordHandler
@@ -48,6 +50,9 @@
     in_snapshot: RecordHandler = attrs.field(kw_only=True)
     end_snapshot: Callable[[int], None] = attrs.field(default=_ignore, kw_only=True)
     confirmed: Callable[[float], None] = attrs.field(default=_ignore, kw_only=True)
+    confirmed_since: Callable[[float], None] | None = attrs.field(
+        default=None, kw_only=True
+    )
     reachable: Callable[[bool], None] = attrs.field(default=_ignore, kw_only=True)
 
     @in_snapshot.default
@@ -118,12 +123,32 @@
                 if await self._take_snapshot():
                     return
                 continue
-            offset = self._offset
+            offset, requested_at = self._offset, self._request_time()
             page = await self._store.read(self.topic, self.partition, offset, 0.0)
             if self._apply(offset, page) and page.next_offset >= page.end:
-                self._confirm()
+                self._confirm(requested_at)
                 return
 
+    async def read_beside(self, address: str | None, timeout_s: float) -> None:
+        """Reads once beside the polling loop, whatever became of its last read.
+
+        ``address`` is that of a relay, None for the path that all calls take. Raises an
+        error of the store if there is no response within ``timeout_s``.
+        """
+        offset, requested_at = self._offset, self._request_time()
+        if offset is None:
+            return
+        page = await self._store.read(
+            self.topic,
+            self.partition,
+            offset,
+            0.0,
+            timeout_s=timeout_s,
+            address=address,
+        )
+        if self._apply(offset, page) and page.next_offset >= page.end:
+            self._confirm(requested_at)
+
     async def _run(self) -> None:
         while not self._is_stopped:
             try:
@@ -162,10 +187,10 @@
         # A read that does not wait for records shows at once whether the store is
         # available again.
         wait_s = self._poll_s if self._is_reachable else 0.0
-        offset = self._offset
+        offset, requested_at = self._offset, self._request_time()
         page = await self._store.read(self.topic, self.partition, offset, wait_s)
         if self._apply(offset, page) and page.next_offset >= page.end:
-            self._confirm()
+            self._confirm(requested_at)
         if page.records and self._read_gap_s > 0:
             await sleep(self._reactor, self._read_gap_s)
 
@@ -175,6 +200,7 @@
         `catch_up` and the loop may read a snapshot at once. Only the first is applied:
         a second one might be older than what was applied since.
         """
+        requested_at = self._request_time()
         records: list[KeyedRecord] = []
         after, end = "", None
         while True:
@@ -199,7 +225,7 @@
         self._events.info(
             "topic_read", topic=self.topic, records=len(known), offset=end
         )
-        self._confirm()
+        self._confirm(requested_at)
         return True
 
     def _apply(self, start: int, page: Page) -> bool:
@@ -230,13 +256,21 @@
                 why=repr(exc)[:MAX_WHY_CHARS],
             )
 
-    def _confirm(self) -> None:
+    def _request_time(self) -> float:
+        """Returns the time for ``confirmed_since``, 0 where nothing asks for it."""
+        if self._handlers.confirmed_since is None:
+            return 0.0
+        return float(self._clock.boottime())
+
+    def _confirm(self, requested_at: float) -> None:
         self._failures = 0
         if not self._is_reachable:
             self._is_reachable = True
             self._events.warn("store_regained", topic=self.topic)
             self._handlers.reachable(True)
         self._handlers.confirmed(self._clock.monotonic())
+        if self._handlers.confirmed_since is not None:
+            self._handlers.confirmed_since(requested_at)
 
     def _note_failure(self, exc: PomeloshiftError) -> None:
         if self._is_reachable:
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -30,7 +30,8 @@
     version of the software that produced it, ``claims`` resumed items to the claim in
     force, and ``failures`` items to the engine of each run that failed.
     ``pending`` holds the indexes of the unfinished items, and ``waiting_tokens`` is the
-    sum of their tokens.
+    sum of their tokens. ``workspace`` is the name of the submitter's workspace, empty
+    without one.
     """
 
     id: str
@@ -47,6 +48,7 @@
     events_done: dict[int, int] = attrs.field(factory=dict)
     resumable_at: dict[int, SoftwareVersion] = attrs.field(factory=dict)
     claims: dict[int, ItemClaim] = attrs.field(factory=dict)
+    workspace: str = ""
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
 
--- a/src/pomeloshift/jobs/_job_table.py
+++ b/src/pomeloshift/jobs/_job_table.py
@@ -100,7 +100,13 @@
         )
         age = max(0.0, wall - record.submitted_at)
         job = Job(
-            record.job_id, record.queue, record.host, record.path, items, now - age
+            record.job_id,
+            record.queue,
+            record.host,
+            record.path,
+            items,
+            now - age,
+            workspace=record.workspace,
         )
         job.keys.extend(keys)
         self.jobs[job.id] = job
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -16,7 +16,8 @@
 
     ``queue`` consists of the route's host and path prefix. ``submitted_at`` is
     wall-clock time in seconds. Each of ``items`` consists of an id, a path, headers, a
-    reference to the body and a number of tokens.
+    reference to the body and a number of tokens. ``workspace`` is the name of the
+    submitter's workspace, empty without one; records of earlier versions lack it.
     """
 
     job_id: str
@@ -25,6 +26,7 @@
     path: str
     submitted_at: float
     items: list[tuple[str, str, list[tuple[str, str]], BlobRef, int]]
+    workspace: str = ""
 
 
 class ItemSettled(msgspec.Struct, tag="settled", array_like=True):
--- a/src/pomeloshift/net/_clock.py
+++ b/src/pomeloshift/net/_clock.py
@@ -15,12 +15,20 @@
 
 
 class SystemClock:
-    """The clock of the operating system."""
+    """The clock of the operating system.
+
+    The monotonic time stands still while the machine is suspended; `boottime` is for
+    leases that must expire during that time too.
+    """
 
     def monotonic(self) -> float:
         """Returns the monotonic time in seconds."""
         return time.monotonic()
 
+    def boottime(self) -> float:
+        """Returns the seconds since the machine started, including suspended time."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall(self) -> float:
         """Returns the seconds since the epoch."""
         return time.time()
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -17,6 +17,7 @@
     proves_not_run,
     report_request,
     to_engine,
+    without_caller_fields,
 )
 from ._engines import (
     decode_engine,
@@ -93,4 +94,5 @@
     "says_leaving",
     "shared_parts",
     "to_engine",
+    "without_caller_fields",
 ]
--- a/src/pomeloshift/platform/_engine_request.py
+++ b/src/pomeloshift/platform/_engine_request.py
@@ -75,6 +75,13 @@
     return RequestHead(b"POST", path.encode(), Headers(fields))
 
 
+def without_caller_fields(
+    headers: tuple[tuple[str, str], ...],
+) -> list[tuple[str, str]]:
+    """Returns an item's headers without a key and without the name of a workspace."""
+    return [(k, v) for k, v in headers if k.lower().encode() not in OF_WORKSPACE]
+
+
 def _target_fields(engine_id: str, last_event_id: int | None) -> HeaderList:
     """Returns the fields that name the engine and the event after which it resumes."""
     fields = [(b"X-Expect-Instance", engine_id.encode())]
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -172,11 +172,14 @@
         offset: int,
         wait_s: float,
         max_kb: int | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        address: str | None = None,
     ) -> Page:
         """Returns the records of a keyed topic from ``offset`` on.
 
         Waits up to ``wait_s`` for the first one. ``max_kb`` limits the response in
-        kilobytes. Raises `HistoryLostError` if the records have expired.
+        kilobytes. A response counts as lost ``timeout_s`` after that wait. ``address``
+        replaces the chosen one. Raises `HistoryLostError` if the records have expired.
         """
         query: dict[str, Any] = {"topic": topic, "part": partition, "from": offset}
         if max_kb is not None:
@@ -185,7 +188,7 @@
             query["waitMs"] = round(wait_s * 1000)
         self._take(self._reads)
         response = await self._call(
-            b"GET", "/api/log-read", query, b"", wait_s + CALL_TIMEOUT_S
+            b"GET", "/api/log-read", query, b"", wait_s + timeout_s, address
         )
         if response.status == 410:
             expired = decode_json(response.body, "a read", _Expired)
@@ -240,6 +243,7 @@
         query: dict[str, Any],
         body: bytes,
         timeout_s: float,
+        address: str | None = None,
     ) -> Response:
         target = f"{path}?{urlencode(query)}" if query else path
         fields = [(b"Host", self._settings.address.encode())]
@@ -248,7 +252,7 @@
         head = RequestHead(method, target.encode(), Headers(fields))
         started_at = self._clock.monotonic()
         outcome = "silent"
-        address = self.choose_address()
+        address = address or self.choose_address()
         try:
             response = await self._client.call(address, head, body, timeout_s)
             outcome = str(response.status)
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -55,17 +55,23 @@
     }
 
 
-def config(version=1, routes=()):
+def config(version=1, routes=(), **fields):
     return msgspec.json.encode(
         {
             "version": version,
             "routes": list(routes) or [route(name) for name in ROUTES],
             "services": [{"name": SERVICE, "healthPath": "/health", "connLimit": 9}],
             "limits": {},
+            **fields,
         }
     )
 
 
+def workspace(name, *keys, **fields):
+    """A workspace of a configuration, as in ``config(tenants=[...])``."""
+    return {"name": name, "apiKeys": list(keys), **fields}
+
+
 def settings_table(store, ip="127.0.0.1", port=0, **bounds):
     """The settings of an instance, in the form of the platform's file."""
     return {
