--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -354,6 +354,7 @@
             _stall_s(route),
             claim_offset=claim.offset if claim is not None else -1,
             workspace=item_workspace(work.job, self.routes.config.current),
+            may_start=self.may_start,
         )
         self.events.info(
             "item_started",
--- a/src/pomeloshift/gateway/_item_run.py
+++ b/src/pomeloshift/gateway/_item_run.py
@@ -47,6 +47,7 @@
     ``crashes`` records the crashes of engines under ``keys``; ``is_trial`` is set if
     the item tries a quarantined part of its prompt. A pause of ``stall_s`` seconds ends
     the run. ``workspace`` is the name that the engine is told, as for `item_request`.
+    Nothing is sent while ``may_start`` returns false.
     """
 
     access: EngineAccess
@@ -66,6 +67,7 @@
     status: int = 0
     why: str = ""
     workspace: str | None = None
+    may_start: Callable[[], bool] = lambda: True
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
     _progressed_at: float = 0.0
     _watched: WatchedRun = attrs.field(init=False)
@@ -102,8 +104,9 @@
         elif self.engine.may_have_restarted:
             if not await self.access.identify(self.engine):
                 return RunEnd.NOT_RUN
-        if not self.engine.is_serving:
-            # It began to leave while the body was read or the claim was written.
+        if not self.engine.is_serving or not self.may_start():
+            # It began to leave, or the process was frozen, while the body was read or
+            # the claim was written.
             return RunEnd.NOT_RUN
         head = item_request(
             self.work.job.host,
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -129,11 +129,11 @@
                 self._confirm(requested_at)
                 return
 
-    async def read_beside(self, address: str | None, timeout_s: float) -> None:
+    async def read_beside(self, timeout_s: float, address: str | None = None) -> None:
         """Reads once beside the polling loop, whatever became of its last read.
 
         ``address`` is that of a relay, None for the path that all calls take. Raises an
-        error of the store if there is no response within ``timeout_s``.
+        error of the store if there is no response within ``timeout_s`` seconds.
         """
         offset, requested_at = self._offset, self._request_time()
         if offset is None:
--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -10,7 +10,7 @@
 from ..dispatch import ConfigHolder, ServingConfig
 from ..errors import PomeloshiftError
 from ..net._periodic_tasks import PeriodicTasks, spawn
-from ..platform import CallerRequest
+from ..platform import CALL_TIMEOUT_S, CallerRequest
 from ..workspaces import Caller, KeyCheck, KeyDecision
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
@@ -119,9 +119,10 @@
         relays = sorted(self.relays())
         relay = self.random.choice(relays) if relays else None
         try:
-            if relay is not None or self.follower.is_reachable:
-                timeout_s = self.check.lease.read_timeout_s
-                await self.follower.read_beside(relay, timeout_s)
+            if relay is not None:
+                await self.follower.read_beside(self.check.lease.read_timeout_s, relay)
+            elif self.follower.is_reachable:
+                await self.follower.read_beside(CALL_TIMEOUT_S)
         except PomeloshiftError as exc:
             self.events.info(
                 "lease_not_renewed",
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -45,10 +45,11 @@
     load_platform_settings,
     parse_platform_settings,
 )
-from ._store import KeyedRecord, NewestPage, Page, StoreClient
+from ._store import CALL_TIMEOUT_S, KeyedRecord, NewestPage, Page, StoreClient
 from ._toml import parse_toml
 
 __all__ = [
+    "CALL_TIMEOUT_S",
     "CONFIG_KEY",
     "CONFIG_TOPIC",
     "ENGINES_TOPIC",
--- a/src/pomeloshift/workspaces/_config_lease.py
+++ b/src/pomeloshift/workspaces/_config_lease.py
@@ -6,12 +6,13 @@
 
 # Share of the revocation time after which the lease is renewed by additional reads. A
 # long poll takes `POLL_SHARE` of that time, so a lease that is renewed regularly is at
-# most two polls old (0.3), and six reads of `READ_SHARE` fit in the rest.
-RENEW_SHARE = 0.4
+# most two polls old (0.4), and five reads of `READ_SHARE` fit in the rest.
+RENEW_SHARE = 0.45
 # Share of the revocation time for a long poll of the configuration: 39 gateways with a
-# revocation time of 5 s then read 52 times a second, below a hundredth of 6,000.
-POLL_SHARE = 0.15
-# Share of the revocation time after which an additional read counts as lost.
+# revocation time of 5 s then read 39 times a second, below a hundredth of 6,000.
+POLL_SHARE = 0.2
+# Share of the revocation time after which an additional read through a relay counts as
+# lost: several round trips between regions.
 READ_SHARE = 0.1
 
 
@@ -72,7 +73,7 @@
 
     @property
     def read_timeout_s(self) -> float:
-        """The time after which an additional read counts as lost."""
+        """The time after which an additional read through a relay counts as lost."""
         if self.revocation_s is None:
             return math.inf
         return READ_SHARE * self.revocation_s
--- a/tests/processes/test_gateway_process.py
+++ b/tests/processes/test_gateway_process.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from _gateway import Deployment, events, text
+from _gateway import ROUTES, Deployment, config, events, route, text, workspace
 from pomeloshift.cli._explain import explain_id
 from pomeloshift.standins.platform import Behaviour
 
@@ -29,6 +29,7 @@
 ready = "{ip}:{ready}"
 [bounds]
 graceS = 8
+{bounds}
 [platform]
 address = "{store}"
 writesPerS = 4000
@@ -50,14 +51,16 @@
 class GatewayProcess:
     """A gateway in its own process, with the attributes that `Deployment` uses."""
 
-    def __init__(self, folder, store, ip):
+    def __init__(self, folder, store, ip, bounds=""):
         front, ready, peer = free_ports(ip, 3)
         self.caller_address = f"{ip}:{front}"
         self.ready_address = f"{ip}:{ready}"
         self.log = folder / f"{ip}.log"
         self._settings = folder / f"{ip}.toml"
         self._settings.write_text(
-            TOML.format(ip=ip, front=front, ready=ready, peer=peer, store=store)
+            TOML.format(
+                ip=ip, front=front, ready=ready, peer=peer, store=store, bounds=bounds
+            )
         )
         self.lines = queue.Queue()
         self.start()
@@ -108,10 +111,10 @@
         async def run():
             deployment = Deployment(reactor)
 
-            async def add():
+            async def add(bounds=""):
                 # Addresses that no gateway within a test process uses.
                 ip = f"127.0.1.{len(started) + 1}"
-                process = GatewayProcess(tmp_path, deployment.store_address, ip)
+                process = GatewayProcess(tmp_path, deployment.store_address, ip, bounds)
                 started.append(process)
                 await until_ready(deployment, process)
                 return process
@@ -192,6 +195,50 @@
     assert {row["text"] for row in rows} == {text(4)}
 
 
+REVOKE_S = 1.0
+STRICT = f"strictRevoke = true\nrevokeMs = {REVOKE_S * 1000:.0f}"
+
+
+def test_gateway_frozen_past_its_lease_runs_no_request_with_a_key(play_processes):
+    """Guards against a woken process that serves a key that was revoked meanwhile."""
+
+    async def scenario(deployment, add):
+        engine = deployment.add_engine()
+        tenants = [workspace("north", "key1", "key2"), workspace("south", "key3")]
+        routes = [route(name) for name in ROUTES]
+        deployment.publish(config(2, routes, tenants=tenants))
+        gateway = await add(STRICT)
+
+        def call(key, request_id):
+            return deployment.call(
+                gateway,
+                "POST",
+                "/plain/a",
+                request_id=request_id,
+                Authorization=f"Bearer {key}",
+            )
+
+        before = await call("key1", "before")
+        gateway.signal(signal.SIGSTOP)
+        tenants[0] = workspace("north", "key2")
+        deployment.publish(config(3, routes, tenants=tenants))
+        await deployment.pause(2 * REVOKE_S)
+        # Both lie in the socket when the process wakes.
+        late = [call(key, f"late-{key}") for key in ("key1", "key2")]
+        await deployment.pause(0.1)
+        gateway.signal(signal.SIGCONT)
+        first = [(await one).status for one in late]
+        await until_ready(deployment, gateway)
+        renewed = [(await call(key, f"again-{key}")).status for key in ("key1", "key2")]
+        return before.status, first, renewed, [one.id for one in engine.requests]
+
+    before, first, renewed, ran = play_processes(scenario)
+    assert before == 200
+    assert first == [503, 503]
+    assert renewed == [401, 200]
+    assert ran == ["before", "again-key2"]
+
+
 def test_failures_are_explained_by_their_ids(play_processes, capsys):
     """Follows the three examples of docs/OPERATIONS.md."""
 
