Let the order of the log decide whether a job fits under the cap

The job record carries the workspace and the cap, JobTable decides at replay, and the gateway reads the log back to the record before it answers 202 or 429. A refused record is removed before its 429, or by the cleaner if its submitter was killed; a finished job is removed only after the refused records that depend on it. A repeat whose earlier record has no known outcome gets 504 instead of 503, and is not refused on sight.

A submission without a cap costs the calls it did; one with a cap costs at most one more read, a refused one also a removal.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -15,13 +15,13 @@
 from ..http1 import Exchange
 from ..jobs import (
     BlobRef,
+    CapRoom,
     ItemRoutes,
     Job,
     JobEnded,
     JobSubmitted,
     NewItem,
     Result,
-    queue_name,
 )
 from ..net._periodic_tasks import spawn
 from ..platform import (
@@ -34,10 +34,12 @@
     encode_results,
 )
 from ._blob_store import BlobStore
+from ._cap_decisions import CapDecisions
 from ._events import EventLog
 from ._job_log import JobLog
 from ._log_writer import LogTimeoutError, LogUnavailableError
 from ._refusal import refuse, respond_json
+from ._refused_records import RefusedRecords
 from ._timing import MAX_LONG_POLL_S, RESULTS_MAX_AGE_S, SUBMIT_TIMEOUT_S
 
 # Most bytes of result texts in one response; the next call reads the rest.
@@ -47,22 +49,6 @@
 RETRY_AFTER_S = 0.05
 
 
-# How long tokens stay reserved for a job that is not replayed from the log: an append
-# with an unknown outcome is applied within some seconds or never.
-RESERVATION_S = 10.0
-
-
-@attrs.frozen
-class _Reservation:
-    """Tokens reserved for a job whose record has possibly not been replayed from the
-    log yet.
-    """
-
-    queue: str
-    tokens: int
-    made_at: float
-
-
 @attrs.define
 class BatchApi:
     """Accepts jobs and serves their results from the state replayed from the log."""
@@ -73,9 +59,14 @@
     events: EventLog
     reactor: Any
     clock: Any
-    _reserved: dict[str, _Reservation] = attrs.field(factory=dict)
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
     _is_stopping: bool = False
+    _decisions: CapDecisions = attrs.field(init=False)
+
+    @_decisions.default
+    def _new_decisions(self) -> CapDecisions:
+        refused = RefusedRecords(self.log, self.blobs, self.events)
+        return CapDecisions(self.log, refused, self.events, self.reactor, self.clock)
 
     def submit(self, exchange: Exchange, req: CallerRequest, route: Route) -> None:
         """Accepts a job once it is durable in the log."""
@@ -130,8 +121,10 @@
         except CancelledError:
             raise
         except PomeloshiftError as exc:
-            # 503 guarantees that the call had no effect; 504 leaves its outcome open.
-            status = 503 if exc.ran is Ran.NO else 504
+            # 503 guarantees that the call had no effect; 504 leaves its outcome open,
+            # as an earlier attempt does whose record may still be applied.
+            is_open = req.method == "POST" and self._decisions.is_undecided(req.id)
+            status = 503 if exc.ran is Ran.NO and not is_open else 504
             self.events.warn(
                 "batch_call_failed",
                 id=req.id,
@@ -164,43 +157,38 @@
         if req.id in self.log.table.jobs:
             self._respond_accepted(exchange, req, "known", len(items))
             return
-        queue = queue_name(route)
         tokens = sum(item.tokens for item in items)
-        waiting = self._waiting_tokens(queue)
-        if route.queue_token_cap and waiting + tokens > route.queue_token_cap:
-            self.events.info(
-                "job_refused",
-                id=req.id,
-                tokens=tokens,
-                waiting=waiting,
-                cap=route.queue_token_cap,
-            )
+        room = CapRoom.of(self.log.table, self.routes, route, _workspace_of(req))
+        if not room.fits(tokens) and not self._decisions.is_undecided(req.id):
+            # Another gateway may have accepted the job since the last read.
+            await self.log.follower.catch_up()
+            if req.id in self.log.table.jobs:
+                self._respond_accepted(exchange, req, "known", len(items))
+                return
+            room = CapRoom.of(self.log.table, self.routes, route, room.workspace)
+            if not room.fits(tokens):
+                self.events.info(
+                    "job_refused",
+                    id=req.id,
+                    workspace=room.workspace,
+                    tokens=tokens,
+                    waiting=room.waiting,
+                    cap=room.cap,
+                )
+                refuse(exchange, 429, route.job_deadline_s / 4)
+                return
+        if await self._store_job(req, room, items):
+            self._respond_accepted(exchange, req, "new", len(items))
+        else:
             refuse(exchange, 429, route.job_deadline_s / 4)
-            return
-        self._reserved[req.id] = _Reservation(queue, tokens, self.clock.monotonic())
-        try:
-            await self._store_job(req, queue, items)
-        except LogUnavailableError:
-            del self._reserved[req.id]
-            raise
-        self._respond_accepted(exchange, req, "new", len(items))
-
-    def _waiting_tokens(self, queue: str) -> int:
-        """Returns a queue's waiting tokens, including jobs not replayed yet."""
-        now = self.clock.monotonic()
-        table = self.log.table
-        self._reserved = {
-            job_id: reservation
-            for job_id, reservation in self._reserved.items()
-            if job_id not in table.jobs and now - reservation.made_at < RESERVATION_S
-        }
-        reserved = (r.tokens for r in self._reserved.values() if r.queue == queue)
-        return table.waiting_tokens(queue, self.routes) + sum(reserved)
 
     async def _store_job(
-        self, req: CallerRequest, queue: str, items: tuple[NewItem, ...]
-    ) -> None:
-        """Stores the bodies and then the job record, which refers to them."""
+        self, req: CallerRequest, room: CapRoom, items: tuple[NewItem, ...]
+    ) -> bool:
+        """Stores the bodies and then the job record, which refers to them.
+
+        Returns whether the job is accepted; without a cap it always is.
+        """
         until = self.clock.monotonic() + SUBMIT_TIMEOUT_S
         try:
             refs = await self.blobs.put(
@@ -210,13 +198,20 @@
             # Only the job record refers to the bodies. It was not appended, so the job
             # is certainly not accepted.
             raise LogUnavailableError(exc.message) from exc
-        record = self._record(req, queue, items, refs)
-        await self.log.append_within(record, until - self.clock.monotonic())
+        record = self._record(req, room, items, refs)
+        if room.cap:
+            return await self._decisions.append(record, until)
+        try:
+            await self.log.append_within(record, until - self.clock.monotonic())
+        except LogTimeoutError:
+            self._decisions.note_undecided(req.id)
+            raise
+        return True
 
     def _record(
         self,
         req: CallerRequest,
-        queue: str,
+        room: CapRoom,
         items: tuple[NewItem, ...],
         bodies: list[BlobRef],
     ) -> JobSubmitted:
@@ -225,7 +220,16 @@
             for item, body in zip(items, bodies, strict=True)
         ]
         wall = self.clock.wall()
-        return JobSubmitted(req.id, queue, req.host, req.path, wall, rows)
+        return JobSubmitted(
+            req.id,
+            room.queue,
+            req.host,
+            req.path,
+            wall,
+            rows,
+            room.workspace,
+            room.record_cap,
+        )
 
     def _respond_accepted(
         self, exchange: Exchange, req: CallerRequest, how: str, items: int
@@ -339,6 +343,11 @@
         refuse(exchange, 404)
 
 
+def _workspace_of(req: CallerRequest) -> str:
+    """Returns the name of the workspace whose cap applies, empty without workspaces."""
+    return ""
+
+
 def _page(results: list[Result]) -> list[Result]:
     """Returns the first results that fit into one response, at least one."""
     size = 0
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -124,6 +124,19 @@
     EventSpec("batch_call_failed", "A batch call was refused or timed out.", True),
     EventSpec("job_malformed", "A submitted job cannot be read.", True),
     EventSpec("job_refused", "A job's tokens do not fit in the queue.", True),
+    EventSpec(
+        "job_over_cap",
+        "A job's record was removed: by the order of the log it exceeds the cap.",
+        True,
+    ),
+    EventSpec(
+        "job_append_unknown",
+        "A job's record got no response in time; the log is read for it.",
+    ),
+    EventSpec(
+        "job_refusal_left",
+        "A refused job's record was left by its submitter and is removed here.",
+    ),
     EventSpec("job_accepted", "The job is durable in the log.", True),
     EventSpec("job_unknown", "The job is not in the log, which was read to its end."),
     EventSpec(
--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -114,7 +114,7 @@
         Raises `LogUnavailableError` if the append is not applied and never will be,
         and `LogTimeoutError` if it may still be applied.
         """
-        timer = self._reactor.callLater(timeout_s, self._expire, append)
+        timer = self._reactor.callLater(max(0.0, timeout_s), self._expire, append)
         try:
             return await append.done
         finally:
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -185,11 +185,13 @@
             if not page.has_more or not page.records:
                 break
             after = page.records[-1].key
+        # The pages are not one snapshot: records from the first page's end on are left
+        # out here and read again. So are keys that were removed meanwhile, because a
+        # later page may lack others that were removed with them.
+        removed = await self._removed_keys(end, page.end)
         if self._offset is not None:
             return False
-        # The pages are not one snapshot: records from the first page's end on are left
-        # out here and read again.
-        known = [record for record in records if record.offset < end]
+        known = [r for r in records if r.offset < end and r.key not in removed]
         known.sort(key=lambda record: record.offset)
         self._handlers.begin_snapshot(known)
         for record in known:
@@ -202,6 +204,17 @@
         self._confirm()
         return True
 
+    async def _removed_keys(self, start: int, end: int) -> set[str]:
+        """Returns the keys that were removed between two offsets."""
+        removed: set[str] = set()
+        while start < end:
+            page = await self._store.read(self.topic, self.partition, start, 0.0)
+            if not page.records:
+                break
+            removed.update(r.key for r in page.records if r.value is None)
+            start = page.next_offset
+        return removed
+
     def _apply(self, start: int, page: Page) -> bool:
         """Applies records that were read from the offset ``start`` on.
 
--- a/src/pomeloshift/jobs/__init__.py
+++ b/src/pomeloshift/jobs/__init__.py
@@ -5,6 +5,7 @@
 
 from ._batch_slots import PEAK_S, BatchSlots
 from ._blob_ref import BlobRef
+from ._cap_room import CapRoom
 from ._fragments import Assembler, base_key, split
 from ._item import Item, ItemKey, ItemState, NewItem, Result
 from ._item_claim import CLAIM_VALID_S, ItemClaim
@@ -26,6 +27,7 @@
     decode_record,
     encode_record,
 )
+from ._refused_job import RefusedJob
 from ._share import Share
 from ._unrouted_items import UNROUTED_S, UnroutedItems
 from ._work_queue import WorkItem, WorkQueue
@@ -38,6 +40,7 @@
     "Assembler",
     "BatchSlots",
     "BlobRef",
+    "CapRoom",
     "DurableProgress",
     "Item",
     "ItemClaim",
@@ -58,6 +61,7 @@
     "NewItem",
     "Ownership",
     "Progress",
+    "RefusedJob",
     "Result",
     "Share",
     "UnroutedItems",
--- a/src/pomeloshift/jobs/_job.py
+++ b/src/pomeloshift/jobs/_job.py
@@ -30,7 +30,8 @@
     version of the software that produced it, ``claims`` resumed items to the claim in
     force, and ``failures`` items to the engine of each run that failed.
     ``pending`` holds the indexes of the unfinished items, and ``waiting_tokens`` is the
-    sum of their tokens.
+    sum of their tokens. ``workspace`` is the submitter's. ``closed_offset`` is that of
+    the last record that finished an item or ended the job, -1 before.
     """
 
     id: str
@@ -49,6 +50,8 @@
     claims: dict[int, ItemClaim] = attrs.field(factory=dict)
     pending: set[int] = attrs.field(init=False)
     waiting_tokens: int = attrs.field(init=False)
+    workspace: str = ""
+    closed_offset: int = -1
 
     def __attrs_post_init__(self) -> None:
         self.pending = set(range(len(self.items)))
@@ -59,6 +62,11 @@
         """Whether the job has items left to run."""
         return not self.is_ended and bool(self.pending)
 
+    @property
+    def owed_tokens(self) -> int:
+        """The tokens of the items that are left to run; 0 once the job is ended."""
+        return 0 if self.is_ended else self.waiting_tokens
+
     def finish_item(self, index: int, state: ItemState, text: BlobRef | None) -> bool:
         """Adds an item's result; returns False if the item already had one."""
         if index not in self.pending:
--- a/src/pomeloshift/jobs/_records.py
+++ b/src/pomeloshift/jobs/_records.py
@@ -12,11 +12,15 @@
 
 
 class JobSubmitted(msgspec.Struct, tag="job", array_like=True):
-    """A job was accepted, unless an earlier record accepted it already.
+    """A job was submitted; it is accepted if it fits, unless it was accepted already.
 
     ``queue`` consists of the route's host and path prefix. ``submitted_at`` is
     wall-clock time in seconds. Each of ``items`` consists of an id, a path, headers, a
-    reference to the body and a number of tokens.
+    reference to the body and a number of tokens. ``workspace`` is the submitter's,
+    empty where callers need no keys. With a ``cap`` above 0, the job is accepted only
+    if the unfinished items of the queue's accepted jobs, its own included, have at
+    most ``cap`` tokens at this place in the log: those of the workspace's jobs, or of
+    all jobs if ``workspace`` is empty. Records of earlier versions lack both fields.
     """
 
     job_id: str
@@ -25,6 +29,8 @@
     path: str
     submitted_at: float
     items: list[tuple[str, str, list[tuple[str, str]], BlobRef, int]]
+    workspace: str = ""
+    cap: int = 0
 
 
 class ItemSettled(msgspec.Struct, tag="settled", array_like=True):
