Merge keys of workspaces and the exact cap of waiting tokens

The job record takes the workspace from the caller that the key check found; a repeat that another gateway has accepted meanwhile is answered by the same rule as any known job.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -16,13 +16,13 @@
 from ..http1 import Exchange
 from ..jobs import (
     BlobRef,
+    CapRoom,
     ItemRoutes,
     Job,
     JobEnded,
     JobSubmitted,
     NewItem,
     Result,
-    queue_name,
 )
 from ..net._periodic_tasks import spawn
 from ..platform import (
@@ -37,10 +37,12 @@
 )
 from ..workspaces import Caller
 from ._blob_store import BlobStore
+from ._cap_decisions import CapDecisions
 from ._events import EventLog
 from ._job_log import JobLog
 from ._log_writer import LogTimeoutError, LogUnavailableError
 from ._refusal import refuse, respond_json
+from ._refused_records import RefusedRecords
 from ._timing import MAX_LONG_POLL_S, RESULTS_MAX_AGE_S, SUBMIT_TIMEOUT_S
 
 # Most bytes of result texts in one response; the next call reads the rest.
@@ -50,22 +52,6 @@
 RETRY_AFTER_S = 0.05
 
 
-# How long tokens stay reserved for a job that is not replayed from the log: an append
-# with an unknown outcome is applied within some seconds or never.
-RESERVATION_S = 10.0
-
-
-@attrs.frozen
-class _Reservation:
-    """Tokens reserved for a job whose record has possibly not been replayed from the
-    log yet.
-    """
-
-    queue: str
-    tokens: int
-    made_at: float
-
-
 @attrs.define
 class BatchApi:
     """Accepts jobs and serves their results from the state replayed from the log.
@@ -81,9 +67,14 @@
     reactor: Any
     clock: Any
     may_accept: Callable[[], bool] = lambda: True
-    _reserved: dict[str, _Reservation] = attrs.field(factory=dict)
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
     _is_stopping: bool = False
+    _decisions: CapDecisions = attrs.field(init=False)
+
+    @_decisions.default
+    def _new_decisions(self) -> CapDecisions:
+        refused = RefusedRecords(self.log, self.blobs, self.events)
+        return CapDecisions(self.log, refused, self.events, self.reactor, self.clock)
 
     def submit(
         self, exchange: Exchange, req: CallerRequest, route: Route, caller: Caller
@@ -150,8 +141,10 @@
         except CancelledError:
             raise
         except PomeloshiftError as exc:
-            # 503 guarantees that the call had no effect; 504 leaves its outcome open.
-            status = 503 if exc.ran is Ran.NO else 504
+            # 503 guarantees that the call had no effect; 504 leaves its outcome open,
+            # as an earlier attempt does whose record may still be applied.
+            is_open = req.method == "POST" and self._decisions.is_undecided(req.id)
+            status = 503 if exc.ran is Ran.NO and not is_open else 504
             self.events.warn(
                 "batch_call_failed",
                 id=req.id,
@@ -188,47 +181,43 @@
             return
         if not self.may_accept():
             raise LogUnavailableError("the lease on the configuration has expired")
-        queue = queue_name(route)
         tokens = sum(item.tokens for item in items)
-        waiting = self._waiting_tokens(queue)
-        if route.queue_token_cap and waiting + tokens > route.queue_token_cap:
-            self.events.info(
-                "job_refused",
-                id=req.id,
-                tokens=tokens,
-                waiting=waiting,
-                cap=route.queue_token_cap,
-            )
+        room = CapRoom.of(self.log.table, self.routes, route, caller.name or "")
+        if not room.fits(tokens) and not self._decisions.is_undecided(req.id):
+            # Another gateway may have accepted the job since the last read.
+            await self.log.follower.catch_up()
+            known = self.log.table.jobs.get(req.id)
+            if known is not None:
+                self._respond_known(exchange, req, known, caller)
+                return
+            room = CapRoom.of(self.log.table, self.routes, route, room.workspace)
+            if not room.fits(tokens):
+                self.events.info(
+                    "job_refused",
+                    id=req.id,
+                    workspace=room.workspace,
+                    tokens=tokens,
+                    waiting=room.waiting,
+                    cap=room.cap,
+                )
+                refuse(exchange, 429, route.job_deadline_s / 4)
+                return
+        if await self._store_job(req, room, items, caller):
+            self._respond_accepted(exchange, req, "new", len(items))
+        else:
             refuse(exchange, 429, route.job_deadline_s / 4)
-            return
-        self._reserved[req.id] = _Reservation(queue, tokens, self.clock.monotonic())
-        try:
-            await self._store_job(req, queue, items, caller)
-        except LogUnavailableError:
-            del self._reserved[req.id]
-            raise
-        self._respond_accepted(exchange, req, "new", len(items))
-
-    def _waiting_tokens(self, queue: str) -> int:
-        """Returns a queue's waiting tokens, including jobs not replayed yet."""
-        now = self.clock.monotonic()
-        table = self.log.table
-        self._reserved = {
-            job_id: reservation
-            for job_id, reservation in self._reserved.items()
-            if job_id not in table.jobs and now - reservation.made_at < RESERVATION_S
-        }
-        reserved = (r.tokens for r in self._reserved.values() if r.queue == queue)
-        return table.waiting_tokens(queue, self.routes) + sum(reserved)
 
     async def _store_job(
         self,
         req: CallerRequest,
-        queue: str,
+        room: CapRoom,
         items: tuple[NewItem, ...],
         caller: Caller,
-    ) -> None:
-        """Stores the bodies and then the job record, which refers to them."""
+    ) -> bool:
+        """Stores the bodies and then the job record, which refers to them.
+
+        Returns whether the job is accepted; without a cap it always is.
+        """
         until = self.clock.monotonic() + SUBMIT_TIMEOUT_S
         try:
             refs = await self.blobs.put(
@@ -238,13 +227,20 @@
             # Only the job record refers to the bodies. It was not appended, so the job
             # is certainly not accepted.
             raise LogUnavailableError(exc.message) from exc
-        record = self._record(req, queue, items, refs, caller)
-        await self.log.append_within(record, until - self.clock.monotonic())
+        record = self._record(req, room, items, refs, caller)
+        if room.cap:
+            return await self._decisions.append(record, until)
+        try:
+            await self.log.append_within(record, until - self.clock.monotonic())
+        except LogTimeoutError:
+            self._decisions.note_undecided(req.id)
+            raise
+        return True
 
     def _record(
         self,
         req: CallerRequest,
-        queue: str,
+        room: CapRoom,
         items: tuple[NewItem, ...],
         bodies: list[BlobRef],
         caller: Caller,
@@ -254,8 +250,16 @@
             for item, body in zip(items, bodies, strict=True)
         ]
         wall = self.clock.wall()
-        workspace = caller.name or ""
-        return JobSubmitted(req.id, queue, req.host, req.path, wall, rows, workspace)
+        return JobSubmitted(
+            req.id,
+            room.queue,
+            req.host,
+            req.path,
+            wall,
+            rows,
+            room.workspace,
+            room.record_cap,
+        )
 
     def _respond_known(
         self, exchange: Exchange, req: CallerRequest, job: Job, caller: Caller
