Limit the rate of a workspace over all gateways

The configuration names a rate and a burst for each workspace, and nothing kept them. Each gateway now has an account of each limited workspace, charged with its own requests and with the counters that others report in heartbeats. Requests over the limit get 429 with Retry-After before anything is sent to an engine; requests that have not run are credited.

A gateway starts without a balance. The part of gateways that have not been heard for 0.7 s is set aside, and comes back with them.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -31,6 +31,8 @@
     SILENT_CLAIMS_S,
     PeerLoads,
     PeerState,
+    RateReport,
+    RequestCounters,
     RequestCounts,
 )
 from ._peer_view import PeerView
@@ -75,6 +77,8 @@
     "PlacementConfig",
     "Quarantine",
     "QuarantineConfig",
+    "RateReport",
+    "RequestCounters",
     "RequestCounts",
     "SILENT_CLAIMS_S",
     "RetryAfter",
--- a/src/pomeloshift/dispatch/_engine_limit.py
+++ b/src/pomeloshift/dispatch/_engine_limit.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ..limits import ReportedCounts, TokenBucket
+
 # How long an entry leaves a request to the entry ranked before it: about the time until
 # a heartbeat reports that it was sent.
 STAGGER_S = 0.1
@@ -10,14 +12,10 @@
 # Time in which an entry that learns of a limit receives the first report of each other
 # one: more than the two seconds within which each reports all limits.
 FIRST_REPORTS_S = 3.0
-# Largest number of processes of other entries whose requests are known; those without a
-# report for the longest are forgotten.
-MAX_PEERS = 1000
 # Least rate, in requests a second, so that an engine that named 0 can be asked again.
 MIN_RATE = 0.1
 
 
-@attrs.define
 class EngineLimit:
     """An account of the requests that an engine takes from all entries together.
 
@@ -33,26 +31,27 @@
         limit.wait_s(rank=0, now=now)  # 0.5
     """
 
-    rate: float
-    accrued_at: float
-    balance: float = 0.0
-    sent: int = 0
-    _known_since: float = attrs.field(init=False)
-    _sent_by_peers: dict[str, int] = attrs.field(factory=dict, init=False)
+    def __init__(self, rate: float, accrued_at: float, balance: float = 0.0) -> None:
+        self.rate = rate
+        self.sent = 0
+        self._known_since = accrued_at
+        self._sent_by_peers = ReportedCounts()
+        used, most = max(rate, MIN_RATE), _most(rate)
+        self._bucket = TokenBucket(used, most, level=balance, filled_at=accrued_at)
 
-    @_known_since.default
-    def _now(self) -> float:
-        return self.accrued_at
+    @property
+    def balance(self) -> float:
+        """The requests that may be sent; below 0 if too many were."""
+        return self._bucket.level
 
     def change_rate(self, rate: float, now: float) -> None:
         """Applies another limit that the engine named."""
-        self._accrue(now)
         self.rate = rate
+        self._bucket.resize(max(rate, MIN_RATE), _most(rate), now)
 
     def charge(self, now: float) -> None:
         """Records that this entry sends a request."""
-        self._accrue(now)
-        self.balance -= 1
+        self._bucket.charge(now)
         self.sent += 1
 
     def note_peer(self, peer: str, sent: int, now: float) -> None:
@@ -61,13 +60,8 @@
         ``peer`` names its process. What it sent before this entry knew the limit is not
         charged.
         """
-        self._accrue(now)
         is_first = now - self._known_since < FIRST_REPORTS_S
-        known = self._sent_by_peers.pop(peer, sent if is_first else 0)
-        self.balance -= max(0, sent - known)
-        self._sent_by_peers[peer] = max(sent, known)
-        if len(self._sent_by_peers) > MAX_PEERS:
-            del self._sent_by_peers[next(iter(self._sent_by_peers))]
+        self._bucket.charge(now, self._sent_by_peers.advance(peer, sent, is_first))
 
     def wait_s(self, rank: int, now: float) -> float:
         """Returns the seconds until this entry may send a request, 0 if it may now.
@@ -75,20 +69,13 @@
         ``rank`` is this entry's place, from 0, in the order in which entries may use
         what the limit allows.
         """
-        self._accrue(now)
         stagger_s = STAGGER_S * min(rank, MAX_RANK)
-        missing = 1 + stagger_s * self._rate - self.balance
-        return max(0.0, missing / self._rate)
+        return self._bucket.wait_s(now, 1 + stagger_s * self._bucket.rate)
 
-    @property
-    def _rate(self) -> float:
-        return max(self.rate, MIN_RATE)
-
-    def _accrue(self, now: float) -> None:
-        most = 1 + STAGGER_S * MAX_RANK * self._rate
-        accrued = self.balance + self._rate * max(0.0, now - self.accrued_at)
-        self.balance = min(most, accrued)
-        self.accrued_at = now
+
+def _most(rate: float) -> float:
+    """Returns the largest balance: what the last rank needs."""
+    return 1 + STAGGER_S * MAX_RANK * max(rate, MIN_RATE)
 
 
 @attrs.frozen
--- a/src/pomeloshift/dispatch/_peer_loads.py
+++ b/src/pomeloshift/dispatch/_peer_loads.py
@@ -1,6 +1,7 @@
 """The state that other entries report, and the sums of their requests by engine."""
 
 from collections import Counter
+from typing import NamedTuple
 
 import attrs
 
@@ -34,6 +35,26 @@
 NO_REQUESTS = RequestCounts()
 
 
+class RequestCounters(NamedTuple):
+    """The requests of one workspace that a process has counted since it started.
+
+    ``taken`` were charged to the rate limit, of which ``returned`` did not run.
+    ``refused`` were refused because of it, and their callers are expected to return.
+    """
+
+    taken: int
+    returned: int
+    refused: int
+
+
+@attrs.frozen
+class RateReport:
+    """What a process that started at ``started_at`` reports of each workspace."""
+
+    started_at: float = attrs.field(eq=False)
+    counters: dict[str, RequestCounters]
+
+
 @attrs.frozen
 class PeerState:
     """The state of one entry.
@@ -42,7 +63,8 @@
     the batch items that it runs, is about to resume or is about to list. ``can_store``
     is set if the entry can reach the store, ``is_relay`` if it reaches the store
     directly and can relay calls of other entries. ``limits`` holds its reports of the
-    limits that engines name, by engine id.
+    limits that engines name, by engine id. ``rates`` is its report of the requests of
+    workspaces with a rate limit, if it has sent any.
     """
 
     counts: dict[str, RequestCounts]
@@ -51,6 +73,7 @@
     can_store: bool = True
     is_relay: bool = False
     limits: dict[str, LimitReport] = attrs.field(factory=dict)
+    rates: RateReport | None = None
 
 
 NO_STATE = PeerState({})
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -1,5 +1,6 @@
 """Sends requests to engines and counts them in the fleet."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -142,6 +143,10 @@
             return 0.0
         return engine.limit.wait_s(self.rank_at(engine), self.now())
 
+    def least_limit_wait_s(self, engines: list[Engine]) -> float:
+        """Returns the seconds until the limit of an engine allows a request."""
+        return min(map(self.limit_wait_s, engines), default=math.inf)
+
     def charge_limit(self, engine: Engine) -> None:
         """Records that a request is sent to an engine, if it names a limit."""
         if engine.limit is not None:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -84,6 +84,7 @@
     ),
     EventSpec("would_be_late", "No engine can start it within its objective."),
     EventSpec("limits_reached", "No engine's limit allows it within its objective."),
+    EventSpec("rate_limited", "The request is over its workspace's limit.", True),
     EventSpec("attempt_sent", "A request was written to an engine."),
     EventSpec(
         "attempt_refused",
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -73,6 +73,7 @@
     SIDE_CONNECTIONS,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
+from ._workspace_rates import WorkspaceRates
 
 DROP_MISSING_TICK_S = 0.2
 
@@ -255,6 +256,9 @@
             clock,
         )
         self.members.attach()
+        self.rates = WorkspaceRates(
+            settings, self.peers, self._directory, self.members, events, clock
+        )
         max_caller_connections = max(
             64, settings.max_descriptors - RESERVED_DESCRIPTORS
         )
@@ -266,6 +270,7 @@
             access,
             events,
             clock,
+            self.rates,
         )
         self._caller_listener = HttpListener(
             reactor, clock, self._dispatcher.handle, max_caller_connections
@@ -316,10 +321,9 @@
 
     async def start(self) -> None:
         """Listens on all ports and starts to follow the store's topics."""
-        self.caller_address = _listen(
-            self._caller_listener, self._settings.caller_address
-        )
-        self.ready_address = _listen(self._ready_listener, self._settings.ready_address)
+        settings = self._settings
+        self.caller_address = self._caller_listener.listen_at(settings.caller_address)
+        self.ready_address = self._ready_listener.listen_at(settings.ready_address)
         self._serve_metrics()
         self._pool.start()
         self._config_follower.start()
@@ -344,7 +348,7 @@
     def _serve_metrics(self) -> None:
         address = f"{self._settings.ip}:{self._metrics_port}"
         try:
-            self.metrics_address = _listen(self._metrics_listener, address)
+            self.metrics_address = self._metrics_listener.listen_at(address)
         except CannotListenError as exc:
             # Without metrics the gateway still serves callers.
             self._events.warn("metrics_not_served", address=address, why=exc)
@@ -471,9 +475,4 @@
         )
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
-
-
-def _listen(listener: HttpListener, address: str) -> str:
-    """Listens on an address and returns it with the actual port."""
-    host, _, port = address.rpartition(":")
-    return f"{host}:{listener.listen(host, int(port))}"
+        self.rates.apply_config(config)
--- a/src/pomeloshift/gateway/_members.py
+++ b/src/pomeloshift/gateway/_members.py
@@ -1,10 +1,11 @@
 """Determines which gateways share the batch work."""
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
 
-from ..dispatch import Fleet, LimitReport, PeerState, PeerView, is_isolated
+from ..dispatch import Fleet, LimitReport, PeerState, PeerView, RateReport, is_isolated
 from ._batch_loop import BatchLoop
 from ._peer_directory import PeerDirectory
 from ._peer_exchange import PeerExchange
@@ -19,6 +20,7 @@
     ``follower`` reads the job log. As long as the job log of any gateway is current,
     gateways whose job log is not current own no engine. Neither does a gateway that has
     not heard its peers yet. ``is_draining`` is set when the process shuts down.
+    ``report_rates`` returns what is reported of workspaces with rate limits.
     """
 
     ip: str
@@ -31,6 +33,7 @@
     clock: Any
     _view: PeerView = attrs.field(factory=PeerView)
     is_draining: bool = False
+    report_rates: Callable[[], RateReport | None] = lambda: None
 
     def attach(self) -> None:
         """Registers `own_state` as the state that the exchange sends."""
@@ -50,6 +53,7 @@
             self._can_store,
             self._can_store and self.store_link.path.is_direct,
             self._limits(),
+            self.report_rates(),
         )
 
     def _limits(self) -> dict[str, LimitReport]:
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -42,6 +42,7 @@
     STALL_GAPS,
     STALL_S,
 )
+from ._workspace_rates import Allowance
 
 # Statuses which guarantee to the caller that a request has not run. A response of an
 # engine with one of them is never relayed: with the engine's proof the attempt counts
@@ -71,6 +72,7 @@
     plan: AttemptPlan
     relay: ResponseRelay
     keys: CrashKeys
+    allowance: Allowance
     software: SoftwareVersion | None = None
     _run: EngineRun | None = None
     _watched: WatchedRun | None = None
@@ -123,7 +125,9 @@
         engines = self._pick_engines()
         engine = self._choose(engines, now)
         if engine is None and self._may_wait(engines, now):
-            await self.access.sleep(max(MIN_WAIT_S, self._limit_wait_s(engines)))
+            await self.access.sleep(
+                max(MIN_WAIT_S, self.access.least_limit_wait_s(engines))
+            )
             return
         if engine is None or self._would_be_late(engine, now):
             self._fail()
@@ -131,6 +135,9 @@
         if not await self._is_usable(engine):
             self.plan.record_unreachable(engine.record.id)
             return
+        if not self.allowance.take(self.exchange, self.req):
+            self._is_done = True
+            return
         is_trial = self.crashes.is_quarantined(self.keys)
         if is_trial and not self._take_trial():
             return
@@ -199,11 +206,6 @@
         open_engines = [e for e in engines if self.access.limit_wait_s(e) <= 0]
         return self.access.placement.choose(open_engines, now)
 
-    def _limit_wait_s(self, engines: list[Engine]) -> float:
-        """Returns the seconds until the limit of an engine allows the request."""
-        waits_s = (self.access.limit_wait_s(engine) for engine in engines)
-        return min(waits_s, default=math.inf)
-
     @property
     def _is_resume(self) -> bool:
         """Whether an engine would go on with a stream that has begun."""
@@ -215,7 +217,7 @@
         That is the latency objective; a request that may have run has until its caller
         would give up on it.
         """
-        wait_s = self._limit_wait_s(engines)
+        wait_s = self.access.least_limit_wait_s(engines)
         elapsed_s = now - self.exchange.arrived_at
         if self._is_resume:
             can_wait = wait_s <= MAX_RESUME_WAIT_S and now + wait_s < self.plan.deadline
@@ -341,10 +343,8 @@
             self._note_failure(engine, f"response status {head.status}")
             return
         if not self.relay.take_head(head):
-            self._note_failure(
-                engine,
-                f"response status {head.status} {head.media_type} to a resumed stream",
-            )
+            why = f"response status {head.status} {head.media_type} to a resumed stream"
+            self._note_failure(engine, why)
             return
         while True:
             event = await self._next(run)
--- a/src/pomeloshift/gateway/_online_service.py
+++ b/src/pomeloshift/gateway/_online_service.py
@@ -20,6 +20,7 @@
 from ._online import OnlineRequest
 from ._response_relay import ResponseRelay
 from ._stream_log import StreamLog
+from ._workspace_rates import Allowance
 
 
 @attrs.define
@@ -38,8 +39,13 @@
         req: CallerRequest,
         route: Route,
         config: ServingConfig,
+        allowance: Allowance,
     ) -> None:
-        """Serves a request under the configuration in force at its arrival."""
+        """Serves a request under the configuration in force at its arrival.
+
+        ``allowance`` is charged once the request is sent, and credited if it has not
+        run.
+        """
         timeout_s = route.timeout_s
         if req.deadline_s is not None:
             timeout_s = min(timeout_s, req.deadline_s)
@@ -65,6 +71,7 @@
             plan,
             relay,
             CrashKeys(digest, req.parts),
+            allowance,
         )
         self.open_requests += 1
         task = spawn(self._serve(request))
@@ -73,6 +80,8 @@
     async def _serve(self, request: OnlineRequest) -> None:
         try:
             await request.serve()
+            if not request.plan.may_have_run:
+                request.allowance.put_back()
         except CancelledError:
             self.events.info(
                 "caller_gone",
--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -17,10 +17,13 @@
     LimitReport,
     PeerLoads,
     PeerState,
+    RateReport,
+    RequestCounters,
     RequestCounts,
 )
 from ..platform import MAX_PORT, UNREADABLE, KeyedRecord, is_ip_address
 from ._events import EventLog
+from ._recent_changes import RecentChanges
 from ._timing import (
     ALL_LIMITS_S,
     LIMIT_RECENT_S,
@@ -46,7 +49,8 @@
     ``work`` holds the numbers of online requests and batch items at each engine.
     ``limits`` holds, for engines that name a limit or have ended one, the engine's
     incarnation, the limit, the seconds since it was named, and the sender's requests.
-    It is not complete: see `PeerExchange`.
+    ``rates`` holds the seconds since the sender started and, by workspace, what it
+    has counted. Both are not complete: see `PeerExchange`.
     """
 
     name: str
@@ -57,6 +61,7 @@
     can_store: bool
     is_relay: bool
     limits: dict[str, tuple[int, float | None, float, int]] = {}
+    rates: tuple[float, dict[str, RequestCounters]] | None = None
 
 
 _ADDRESS_DECODER = msgspec.msgpack.Decoder(PeerAddress)
@@ -69,14 +74,15 @@
     sent_at: float = float("-inf")
     all_limits_sent_at: float = float("-inf")
     last_seen_at: float = float("-inf")
+    is_leaving: bool = False
 
 
 class PeerExchange(DatagramProtocol):
     """Sends this gateway's state when it changes, and at least twice a second.
 
     A datagram holds the full state, so the next one makes up for a lost one. Only the
-    limits of engines are left out if they have not changed for `LIMIT_RECENT_S`; all of
-    them are sent every `ALL_LIMITS_S`.
+    limits of engines and the counters of workspaces are left out if they have not
+    changed for `LIMIT_RECENT_S`; all of them are sent every `ALL_LIMITS_S`.
     """
 
     def __init__(
@@ -93,6 +99,7 @@
         fleet.peers_of = self.loads.total
         self.on_change: Callable[[], None] = lambda: None
         self.on_limit_change: Callable[[Engine, str], None] = lambda engine, peer: None
+        self.on_rates: Callable[[str, RateReport], None] = lambda peer, report: None
         self.own_state: Callable[[], PeerState] = lambda: PeerState({})
         self._name = name
         self._ip = ip
@@ -103,7 +110,8 @@
         self._events = events
         self._peers: dict[str, _Peer] = {}
         self._last_state = PeerState({})
-        self._limits_changed_at: dict[str, float] = {}
+        self._limits = RecentChanges[LimitReport](LIMIT_RECENT_S)
+        self._counters = RecentChanges[RequestCounters](LIMIT_RECENT_S)
         self._port: Any = None
 
     def listen(self, port: int, relay_port: int) -> PeerAddress:
@@ -144,6 +152,21 @@
         """The IP addresses of the other gateways that published an address."""
         return self._peers.keys()
 
+    def count_heard(self, within_s: float) -> tuple[int, int]:
+        """Returns how many gateways were heard within a time, and how many exist.
+
+        Both include this one. Those that were shutting down when they were last heard
+        have ended.
+        """
+        since = self._clock.monotonic() - within_s
+        heard = ended = 0
+        for peer in self._peers.values():
+            if peer.last_seen_at >= since:
+                heard += 1
+            elif peer.is_leaving:
+                ended += 1
+        return 1 + heard, 1 + len(self._peers) - ended
+
     @property
     def knows_others(self) -> bool:
         """Whether other gateways have published their addresses."""
@@ -185,10 +208,9 @@
             self._apply(self._fleet.engines)
         state = self.own_state()
         has_changed = state != self._last_state
-        recent = self._recent_limits(state.limits, now)
         self._last_state = state
-        data = self._encode(state, recent, now)
-        full = self._encode(state, state.limits, now) if state.limits else data
+        data = self._encode(self._recent(state, now), now)
+        full = b""
         for peer in self._peers.values():
             if now - peer.sent_at < self._send_gap_s(peer, has_changed, now):
                 continue
@@ -196,24 +218,17 @@
             is_full = now - peer.all_limits_sent_at >= ALL_LIMITS_S
             if is_full:
                 peer.all_limits_sent_at = now
+                full = full or self._encode(state, now)
             self._send(full if is_full else data, peer.address)
 
-    def _recent_limits(
-        self, limits: dict[str, LimitReport], now: float
-    ) -> dict[str, LimitReport]:
-        """Returns the reports that changed within `LIMIT_RECENT_S`."""
-        known = self._last_state.limits
-        for engine, report in limits.items():
-            if report != known.get(engine):
-                self._limits_changed_at[engine] = now
-        for engine in self._limits_changed_at.keys() - limits.keys():
-            del self._limits_changed_at[engine]
-        since = now - LIMIT_RECENT_S
-        return {
-            engine: limits[engine]
-            for engine, at in self._limits_changed_at.items()
-            if at >= since
-        }
+    def _recent(self, state: PeerState, now: float) -> PeerState:
+        """Returns the state with what changed within `LIMIT_RECENT_S`."""
+        limits = self._limits.update(state.limits, now)
+        rates = state.rates
+        if rates is not None:
+            counters = self._counters.update(rates.counters, now)
+            rates = attrs.evolve(rates, counters=counters) if counters else None
+        return attrs.evolve(state, limits=limits, rates=rates)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Handles a heartbeat of another gateway."""
@@ -228,6 +243,7 @@
         peer = self._peers.get(heartbeat.ip)
         if peer is not None:
             peer.last_seen_at = now
+            peer.is_leaving = heartbeat.is_leaving
         counts = {
             engine: RequestCounts(*pair) for engine, pair in heartbeat.work.items()
         }
@@ -243,6 +259,9 @@
             self._apply(changed)
             self.on_change()
         self._apply_limits(heartbeat, now)
+        if heartbeat.rates is not None:
+            age_s, counters = heartbeat.rates
+            self.on_rates(heartbeat.name, RateReport(now - age_s, counters))
 
     def _apply_limits(self, heartbeat: _Heartbeat, now: float) -> None:
         for engine_id, (incarnation, rate, age_s, sent) in heartbeat.limits.items():
@@ -259,9 +278,8 @@
             if engine is not None:
                 engine.peers = self.loads.total(engine_id)
 
-    def _encode(
-        self, state: PeerState, limits: dict[str, LimitReport], now: float
-    ) -> bytes:
+    def _encode(self, state: PeerState, now: float) -> bytes:
+        rates = state.rates
         heartbeat = _Heartbeat(
             self._name,
             self._ip,
@@ -272,8 +290,9 @@
             state.is_relay,
             {
                 engine: (one.incarnation, one.rate, now - one.named_at, one.sent)
-                for engine, one in limits.items()
+                for engine, one in state.limits.items()
             },
+            (now - rates.started_at, rates.counters) if rates is not None else None,
         )
         return msgspec.msgpack.encode(heartbeat)
 
--- a/src/pomeloshift/gateway/_request_dispatcher.py
+++ b/src/pomeloshift/gateway/_request_dispatcher.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..dispatch import ConfigHolder, Route, RouteKind, ServingConfig
+from ..dispatch import ConfigHolder, Route, RouteKind, ServingConfig, Workspace
 from ..errors import PomeloshiftError
 from ..http1 import Exchange
 from ..net._periodic_tasks import spawn
@@ -16,6 +16,7 @@
 from ._refusal import refuse
 from ._timing import CONFIG_MAX_AGE_S
 from ._topic_follower import TopicFollower
+from ._workspace_rates import WorkspaceRates
 
 
 @attrs.define
@@ -34,6 +35,7 @@
     access: EngineAccess
     events: EventLog
     clock: Any
+    rates: WorkspaceRates
     is_closed: bool = False
 
     def handle(self, exchange: Exchange) -> None:
@@ -82,7 +84,10 @@
         elif self.batch.is_repeat(req):
             self.batch.accept_repeat(exchange, req)
         elif route is not None:
-            self.online.handle(exchange, req, route, config)
+            workspace = _workspace_of(req, config)
+            if self.rates.admits(exchange, req, workspace):
+                allowance = self.rates.allowance(workspace)
+                self.online.handle(exchange, req, route, config, allowance)
         else:
             return False
         return True
@@ -92,5 +97,10 @@
         refuse(exchange, 503, self.access.retry_after.elsewhere())
 
 
+def _workspace_of(req: CallerRequest, config: ServingConfig) -> Workspace | None:
+    """Returns the workspace whose key a request carries, if any."""
+    return None if req.api_key is None else config.workspace_of_key(req.api_key)
+
+
 def _has_batch_route(routes: tuple[Route, ...]) -> bool:
     return any(route.kind is RouteKind.BATCH for route in routes)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -151,6 +151,11 @@
 # some datagrams are lost. Interval of heartbeats with all such reports.
 LIMIT_RECENT_S = 0.3
 ALL_LIMITS_S = 2.0
+# A gateway without a heartbeat for this long may not hear this one's requests either,
+# so that its share of the rate limits is left to it: one heartbeat and its latency.
+RATE_HEARD_S = 0.7
+# How long such a share is used before it is determined again.
+RATE_SHARE_S = 0.05
 # Long poll of the gateways' addresses, which change only with restarts.
 PEER_POLL_S = 10.0
 # Interval of reads of the addresses while that of a heard gateway is missing.
--- a/src/pomeloshift/http1/_listener.py
+++ b/src/pomeloshift/http1/_listener.py
@@ -46,6 +46,11 @@
         )
         return int(self._port.getHost().port)
 
+    def listen_at(self, address: str) -> str:
+        """Listens on ``IP:PORT`` and returns the address with the actual port."""
+        host, _, port = address.rpartition(":")
+        return f"{host}:{self.listen(host, int(port))}"
+
     def buildProtocol(self, addr: Any) -> ServerConnection | None:  # noqa: N802
         """Accepts a connection unless ``max_connections`` are open."""
         if len(self._connections) >= self._max_connections:
--- a/src/pomeloshift/limits/__init__.py
+++ b/src/pomeloshift/limits/__init__.py
@@ -6,6 +6,7 @@
 from ._adaptive_limit import AdaptiveLimit
 from ._errors import DeadlineExceededError, OverloadedError, RateLimitedError
 from ._limiter import Admit, LimitEffect, Limiter, Outcome, Shed
+from ._reported_counts import ReportedCounts
 from ._retry_budget import RetryBudget
 from ._token_bucket import TokenBucket
 
@@ -18,6 +19,7 @@
     "Outcome",
     "OverloadedError",
     "RateLimitedError",
+    "ReportedCounts",
     "RetryBudget",
     "Shed",
     "TokenBucket",
--- a/tests/test_cores_are_pure.py
+++ b/tests/test_cores_are_pure.py
@@ -25,6 +25,7 @@
     "report",
     "routing",
     "wire",
+    "workspaces",
 )
 FORBIDDEN = {
     "asyncio",
--- a/tests/test_gateway_online.py
+++ b/tests/test_gateway_online.py
@@ -358,6 +358,7 @@
         plan=plan,
         relay=relay,
         keys=CrashKeys(),
+        allowance=None,
     )
     result = Deferred.fromCoroutine(request._next(PausedRun(engines[0])))
     if is_paused:
--- /dev/null
+++ b/tests/test_gateway_rates.py
@@ -0,0 +1,96 @@
+"""Workspaces whose rate is limited over all gateways together."""
+
+import msgspec
+import pytest
+from loguru import logger
+
+from _gateway import config
+
+BURST = 6
+RATE = 0.5  # requests a second
+KEY = {"Authorization": "Bearer secret-key"}
+
+
+def with_workspace(version, **changes):
+    document = msgspec.json.decode(config(version))
+    tenant = {"name": "acme", "apiKeys": ["secret-key"]}
+    document["tenants"] = [{**tenant, "ratePerS": RATE, "burst": BURST, **changes}]
+    return msgspec.json.encode(document)
+
+
+@pytest.fixture
+def start():
+    """Starts gateways, then adds the workspace as one that no request has used."""
+
+    async def start(deployment, count, engines=1):
+        for _ in range(engines):
+            deployment.add_engine()
+        gateways = [await deployment.add_gateway() for _ in range(count)]
+        for gateway in gateways:
+            gateway.rates.rates._applied_at = -60.0
+        deployment.publish(with_workspace(2))
+        for gateway in gateways:
+            while gateway.config.current.version < 2:
+                await deployment.pause(0.02)
+        while any(gateway.rates.rates.share < 1 for gateway in gateways):
+            await deployment.pause(0.02)
+        return gateways
+
+    return start
+
+
+async def call(deployment, gateway, number, path="/plain/a"):
+    return await deployment.call(gateway, "POST", path, b"x", f"r{number}", **KEY)
+
+
+def test_gateways_together_keep_the_limit_of_a_workspace(play, start):
+    async def scenario(deployment):
+        gateways = await start(deployment, 3)
+        responses = []
+        for number in range(12):
+            responses.append(await call(deployment, gateways[number % 3], number))
+            await deployment.pause(0.1)  # longer than a heartbeat takes
+        return responses, len(deployment.engines[0].requests)
+
+    responses, requests = play(scenario)
+    statuses = [resp.status for resp in responses]
+    assert statuses[:BURST] == [200] * BURST
+    assert set(statuses) == {200, 429}
+    assert requests == statuses.count(200)
+    after_s = [
+        float(resp.headers.text(b"retry-after"))
+        for resp in responses
+        if resp.status > 200
+    ]
+    assert all(0 < wait_s <= 4 / RATE for wait_s in after_s)
+
+
+def test_requests_that_no_engine_ran_do_not_use_up_the_rate(play, start):
+    async def scenario(deployment):
+        (gateway,) = await start(deployment, 1, engines=0)
+        refused = [await call(deployment, gateway, n) for n in range(2 * BURST)]
+        deployment.add_engine()
+        await deployment.pause(0.3)
+        return refused, [await call(deployment, gateway, n) for n in range(BURST)]
+
+    refused, served = play(scenario)
+    assert {resp.status for resp in refused} == {503}
+    assert [resp.status for resp in served] == [200] * BURST
+
+
+def test_refusal_for_the_rate_is_logged_with_what_decided_it(play, start):
+    lines = []
+
+    async def scenario(deployment):
+        (gateway,) = await start(deployment, 1)
+        return [await call(deployment, gateway, n) for n in range(BURST + 1)]
+
+    handler = logger.add(lines.append, format="{message}")
+    try:
+        assert play(scenario)[-1].status == 429
+    finally:
+        logger.remove(handler)
+    (line,) = [line for line in lines if "event=rate_limited" in line]
+    for field in ("id=r6", "workspace=acme", "balance=", "rate=0.5", "heard=1"):
+        assert field in line
+    assert not any("secret-key" in line for line in lines)
