--- a/src/pomeloshift/gateway/_online_service.py
+++ b/src/pomeloshift/gateway/_online_service.py
@@ -24,6 +24,7 @@
 from ._online import OnlineRequest
 from ._response_relay import ResponseRelay
 from ._stream_log import StreamLog
+from ._workspace_rates import Allowance
 
 
 @attrs.define
@@ -47,8 +48,13 @@
         route: Route,
         config: ServingConfig,
         caller: Caller,
+        allowance: Allowance,
     ) -> None:
-        """Serves a request under the configuration in force at its arrival."""
+        """Serves a request under the configuration in force at its arrival.
+
+        ``allowance`` is charged once the request is sent, and credited if it has not
+        run.
+        """
         timeout_s = route.timeout_s
         if req.deadline_s is not None:
             timeout_s = min(timeout_s, req.deadline_s)
@@ -74,6 +80,7 @@
             plan,
             relay,
             CrashKeys(digest, req.parts),
+            allowance,
             caller=caller,
             may_send=partial(self.may_send, caller),
         )
@@ -84,6 +91,8 @@
     async def _serve(self, request: OnlineRequest) -> None:
         try:
             await request.serve()
+            if not request.plan.may_have_run:
+                request.allowance.put_back()
         except CancelledError:
             self.events.info(
                 "caller_gone",
--- a/src/pomeloshift/gateway/_request_dispatcher.py
+++ b/src/pomeloshift/gateway/_request_dispatcher.py
@@ -10,7 +10,7 @@
 from ..http1 import Exchange
 from ..net._periodic_tasks import spawn
 from ..platform import CallerRequest, read_batch_call, read_caller_request
-from ..workspaces import Verdict
+from ..workspaces import Caller, Verdict
 from ._batch_api import BatchApi
 from ._engine_access import EngineAccess
 from ._events import EventLog
@@ -20,6 +20,7 @@
 from ._timing import CONFIG_MAX_AGE_S
 from ._topic_follower import TopicFollower
 from ._workspace_access import WorkspaceAccess
+from ._workspace_rates import WorkspaceRates
 
 
 @attrs.define
@@ -41,6 +42,7 @@
     events: EventLog
     clock: Any
     workspaces: WorkspaceAccess
+    rates: WorkspaceRates
     is_closed: bool = False
 
     def handle(self, exchange: Exchange) -> None:
@@ -143,11 +145,24 @@
             serve = partial(self.batch.accept_repeat, exchange, req)
             return RequestTarget(serve, self.batch.is_anonymous(req.id))
         elif route is not None:
-            serve = partial(self.online.handle, exchange, req, route, config)
+            serve = partial(self._serve_online, exchange, req, route, config)
         else:
             return None
         return RequestTarget(serve, route.is_anonymous, route.priority)
 
+    def _serve_online(
+        self,
+        exchange: Exchange,
+        req: CallerRequest,
+        route: Route,
+        config: ServingConfig,
+        caller: Caller,
+    ) -> None:
+        """Serves an online request that is within the limit of its workspace."""
+        if self.rates.admits(exchange, req, caller.workspace):
+            allowance = self.rates.allowance(caller.workspace)
+            self.online.handle(exchange, req, route, config, caller, allowance)
+
     def _refuse(self, exchange: Exchange, req: CallerRequest, why: str) -> None:
         self.events.warn("request_refused", id=req.id, why=why)
         refuse(exchange, 503, self.access.retry_after.elsewhere())
