--- a/tests/processes/test_gateway_process.py
+++ b/tests/processes/test_gateway_process.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 import pytest
+from twisted.internet.defer import Deferred
 
 from _gateway import ROUTES, Deployment, config, events, route, text, workspace
 from pomeloshift.cli._explain import explain_id
@@ -224,7 +225,9 @@
         deployment.publish(config(3, routes, tenants=tenants))
         await deployment.pause(2 * REVOKE_S)
         # Both lie in the socket when the process wakes.
-        late = [call(key, f"late-{key}") for key in ("key1", "key2")]
+        late = [
+            Deferred.fromCoroutine(call(key, f"late-{key}")) for key in ("key1", "key2")
+        ]
         await deployment.pause(0.1)
         gateway.signal(signal.SIGCONT)
         first = [(await one).status for one in late]
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -3,9 +3,11 @@
 import msgspec
 import pytest
 from loguru import logger
+from twisted.internet.defer import Deferred
 
 from _gateway import CALL_TIMEOUT_S, ROUTES, config, job, route, workspace
 from pomeloshift.http1 import ConnectError, Headers, RequestHead
+from pomeloshift.net import SystemClock
 from pomeloshift.standins.platform import Behaviour
 
 STRICT = {"strictRevoke": True, "revokeMs": 1000}
@@ -285,3 +287,45 @@
         return statuses
 
     assert play(scenario) == {200}
+
+
+class ShiftedClock(SystemClock):
+    """A clock of a machine that was suspended for ``suspended_s`` seconds."""
+
+    suspended_s = 0.0
+
+    def boottime(self):
+        return super().boottime() + self.suspended_s
+
+
+def test_request_is_not_sent_again_after_the_lease_and_a_sent_one_continues(play):
+    """Guards against a retry, after a suspension, of a request whose key is revoked."""
+
+    async def scenario(deployment):
+        engines = [deployment.add_engine() for _ in range(2)]
+        routes = [route("plain", targetLatencyMs=200), route("once")]
+        deployment.publish(config(2, routes, tenants=[NORTH]))
+        gateway = await deployment.add_gateway(**STRICT)
+        gateway.workspaces.clock = clock = ShiftedClock()
+        for engine in engines:
+            engine.behaviour = Behaviour(events=20, event_gap_s=0.05)
+        sent = Deferred.fromCoroutine(
+            deployment.call(gateway, "POST", "/once/a", **bearer("key-n1"))
+        )
+        while not any(engine.requests for engine in engines):
+            await deployment.pause(0.01)
+        for engine in engines:
+            engine.behaviour = Behaviour(is_silent=True)
+        retried = Deferred.fromCoroutine(
+            deployment.call(gateway, "POST", "/plain/a", b"", "r2", **bearer("key-n1"))
+        )
+        while sum(len(engine.requests) for engine in engines) < 2:
+            await deployment.pause(0.01)
+        for engine in engines:
+            engine.behaviour = Behaviour()
+        deployment.store.is_busy = True
+        clock.suspended_s = 10.0
+        statuses = (await sent).status, (await retried).status
+        return statuses, sum(len(engine.requests) for engine in engines)
+
+    assert play(scenario) == ((200, 502), 2)
