--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -47,6 +47,10 @@
         metrics = self._metrics
         config = gateway.config.current
         metrics.set("gateway_config_version", config.version if config else 0)
+        lease_age_s = gateway.workspaces.lease_age_s
+        metrics.set(
+            "gateway_config_age_seconds", lease_age_s if lease_age_s < math.inf else -1
+        )
         metrics.set("gateway_open_requests", gateway.online.open_requests)
         metrics.set("gateway_quarantined_requests", gateway.crashes.count_quarantined())
         parts = gateway.crashes.count_quarantined_parts()
--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -52,6 +52,11 @@
         if self.check.lease.revocation_s is not None:
             periodic_tasks.repeat(self.tick, LEASE_TICK_S)
 
+    @property
+    def lease_age_s(self) -> float:
+        """The seconds since the configuration was confirmed, infinity if never."""
+        return self.check.lease.age(self._now())
+
     def oldest_current(self) -> float:
         """Returns since when a configuration must be confirmed to count as current."""
         return self._now() - CONFIG_MAX_AGE_S
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -223,6 +223,14 @@
         (),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_config_age_seconds",
+        GAUGE,
+        "Time since the read was requested that last confirmed the configuration; "
+        "-1 before the first.",
+        (),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_engines",
         GAUGE,
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -188,7 +188,7 @@
 
 def test_waiting_callers_share_a_read_of_the_configuration():
     """Guards against one read for each request with an unknown key."""
-    gateway = VirtualGateway()
+    gateway = VirtualGateway(relays=0)
     gateway.run(until=0.7)
     before, since = gateway.network.calls, gateway.access.oldest_current()
     waiting = [
@@ -206,4 +206,5 @@
         )
         read.addErrback(lambda failure: errors.append(failure.value))
     gateway.run(until=1.7)
+    assert len(errors) == 3
     assert all(isinstance(error, PomeloshiftError) for error in errors)
--- a/tests/test_topic_follower.py
+++ b/tests/test_topic_follower.py
@@ -157,3 +157,31 @@
     follower._reactor.advance(STORE_RETRY_MAX_S)
     store.answer_snapshot(1, end=5)
     assert replica.offsets == list(range(5))
+
+
+class BootClock(VirtualClock):
+    """A clock that goes on by the time that the reactor does not count."""
+
+    suspended_s = 0.0
+
+    def boottime(self):
+        return self.reactor.seconds() + self.suspended_s
+
+
+def test_confirmation_counts_from_the_request_of_its_read(store, replica):
+    """Guards against a lease that a delayed response extends."""
+    reactor = Clock()
+    clock, confirmed = BootClock(reactor), []
+    handlers = TopicHandlers(replica.take_record, confirmed_since=confirmed.append)
+    events = EventLog(clock, GatewayMetrics("n"))
+    follower = TopicFollower("keyed.t", 0, store, reactor, clock, events, handlers)
+    catch_up(follower)
+    reactor.advance(2.0)
+    store.answer_snapshot(0, 3)
+    catch_up(follower)
+    reactor.advance(1.0)
+    clock.suspended_s = 10.0
+    store.answer_read(0, 3)
+    catch_up(follower)
+    store.answer_read(1, 3)
+    assert confirmed == [0.0, 2.0, 13.0]
