Go on renewing the lease after an outage for all gateways

Cause: an additional read that ended before its task was noted, because no gateway offered to relay, counted as still under way, so that none followed.

Change: a read is under way only until its task has ended. The new test of tests/test_lease_renewal.py failed before (no lease from 35.0 s on) and passes.

--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -112,7 +112,8 @@
         now = self._now()
         lease = self.check.lease
         self._note_validity(lease.is_valid(now))
-        if self._renewal is None and lease.needs_read(now) and self.follower.is_synced:
+        is_reading = self._renewal is not None and not self._renewal.called
+        if not is_reading and lease.needs_read(now) and self.follower.is_synced:
             self._renewal = spawn(self._renew())
 
     async def _renew(self) -> None:
@@ -136,8 +137,6 @@
                 code=exc.code.value,
                 why=exc.message,
             )
-        finally:
-            self._renewal = None
 
     def _note_validity(self, is_valid: bool) -> None:
         if is_valid == self._was_valid:
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -86,9 +86,9 @@
         random, events = Random(1), EventLog(reactor, GatewayMetrics("n"))
         settings = StoreSettings(STORE, 100, READS_PER_S, 4096, 65536)
         store = StoreClient(settings, self.network, reactor)
-        addresses = frozenset(f"10.0.1.{n}:80" for n in range(relays))
+        self.relays = {f"10.0.1.{n}:80" for n in range(relays)}
         path = StorePath(random)
-        StoreLink(store, STORE, path, lambda: addresses, events, reactor).attach()
+        StoreLink(store, STORE, path, self.list_relays, events, reactor).attach()
         self.lease = ConfigLease(revocation_s)
         config = ConfigHolder()
         config.offer(ServingConfig(1, (), workspaces=(Workspace("north"),)))
@@ -107,7 +107,7 @@
             config,
             KeyCheck(self.lease),
             self.follower,
-            lambda: addresses,
+            self.list_relays,
             random,
             events,
             reactor,
@@ -116,6 +116,9 @@
         self.tasks = PeriodicTasks(reactor)
         self.access.start(self.tasks)
 
+    def list_relays(self):
+        return frozenset(self.relays)
+
     def run(self, until):
         """Returns the times at which the lease was not valid."""
         expired = []
@@ -176,6 +179,16 @@
     assert gateway.access.may_start()
 
 
+def test_lease_outlasts_a_silent_connection_after_an_outage_for_all():
+    """Guards against additional reads that end for good with the first outage."""
+    gateway = VirtualGateway(relays=0, fails_at=10.0, ends_at=22.0)
+    gateway.run(until=30.0)
+    gateway.relays.update(f"10.0.1.{n}:80" for n in range(3))
+    gateway.network.fails_at, gateway.network.ends_at = 31.0, 60.0
+    gateway.network.dead_relays = 2
+    assert gateway.run(until=60.0) == []
+
+
 def test_suspended_gateway_serves_no_keys_before_it_has_read_again():
     """Guards against a lease that goes on after the machine was suspended."""
     gateway = VirtualGateway()
