Test the records of earlier versions, and items that wait while the lease expires

Cause: no test read a job record without a workspace, or an item whose body arrives after the lease.

Tests: tests/test_workspaces.py and tests/test_item_run.py pass.

--- a/tests/test_item_run.py
+++ b/tests/test_item_run.py
@@ -177,3 +177,27 @@
     setattr(engine, change, True)
     blobs.body.callback(b"body")
     assert (end.result, access.sent) == (RunEnd.NOT_RUN, [])
+
+
+def test_item_is_not_sent_if_the_lease_expires_while_its_body_is_read():
+    """Guards against items that a frozen process sends when it wakes."""
+    log = Log()
+    log.add(submitted("j1", items=1))
+    work = WorkItem(log.replay().jobs["j1"], 0, 18.0)
+    engine = Engine(EngineRecord("e1", "lm", "10.0.0.1:80", "a", 8, False, 1, "v1"))
+    access, blobs, lease = Access([]), SlowBlobs(), [True]
+    run = ItemRun(
+        access,
+        blobs,
+        work,
+        engine,
+        None,
+        access.claim,
+        Crashes(),
+        CrashKeys(),
+        may_start=lambda: lease[0],
+    )
+    end = Deferred.fromCoroutine(run.run())
+    lease[0] = False
+    blobs.body.callback(b"body")
+    assert (end.result, access.sent) == (RunEnd.NOT_RUN, [])
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -1,11 +1,13 @@
 """Decisions about keys and the lease on the configuration, in virtual time."""
 
 import attrs
+import msgspec
 import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pomeloshift.dispatch import ServingConfig, Workspace
+from pomeloshift.jobs import JobSubmitted, decode_record, encode_record
 from pomeloshift.workspaces import Caller, ConfigLease, KeyCheck, Verdict
 
 REVOCATION_S = 5.0
@@ -176,3 +178,19 @@
     if lease.confirmed_at >= 0:
         assert lease.is_valid(at)
         assert not lease.needs_read(at)
+
+
+def test_job_record_of_an_earlier_version_has_no_workspace():
+    """Guards against jobs that are lost when the records get a field."""
+    record = JobSubmitted("j1", "q", "h", "/p", 1.0, [])
+    fields = msgspec.msgpack.decode(encode_record(record))
+    assert fields[-1] == ""
+    assert decode_record(msgspec.msgpack.encode(fields[:-1])) == record
+
+
+def test_callers_may_use_the_jobs_of_their_workspace_and_of_none():
+    north, nobody, before = Caller(NORTH, 0, "north"), Caller(name=""), Caller()
+    jobs = ("north", "south", "")
+    assert [north.may_use(name) for name in jobs] == [True, False, True]
+    assert [nobody.may_use(name) for name in jobs] == [False, False, True]
+    assert [before.may_use(name) for name in jobs] == [True, True, True]
