--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -52,6 +52,11 @@
         if self.check.lease.revocation_s is not None:
             periodic_tasks.repeat(self.tick, LEASE_TICK_S)
 
+    @property
+    def lease_age_s(self) -> float:
+        """The seconds since the configuration was confirmed, infinity if never."""
+        return self.check.lease.age(self._now())
+
     def oldest_current(self) -> float:
         """Returns since when a configuration must be confirmed to count as current."""
         return self._now() - CONFIG_MAX_AGE_S
@@ -107,7 +112,8 @@
         now = self._now()
         lease = self.check.lease
         self._note_validity(lease.is_valid(now))
-        if self._renewal is None and lease.needs_read(now) and self.follower.is_synced:
+        is_reading = self._renewal is not None and not self._renewal.called
+        if not is_reading and lease.needs_read(now) and self.follower.is_synced:
             self._renewal = spawn(self._renew())
 
     async def _renew(self) -> None:
@@ -131,8 +137,6 @@
                 code=exc.code.value,
                 why=exc.message,
             )
-        finally:
-            self._renewal = None
 
     def _note_validity(self, is_valid: bool) -> None:
         if is_valid == self._was_valid:
