--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from ..metrics import Metrics, collect_process
+from ._rate_metrics import collect_rates
 
 
 class GatewayMetrics:
@@ -62,6 +63,7 @@
         for state, count in gateway.count_engines().items():
             metrics.set("gateway_engines", count, state=state)
         metrics.advance("gateway_log_lines_dropped_total", gateway.lines_dropped)
+        collect_rates(metrics, gateway.rates)
         collect_process(metrics)
         body, _ = metrics.render()
         return body
--- a/src/pomeloshift/gateway/_workspace_rates.py
+++ b/src/pomeloshift/gateway/_workspace_rates.py
@@ -1,6 +1,7 @@
 """Keeps the rate limits of workspaces."""
 
 import math
+from collections import Counter
 from typing import Any
 
 import attrs
@@ -21,7 +22,8 @@
     """Refuses requests that are over their workspace's limit.
 
     Its accounts are charged with the requests that other gateways report. Gateways that
-    are not heard are left their share of the limits. Until the addresses of all
+    are not heard are left their share of the limits. ``refusals`` counts the requests
+    that it refused, by workspace. Until the addresses of all
     gateways have been read, the share of this one is not known.
     """
 
@@ -41,6 +43,7 @@
             settings.is_first_start,
         )
         self.rates = Rates(rate_settings, clock.monotonic())
+        self.refusals: Counter[str] = Counter()
         self._peers = peers
         self._directory = directory
         self._events = events
@@ -84,6 +87,12 @@
         """Credits a request that was charged and has not run."""
         self.rates.put_back(workspace, self._clock.monotonic())
 
+    def balances(self) -> dict[str, float]:
+        """Returns how many requests each workspace with a limit may send now."""
+        now = self._clock.monotonic()
+        self._update_share(now)
+        return self.rates.balances(now)
+
     def _update_share(self, now: float) -> None:
         if now - self._share_at < RATE_SHARE_S or not self._directory.is_synced:
             return
@@ -110,6 +119,7 @@
         decision: RateDecision,
         now: float,
     ) -> None:
+        self.refusals[workspace.name] += 1
         return_after_s = self.rates.refuse(workspace, now)
         self._events.info(
             "rate_limited",
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -286,4 +286,25 @@
         (),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_workspace_requests_total",
+        COUNTER,
+        "Requests under a rate limit: taken, of which returned unrun, and refused.",
+        ("workspace", "outcome"),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_workspace_balance",
+        GAUGE,
+        "Requests that a workspace may send now, in this process's view.",
+        ("workspace",),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_rate_share",
+        GAUGE,
+        "Part of the rate limits that the gateways heard here may use.",
+        (),
+        GATEWAY,
+    ),
 )
--- a/src/pomeloshift/workspaces/_rates.py
+++ b/src/pomeloshift/workspaces/_rates.py
@@ -110,6 +110,14 @@
             return UNLIMITED
         return self._accounts[workspace.name].check(now)
 
+    def balances(self, now: float) -> dict[str, float]:
+        """Returns the balance of each workspace with a limit."""
+        return {
+            name: account.check(now).balance
+            for name, account in self._accounts.items()
+            if name in self._limited
+        }
+
     def refuse(self, workspace: Workspace, now: float) -> float:
         """Records that a request over the limit is refused.
 
--- a/tests/test_gateway_rates.py
+++ b/tests/test_gateway_rates.py
@@ -94,3 +94,21 @@
     for field in ("id=r6", "workspace=acme", "balance=", "rate=0.5", "heard=1"):
         assert field in line
     assert not any("secret-key" in line for line in lines)
+
+
+def test_metrics_name_workspaces_up_to_a_bound(play, start, monkeypatch):
+    async def scenario(deployment):
+        (gateway,) = await start(deployment, 1)
+        for number in range(BURST + 2):
+            await call(deployment, gateway, number)
+        named = gateway._metrics.render(gateway).decode()
+        monkeypatch.setattr("pomeloshift.gateway._rate_metrics.MAX_WORKSPACES", 0)
+        return named, gateway._metrics.render(gateway).decode()
+
+    named, bounded = play(scenario)
+    total = "pomeloshift_gateway_workspace_requests_total{"
+    ours = [line for line in named.splitlines() if line.startswith(total)]
+    assert any('"acme"' in line and "refused" in line for line in ours)
+    assert any('"acme"' in line and "taken" in line and " 6" in line for line in ours)
+    others = [line for line in bounded.splitlines() if line.startswith(total)]
+    assert any('"other"' in line and "refused" in line for line in others)
