Repeat counters of workspaces less often, and describe the rates

Every 2 s a heartbeat now holds those that changed within 10 s, and every 20 s all of them; a gateway that is not heard is sent all.

--- a/src/pomeloshift/gateway/_peer_exchange.py
+++ b/src/pomeloshift/gateway/_peer_exchange.py
@@ -3,6 +3,7 @@
 A heartbeat reports the requests that its sender has at each engine.
 """
 
+import math
 from collections.abc import Callable, Iterable, Set
 from typing import Any
 
@@ -25,7 +26,9 @@
 from ._events import EventLog
 from ._recent_changes import RecentChanges
 from ._timing import (
+    ALL_COUNTERS_S,
     ALL_LIMITS_S,
+    COUNTERS_RESENT_S,
     LIMIT_RECENT_S,
     PEER_HEARTBEAT_S,
     PEER_LOST_HEARTBEAT_S,
@@ -74,6 +77,7 @@
     address: PeerAddress
     sent_at: float = float("-inf")
     all_limits_sent_at: float = float("-inf")
+    all_counters_sent_at: float = float("-inf")
     last_seen_at: float = float("-inf")
     is_leaving: bool = False
 
@@ -83,7 +87,9 @@
 
     A datagram holds the full state, so the next one makes up for a lost one. Only the
     limits of engines and the counters of workspaces are left out if they have not
-    changed for `LIMIT_RECENT_S` or `RATE_RECENT_S`; all are sent every `ALL_LIMITS_S`.
+    changed for `LIMIT_RECENT_S` or `RATE_RECENT_S`. Every `ALL_LIMITS_S`, all limits
+    are sent and the counters that changed within `COUNTERS_RESENT_S`. All counters are
+    sent every `ALL_COUNTERS_S`, and to gateways that are not heard.
     """
 
     def __init__(
@@ -211,25 +217,37 @@
         has_changed = state != self._last_state
         self._last_state = state
         data = self._encode(self._recent(state, now), now)
-        full = b""
+        full: dict[bool, bytes] = {}
         for peer in self._peers.values():
             if now - peer.sent_at < self._send_gap_s(peer, has_changed, now):
                 continue
             peer.sent_at = now
-            is_full = now - peer.all_limits_sent_at >= ALL_LIMITS_S
-            if is_full:
-                peer.all_limits_sent_at = now
-                full = full or self._encode(state, now)
-            self._send(full if is_full else data, peer.address)
+            if now - peer.all_limits_sent_at < ALL_LIMITS_S:
+                self._send(data, peer.address)
+                continue
+            peer.all_limits_sent_at = now
+            has_all = now - peer.all_counters_sent_at >= ALL_COUNTERS_S
+            if has_all or now - peer.last_seen_at > PEER_VALID_S:
+                has_all, peer.all_counters_sent_at = True, now
+            if has_all not in full:
+                within_s = math.inf if has_all else COUNTERS_RESENT_S
+                full[has_all] = self._encode(self._reduce(state, within_s, now), now)
+            self._send(full[has_all], peer.address)
 
     def _recent(self, state: PeerState, now: float) -> PeerState:
         """Returns the state without limits and counters that have not changed."""
         limits = self._limits.update(state.limits, now)
-        rates = state.rates
-        if rates is not None:
-            counters = self._counters.update(rates.counters, now)
-            rates = attrs.evolve(rates, counters=counters) if counters else None
-        return attrs.evolve(state, limits=limits, rates=rates)
+        if state.rates is not None:
+            self._counters.update(state.rates.counters, now)
+        return attrs.evolve(self._reduce(state, RATE_RECENT_S, now), limits=limits)
+
+    def _reduce(self, state: PeerState, within_s: float, now: float) -> PeerState:
+        """Returns the state with the counters that changed within a time."""
+        if state.rates is None:
+            return state
+        counters = self._counters.recent(now, within_s)
+        rates = attrs.evolve(state.rates, counters=counters) if counters else None
+        return attrs.evolve(state, rates=rates)
 
     def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Handles a heartbeat of another gateway."""
--- a/src/pomeloshift/gateway/_recent_changes.py
+++ b/src/pomeloshift/gateway/_recent_changes.py
@@ -25,8 +25,13 @@
         """Records all values at ``now``; returns those that changed recently."""
         if values is not self._known:
             self._note_changes(values, now)
-        since = now - self.recent_s
-        return {key: values[key] for key, at in self._changed_at.items() if at >= since}
+        return self.recent(now, self.recent_s)
+
+    def recent(self, now: float, within_s: float) -> dict[str, T]:
+        """Returns the values of the last update that changed within a time."""
+        since = now - within_s
+        changed = self._changed_at.items()
+        return {key: self._known[key] for key, at in changed if at >= since}
 
     def _note_changes(self, values: Mapping[str, T], now: float) -> None:
         for key, value in values.items():
--- a/tests/test_peer_exchange.py
+++ b/tests/test_peer_exchange.py
@@ -6,7 +6,14 @@
 from twisted.internet.task import Clock
 
 from _virtual import VirtualClock
-from pomeloshift.dispatch import EngineRecord, Fleet, LimitReport, PeerState
+from pomeloshift.dispatch import (
+    EngineRecord,
+    Fleet,
+    LimitReport,
+    PeerState,
+    RateReport,
+    RequestCounters,
+)
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._metrics import GatewayMetrics
 from pomeloshift.gateway._peer_exchange import PeerAddress, PeerExchange
@@ -125,3 +132,62 @@
         sender.tick()
         reactor.advance(PEER_TICK_S)
     assert receiver._fleet.engines["e1"].limit.rate == 2.5
+
+
+@pytest.fixture
+def counting(exchange, network, reactor):
+    """Two exchanges, of which the first reports the counters of workspaces."""
+    sender = exchange("10.0.0.1", ["10.0.0.2"])
+    receiver = exchange("10.0.0.2", ["10.0.0.1"])
+    reports = []
+    receiver.on_rates = lambda name, report: reports.append((reactor.seconds(), report))
+    network.reachable = {"10.0.0.1", "10.0.0.2"}
+    counters = {f"w{n}": RequestCounters(n, 0, 0) for n in range(20)}
+
+    def run(seconds):
+        for _ in range(round(seconds / PEER_TICK_S)):
+            report = RateReport(0.0, dict(counters))
+            sender.own_state = lambda report=report: PeerState({}, rates=report)
+            sender.tick()
+            receiver.tick()
+            reactor.advance(PEER_TICK_S)
+
+    return counters, reports, run
+
+
+def test_heartbeats_repeat_only_counters_that_changed_lately(counting):
+    counters, reports, run = counting
+    run(30.0)
+    counters["w1"] = RequestCounters(9, 1, 0)
+    began = len(reports)
+    run(9.0)
+    later = [report.counters for _, report in reports[began:]]
+    assert all(set(one) == {"w1"} for one in later if len(one) < 20)
+    assert sum(len(one) == 20 for one in later) <= 1
+    assert len(later) >= 5
+
+
+def test_lost_counter_is_repeated_by_the_next_heartbeat(counting, network):
+    counters, reports, run = counting
+    run(5.0)
+    network.reachable = set()
+    counters["w1"] = RequestCounters(9, 0, 0)
+    run(PEER_TICK_S)
+    network.reachable = {"10.0.0.1", "10.0.0.2"}
+    began = len(reports)
+    run(PEER_HEARTBEAT_S + 2 * PEER_TICK_S)
+    assert any(one.counters.get("w1") == (9, 0, 0) for _, one in reports[began:])
+
+
+def test_share_counts_gateways_that_were_heard_lately_and_have_not_ended(
+    exchange, network, reactor
+):
+    one = exchange("10.0.0.1", ["10.0.0.2", "10.0.0.3"])
+    two = exchange("10.0.0.2", ["10.0.0.1"])
+    assert one.count_heard(1.0) == (1, 3)
+    network.reachable = {"10.0.0.1"}
+    two.own_state = lambda: PeerState({}, is_leaving=True)
+    two.tick()
+    assert one.count_heard(1.0) == (2, 3)
+    reactor.advance(2.0)
+    assert one.count_heard(1.0) == (1, 2)
