--- a/src/pomeloshift/workspaces/_rates.py
+++ b/src/pomeloshift/workspaces/_rates.py
@@ -1,5 +1,6 @@
 """The rate limits of all workspaces."""
 
+import math
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -92,13 +93,16 @@
         account.set_share(self.share, now)
         self._accounts[workspace.name] = account
 
-    def set_share(self, share: float, now: float) -> None:
-        """Applies the share of gateways that hear each other, this one included."""
+    def set_share(self, share: float, now: float, since: float = math.inf) -> None:
+        """Applies the share of gateways that hear each other, this one included.
+
+        ``since`` is when those that are no longer heard may have been cut off.
+        """
         if share == self.share:
             return
         self.share = share
         for account in self._accounts.values():
-            account.set_share(share, now)
+            account.set_share(share, now, since)
 
     def check(self, workspace: Workspace, now: float) -> RateDecision:
         """Returns whether a request of a workspace is within its limit."""
@@ -106,6 +110,14 @@
             return UNLIMITED
         return self._accounts[workspace.name].check(now)
 
+    def balances(self, now: float) -> dict[str, float]:
+        """Returns the balance of each workspace with a limit."""
+        return {
+            name: account.check(now).balance
+            for name, account in self._accounts.items()
+            if name in self._limited
+        }
+
     def refuse(self, workspace: Workspace, now: float) -> float:
         """Records that a request over the limit is refused.
 
