Settle an append without a response before its number is used again

A 507 or 400 at the repeat of an append counted as its end, although the first call could still be applied.

AppendSequence is a core with the states free, sent, unknown and settled. An unknown append is repeated; if the repeat is refused, an empty append under a higher epoch fences the earlier calls, and a read of the newest records tells whether they were applied. LogWriter makes the calls that it names.

The stand-in store keeps the results of a producer's last five appends, as the platform does. A store without room for a job's record, known at once, gives 503 and not 504.

--- a/src/pomeloshift/gateway/_cap_decisions.py
+++ b/src/pomeloshift/gateway/_cap_decisions.py
@@ -4,11 +4,11 @@
 
 import attrs
 
-from ..errors import PomeloshiftError
+from ..errors import PomeloshiftError, Ran
 from ..jobs import JobSubmitted, RefusedJob, base_key
 from ._events import EventLog
 from ._job_log import JobLog
-from ._log_writer import LogTimeoutError, LogUnavailableError
+from ._log_writer import LogTimeoutError
 from ._refused_records import RefusedRecords
 from ._sleep import sleep
 
@@ -51,12 +51,13 @@
         self._undecided[key] = (record.job_id, now)
         try:
             await self.log.writer.wait(append, until - now)
-        except LogUnavailableError:
-            del self._undecided[key]
-            raise
         except LogTimeoutError as exc:
             # The record may be in the log all the same, so one read is worth its time.
             self.events.info("job_append_unknown", id=record.job_id, why=exc.message)
+        except PomeloshiftError as exc:
+            if exc.ran is Ran.NO:
+                del self._undecided[key]
+            raise
         until = self.clock.monotonic() + DECISION_TIMEOUT_S
         is_accepted = await self._read_decision(record.job_id, key, until)
         if not is_accepted:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -36,7 +36,8 @@
     EventSpec("topic_read", "A topic was read from its newest records."),
     EventSpec(
         "append_repeated",
-        "An append had no response or was rejected for now; it is retried.",
+        "An append had no response or was rejected for now; `state` says whether it may"
+        " be applied, `step` what is tried next.",
     ),
     EventSpec("append_failed", "An append was rejected permanently.", True),
     EventSpec("removal_failed", "Old records could not be removed."),
--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -6,6 +6,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
+from ..appends import AppendSequence, AppendState, CallOutcome, Step
 from ..errors import ErrorCode, PomeloshiftError, Ran
 from ..net._periodic_tasks import spawn
 from ..platform import (
@@ -23,6 +24,10 @@
 # the rest of it holds the producer's name and the numbers of the key and of the
 # fragment.
 OWNER_CHARS = 100
+# Sorts after all characters that keys consist of.
+LAST_CHAR = "~"
+# Largest number of an append's records that are looked for, each in one read.
+MAX_LOOKED_FOR = 8
 
 
 class LogTimeoutError(PomeloshiftError):
@@ -58,7 +63,8 @@
 
     Appends that are queued meanwhile are sent together in the next call. Each call
     has this process's producer name and a sequence number, so that a call whose
-    response was lost can be retried without a second effect.
+    response was lost can be retried without a second effect. `AppendSequence` decides
+    when a call's outcome is known; until then nothing else is sent.
     """
 
     def __init__(
@@ -78,7 +84,7 @@
         self._call_bytes = call_bytes
         self._reactor = reactor
         self._events = events
-        self._sequence = 0
+        self._sequence = AppendSequence()
         self._keys = 0
         self._queue: deque[Append] = deque()
         self._is_writing = False
@@ -152,50 +158,107 @@
         return group
 
     async def _write(self, group: list[Append]) -> None:
-        delay_s = STORE_RETRY_S
+        """Writes appends in one call; returns once their outcome is known."""
+        sequence, delay_s = self._sequence, STORE_RETRY_S
         while not self._is_stopped:
             # Appends that nobody waits for any more are left out until the store may
             # have applied the call; after that a retry must repeat the same call.
-            if not group[0].may_be_applied:
+            if not sequence.may_be_applied:
                 group = [append for append in group if not append.done.called]
             if not group:
                 return
-            try:
-                offset = await self._call(group)
-            except (SequenceError, StoreFullError, MalformedError) as exc:
-                if isinstance(exc, SequenceError) and exc.expected is not None:
-                    self._sequence = exc.expected
-                self._fail(group, exc)
+            offset, exc = await self._call(group)
+            if sequence.state is AppendState.SETTLED:
+                is_applied = sequence.take()
+                self._mark(group, False)
+                if is_applied:
+                    assert offset is not None
+                    self._succeed(group, offset)
+                else:
+                    self._fail(group, exc or _not_applied())
                 return
-            except PomeloshiftError as exc:
+            if exc is not None:
                 self._events.info(
                     "append_repeated",
                     topic=self.topic,
                     code=exc.code.value,
                     why=exc.message,
+                    state=sequence.state.value,
+                    step=sequence.step.value,
                 )
                 await sleep(self._reactor, delay_s)
                 delay_s = min(2 * delay_s, STORE_RETRY_MAX_S)
-                continue
-            self._sequence += 1
-            self._succeed(group, offset)
-            return
 
-    async def _call(self, group: list[Append]) -> int:
-        records = [record for append in group for record in append.records]
-        could_be_applied = group[0].may_be_applied
+    async def _call(
+        self, group: list[Append]
+    ) -> tuple[int | None, PomeloshiftError | None]:
+        """Makes the next call for a group; returns its offset or its error."""
+        sequence = self._sequence
+        step = sequence.begin()
         # An append that expires from here on has an unknown outcome.
         self._mark(group, True)
         try:
-            return await self._store.append(
-                self.topic, self.partition, records, self._producer, self._sequence
-            )
-        except StoreNoResponseError:
-            raise
-        except PomeloshiftError:
+            if step is Step.READ:
+                offset = await self._find(group)
+                sequence.settle(offset is not None)
+            else:
+                offset = await self._append(group if step is Step.SEND else [])
+                sequence.end(CallOutcome.DONE)
+        except LogTimeoutError as exc:
+            sequence.settle(False)
+            return None, exc
+        except PomeloshiftError as exc:
+            sequence.end(_outcome_of(exc))
             # This call was not applied; an earlier one with the same records may be.
-            self._mark(group, could_be_applied)
-            raise
+            self._mark(group, sequence.may_be_applied)
+            return None, exc
+        return offset, None
+
+    async def _append(self, group: list[Append]) -> int:
+        records = [record for append in group for record in append.records]
+        sequence = self._sequence
+        return await self._store.append(
+            self.topic,
+            self.partition,
+            records,
+            self._producer,
+            sequence.number,
+            epoch=sequence.epoch,
+        )
+
+    async def _find(self, group: list[Append]) -> int | None:
+        """Returns the offset of a group that the log holds, None if it does not.
+
+        A group is applied as a whole, so one record tells, if only this process writes
+        its key. Some others are looked for in case it was removed since. Raises
+        `LogTimeoutError` if the group has no such record.
+        """
+        records = [record for append in group for record in append.records]
+        own = [
+            (index, key)
+            for index, (key, value) in enumerate(records)
+            if value is not None and f"/{self._producer}/" in key
+        ]
+        for index, key in own[:MAX_LOOKED_FOR]:
+            offset = await self._find_key(key)
+            if offset is not None:
+                return offset - index
+        if not own:
+            raise LogTimeoutError(
+                "the log does not tell whether the append was applied"
+            )
+        return None
+
+    async def _find_key(self, key: str) -> int | None:
+        after = key[:-1] + chr(ord(key[-1]) - 1) + LAST_CHAR
+        while True:
+            page = await self._store.newest(self.topic, self.partition, after)
+            for stored in page.records:
+                if stored.key == key:
+                    return stored.offset
+            if not page.has_more or not page.records or page.records[-1].key > key:
+                return None
+            after = page.records[-1].key
 
     @staticmethod
     def _mark(group: list[Append], may_be_applied: bool) -> None:
@@ -216,3 +279,18 @@
         for append in group:
             if not append.done.called:
                 append.done.errback(exc)
+
+
+def _outcome_of(exc: PomeloshiftError) -> CallOutcome:
+    """Returns what an error of the store says about the call."""
+    if isinstance(exc, StoreNoResponseError):
+        return CallOutcome.NO_RESPONSE
+    if isinstance(exc, SequenceError):
+        return CallOutcome.OUT_OF_ORDER
+    if isinstance(exc, StoreFullError | MalformedError):
+        return CallOutcome.REFUSED
+    return CallOutcome.NOT_NOW
+
+
+def _not_applied() -> LogUnavailableError:
+    return LogUnavailableError("the store did not apply the append and never will")
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -141,17 +141,20 @@
         producer: str,
         sequence: int,
         timeout_s: float = CALL_TIMEOUT_S,
+        epoch: int = 1,
     ) -> int:
         """Appends keyed records atomically and returns the offset of the first one.
 
-        A retry with the same ``producer`` and ``sequence`` appends nothing more. Raises
-        `SequenceError` if ``sequence`` does not follow the producer's last one.
+        A retry with the same ``producer``, ``epoch`` and ``sequence`` appends nothing
+        more. Raises `SequenceError` if ``sequence`` does not follow the producer's last
+        one, or its ``epoch`` is lower than one that the store has seen. Without records
+        it only makes the ``epoch`` known.
         """
         query = {
             "topic": topic,
             "part": partition,
             "producer": producer,
-            "epoch": 1,
+            "epoch": epoch,
             "seq": sequence,
         }
         body = b"".join(_frame(key, value) for key, value in records)
--- a/src/pomeloshift/standins/platform/_store_state.py
+++ b/src/pomeloshift/standins/platform/_store_state.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+# How many of a producer's last appends get their first response again if repeated.
+REPEATS_KEPT = 5
+
 
 @attrs.frozen
 class AppendResult:
@@ -47,8 +50,9 @@
     ) -> AppendResult | Refusal:
         """Appends records and returns where they were stored.
 
-        A repeated sequence number of a producer's epoch has no effect and returns the
-        first result. Without a producer nothing is checked.
+        A repeat of one of the last `REPEATS_KEPT` sequence numbers of a producer's
+        epoch has no effect and returns the first result. Without a producer nothing is
+        checked.
         """
         if not producer:
             return self._add(records)
@@ -63,6 +67,7 @@
             return Refusal("seq", known.sequence + 1)
         known.sequence = sequence
         known.results[sequence] = result = self._add(records)
+        known.results.pop(sequence - REPEATS_KEPT, None)
         return result
 
     def newest(self) -> dict[str, tuple[int, bytes]]:
--- a/tests/_crash_topic.py
+++ b/tests/_crash_topic.py
@@ -84,7 +84,7 @@
             timeout_s, super().read(topic, partition, offset, wait_s)
         )
 
-    async def append(self, topic, partition, records, producer, sequence):
+    async def append(self, topic, partition, records, producer, sequence, epoch=1):
         async def apply():
             super(SilentStore, self).append(records)
             return 0
--- a/tests/test_cores_are_pure.py
+++ b/tests/test_cores_are_pure.py
@@ -10,6 +10,7 @@
 PACKAGE = pathlib.Path(pomeloshift.__file__).parent
 CORES = (
     "admission",
+    "appends",
     "attempts",
     "batch",
     "config",
--- a/tests/test_gateway_cap.py
+++ b/tests/test_gateway_cap.py
@@ -6,7 +6,11 @@
 from _gateway import config, route
 from pomeloshift.gateway import _batch_api, _cap_decisions, _job_cleaner
 from pomeloshift.jobs import JobEnded, JobSubmitted
-from pomeloshift.platform import StoreNoResponseError, StoreUnreachableError
+from pomeloshift.platform import (
+    StoreFullError,
+    StoreNoResponseError,
+    StoreUnreachableError,
+)
 
 CAP = 100
 
@@ -197,6 +201,23 @@
     assert again == ([202] if is_applied else [504])
 
 
+def test_job_that_a_full_store_does_not_take_is_refused_as_not_run(capped):
+    async def scenario(deployment, first, second):
+        append = first._store.append
+
+        async def reject(topic, *args, **kwargs):
+            if topic == "keyed.jobs":
+                raise StoreFullError("the store is full")
+            return await append(topic, *args, **kwargs)
+
+        first._store.append = reject
+        refused = await submit_at_once(deployment, (first, "j1"))
+        first._store.append = append
+        return refused + await submit_at_once(deployment, (first, "j1"))
+
+    assert capped(scenario) == [503, 202]
+
+
 def test_record_that_a_killed_submitter_left_is_removed(capped, monkeypatch):
     """A gateway that starts after the other jobs have ended must not accept it."""
     monkeypatch.setattr(_job_cleaner, "REFUSED_S", 0.2)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -385,6 +385,23 @@
     assert len(server.state.partition("keyed.t", 0).records) == 1
 
 
+def test_append_without_records_under_a_higher_epoch_fences_earlier_calls(
+    store, run_async
+):
+    server, client = store
+
+    async def scenario():
+        await client.append("keyed.t", 0, [("a", b"1")], "p", 0)
+        await client.append("keyed.t", 0, [], "p", 7, epoch=2)
+        with pytest.raises(SequenceError) as info:
+            await client.append("keyed.t", 0, [("b", b"2")], "p", 1)
+        offset = await client.append("keyed.t", 0, [("c", b"3")], "p", 8, epoch=2)
+        return info.value.expected, offset
+
+    assert run_async(scenario()) == (None, 1)
+    assert len(server.state.partition("keyed.t", 0).records) == 2
+
+
 def test_failures_of_the_store_raise_different_errors(store, run_async):
     server, client = store
 
