--- a/tests/test_item_routes.py
+++ b/tests/test_item_routes.py
@@ -1,9 +1,11 @@
+import attrs
 import pytest
 
 from pomeloshift.dispatch import ConfigHolder, Route, RouteKind, ServingConfig, Split
 from pomeloshift.jobs import (
     UNROUTED_S,
     BlobRef,
+    CapRoom,
     ItemRoutes,
     JobSubmitted,
     JobTable,
@@ -100,6 +102,22 @@
     assert routes.of(job, 0).path_prefix == "/p/new"
 
 
+def test_cap_counts_the_items_that_a_split_moved_to_the_route(
+    routes, publish, accept, table
+):
+    """The log's sum of the new queue lacks them, so gateways could exceed the cap."""
+    accept("/p/a/1", "/p/b/2", tokens=10)
+    split_off = attrs.evolve(make_route("/p/a/"), queue_token_cap=30)
+    publish(split_off, make_route("/p/"))
+    room = CapRoom.of(table, routes, split_off, "")
+    assert (room.accepted, room.moved, room.record_cap) == (0, 10, 20)
+    assert room.fits(20)
+    assert not room.fits(21)
+    uncapped = CapRoom.of(table, routes, make_route("/p/"), "")
+    assert uncapped.record_cap == 0
+    assert uncapped.fits(10**9)
+
+
 def test_waiting_tokens_count_on_the_routes_of_a_split(routes, publish, accept, table):
     """A split route's caps did not count the items that it took over."""
     accept("/p/a/1", "/p/a/2", "/p/b/3", "/p/4", tokens=10)
