Place online requests by learned start delays and paces

Engines of one service differ in speed and slow down long before they are full, and placement by free slots sends to a slow engine as to a fast one.

EngineCapacity learns the time to the first event and between events by occupancy, apart from the slowdown that the engine reports; CapacityTable holds them by engine and incarnation. Placement takes the wait, the start and a quarter of the run from it where an engine of the service has reported a slowdown or is cold, and the lateness check the start. Elsewhere nothing changes. `placement.learned = false` in the settings switches it off. Choosing an engine moved from gateway/_online.py to gateway/_engine_choice.py.

--- /dev/null
+++ b/src/pomeloshift/capacity/__init__.py
@@ -0,0 +1,18 @@
+"""What an entry learns about engines that differ in speed.
+
+It holds decisions only; `gateway/_engine_capacity.py` feeds it with measured times.
+"""
+
+from ._capacity_table import CapacityTable
+from ._engine_capacity import EngineCapacity
+from ._log_line import LogLine
+from ._service_curve import ServiceCurve
+from ._slowdown import Slowdown
+
+__all__ = [
+    "CapacityTable",
+    "EngineCapacity",
+    "LogLine",
+    "ServiceCurve",
+    "Slowdown",
+]
--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -7,6 +7,7 @@
 
 from ._admission import OnlineAdmission
 from ._attempt_plan import AttemptPlan, Step
+from ._capacity_model import CapacityModel
 from ._config_holder import ConfigHolder
 from ._crash_causes import SuspectPart, find_causes
 from ._crash_circumstances import CrashCircumstances
@@ -53,6 +54,7 @@
     "MAX_EVENT_BYTES",
     "NO_REQUESTS",
     "AttemptPlan",
+    "CapacityModel",
     "ConfigHolder",
     "CrashCircumstances",
     "CrashKeys",
--- a/src/pomeloshift/dispatch/_admission.py
+++ b/src/pomeloshift/dispatch/_admission.py
@@ -59,6 +59,7 @@
         wait_s: float,
         interval_s: float,
         now: float,
+        start_s: float | None = None,
     ) -> bool:
         """Returns whether a request is expected to start within its objective.
 
@@ -67,13 +68,15 @@
         wait for a slot, and ``interval_s`` the mean time between slots that become
         free for this entry. All are in seconds. A first attempt also waits for one
         slot for each caller that is due to retry; a retry does not.
+        ``start_s`` is the start delay at the chosen engine if it has been learned.
         """
-        if wait_s <= 0:
+        if wait_s <= 0 and start_s is None:
             return elapsed_s + INITIAL_START_DELAY_S <= route.objective_s
-        bounded_delay_s = min(
-            self._start_delay_s, MAX_START_DELAY_SHARE * route.objective_s
-        )
-        first_event_after_s = elapsed_s + wait_s + bounded_delay_s
+        delay_s = min(self._start_delay_s, MAX_START_DELAY_SHARE * route.objective_s)
+        if start_s is not None:
+            # Behind others, starts are late for reasons that are not the engine's too.
+            delay_s = max(delay_s, start_s) if wait_s > 0 else start_s
+        first_event_after_s = elapsed_s + wait_s + delay_s
         if not self._is_retry(route, deadline_s):
             first_event_after_s += interval_s * self.count_due(now, route)
         return first_event_after_s <= route.objective_s
--- a/src/pomeloshift/dispatch/_placement.py
+++ b/src/pomeloshift/dispatch/_placement.py
@@ -4,10 +4,12 @@
 that are nearly full of batch items that occupy theirs for several seconds.
 """
 
+from collections.abc import Iterable
 from random import Random
 
 import attrs
 
+from ._capacity_model import CapacityModel
 from ._engine import Engine
 
 
@@ -24,6 +26,9 @@
     waits there (several times the longest pause of a full engine). ``preempt_s`` is
     how long a preempted batch item takes to release its slot. ``jitter_s`` is the
     largest random cost; it spreads the choices of entries that see the same load.
+    ``run_weight`` is the weight of the time from the first event to the last one, where
+    it is learned: with the full time, slow engines that would still begin in time stay
+    idle while requests wait at fast ones; without it, slow engines collect requests.
     """
 
     hold_s: float = 0.7
@@ -34,6 +39,7 @@
     unresponsive_after_s: float = 0.5
     preempt_s: float = 0.06
     jitter_s: float = 0.004
+    run_weight: float = 0.25
 
 
 @attrs.define
@@ -42,6 +48,8 @@
 
     The cost is the expected wait for a slot plus the weights of `PlacementConfig`,
     in seconds. ``zone`` is this entry's zone and ``regions`` maps zones to regions.
+    ``learned`` knows how engines differ in speed. Where it is active for a service, the
+    cost is the wait, the start and a part of the run at that engine.
     """
 
     zone: str
@@ -49,6 +57,7 @@
     config: PlacementConfig
     _random: Random
     _hold_s: dict[str, float] = attrs.field(factory=dict)
+    learned: CapacityModel | None = None
 
     def choose(
         self,
@@ -82,6 +91,18 @@
             return False
         return engine.unresponsive_s(now) < self.config.unresponsive_after_s
 
+    def count_states(self, engines: Iterable[Engine], now: float) -> dict[str, int]:
+        """Returns the number of engines by state: serving, draining or avoided."""
+        counts = {"serving": 0, "draining": 0, "avoided": 0}
+        for engine in engines:
+            if not engine.is_serving:
+                counts["draining"] += 1
+            elif self.is_healthy(engine, now):
+                counts["serving"] += 1
+            else:
+                counts["avoided"] += 1
+        return counts
+
     def expected_wait(self, engine: Engine, now: float) -> float:
         """Returns the seconds that a new online request would wait for a slot.
 
@@ -90,13 +111,35 @@
         cfg = self.config
         excess = engine.online_occupancy(now) + 1 - engine.slots
         if excess > 0:
-            return excess * self.hold_s(engine.record.service) / engine.slots
+            return excess * self._hold_at(engine, now) / engine.slots
         is_full = engine.occupancy(now) + 1 > engine.slots
         return cfg.preempt_s if is_full else 0.0
 
+    def _hold_at(self, engine: Engine, now: float) -> float:
+        """Returns the time, in seconds, that requests occupy a slot of an engine."""
+        learned = self._learned_of(engine, now)
+        if learned is None:
+            return self.hold_s(engine.record.service)
+        return learned.start_s(engine, now) + learned.run_s(engine, now)
+
+    def expected_start(self, engine: Engine, now: float) -> float | None:
+        """Returns the seconds from a slot to the first event, None if not learned."""
+        learned = self._learned_of(engine, now)
+        return learned.start_s(engine, now) if learned is not None else None
+
+    def _learned_of(self, engine: Engine, now: float) -> CapacityModel | None:
+        learned = self.learned
+        if learned is None or not learned.is_active(engine.record.service, now):
+            return None
+        return learned
+
     def _cost(self, engine: Engine, now: float) -> float:
         cfg = self.config
         cost = self.expected_wait(engine, now)
+        learned = self._learned_of(engine, now)
+        if learned is not None:
+            cost += learned.start_s(engine, now)
+            cost += cfg.run_weight * learned.run_s(engine, now)
         cost += cfg.slot_cost_s * engine.occupancy(now)
         cost += self._distance_cost(engine.record.zone)
         return cost + cfg.jitter_s * self._random.random()
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -35,6 +35,7 @@
     report_request,
     says_leaving,
 )
+from ._engine_capacity import LearnedCapacity
 from ._events import EventLog
 from ._sleep import sleep
 from ._timing import AVOID_FAILED_S, AVOID_FULL_S, MAX_REPORT_BYTES, PROBE_TIMEOUT_S
@@ -54,8 +55,9 @@
         self._call = call
         self._is_batch = is_batch
         self._sent_at = access.now()
-        self._key = engine.begin(self._sent_at, is_batch)
         self._is_counted = True
+        self._measured = access.capacity.begin(engine, self._sent_at)
+        self._key = engine.begin(self._sent_at, is_batch)
 
     async def next(
         self, timeout_s: float
@@ -68,14 +70,20 @@
         if isinstance(event, ResponseHead):
             self.engine.on_bytes(self._key, self._access.now())
             self._access.note_head(self.engine, event, self._sent_at)
+            if self._measured is not None:
+                self._measured.note_head(event)
         elif isinstance(event, Chunk):
-            self.engine.last_byte_at = self._access.now()
+            now = self.engine.last_byte_at = self._access.now()
+            if self._measured is not None:
+                self._measured.note_data(event.data, now)
         else:
             self._end()
         return event
 
     def pause(self, is_paused: bool) -> None:
         """Pauses or resumes reading from the engine."""
+        if self._measured is not None:
+            self._measured.is_paused = is_paused
         if is_paused:
             self._call.pause()
         else:
@@ -90,6 +98,8 @@
         if self._is_counted:
             self._is_counted = False
             self.engine.end(self._key, self._is_batch)
+            if self._measured is not None:
+                self._measured.end()
 
 
 @attrs.define
@@ -108,6 +118,7 @@
     events: EventLog
     _clock: Any
     _reactor: Any
+    capacity: LearnedCapacity
 
     def now(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -161,6 +172,7 @@
         load = decode_load_header(head.headers)
         if load is not None:
             engine.note_load(load, now)
+            self.capacity.note_load(engine, load, now)
         if head.status == MISDIRECTED or not (is_stamped(head) or proves_not_run(head)):
             # Of another engine at the same address, or of none.
             return
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -8,10 +8,9 @@
 
 from ..dispatch import (
     ConfigHolder,
+    EngineRecord,
     Fleet,
     OnlineAdmission,
-    Placement,
-    PlacementConfig,
     RetryAfter,
     StorePath,
 )
@@ -41,6 +40,7 @@
 from ._blob_store import BlobStore
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
+from ._engine_capacity import new_capacity
 from ._engine_list import EngineList
 from ._events import EventLog
 from ._item_writer import ItemWriter
@@ -116,12 +116,10 @@
         self._store.on_call = self._metrics.observe_store_call
         self._relay = StoreRelay(settings.store.address, client, reactor, clock)
         ownership = Ownership(settings.ip)
-        placement = Placement(
-            settings.zone, settings.regions, PlacementConfig(), random
-        )
+        self.capacity = capacity = new_capacity(settings, random)
         access = EngineAccess(
             self._fleet,
-            placement,
+            capacity.placement,
             RetryAfter(random),
             OnlineAdmission(),
             lambda: 1 + len(self.peers.loads.states),
@@ -132,6 +130,7 @@
             events,
             clock,
             reactor,
+            capacity,
         )
         self._access = access
         self._blobs = BlobStore(
@@ -224,12 +223,7 @@
             CONFIG_TOPIC,
             TopicHandlers(self._apply_config, confirmed=self.config.confirm),
         )
-        self._engine_list = EngineList(
-            self._fleet,
-            events,
-            clock,
-            lambda record: self.streams.note_engine(record.software),
-        )
+        self._engine_list = EngineList(self._fleet, events, clock, self._note_engine)
         self._engine_follower = self._follow(
             ENGINES_TOPIC, self._engine_list.handlers()
         )
@@ -282,6 +276,10 @@
         is_read = self._engine_follower.is_synced
         return is_read and not self._fleet.is_store_unavailable
 
+    def _note_engine(self, record: EngineRecord) -> None:
+        self.capacity.table.note_record(record, self._clock.monotonic())
+        self.streams.note_engine(record.software)
+
     def _note_doubt(self, request_id: str, address: str) -> None:
         self._events.info("response_doubted", id=request_id, address=address)
 
@@ -436,16 +434,8 @@
 
     def count_engines(self) -> dict[str, int]:
         """Returns the number of engines by state: serving, draining or avoided."""
-        now = self._clock.monotonic()
-        counts = {"serving": 0, "draining": 0, "avoided": 0}
-        for engine in self._fleet.engines.values():
-            if not engine.is_serving:
-                counts["draining"] += 1
-            elif self._access.placement.is_healthy(engine, now):
-                counts["serving"] += 1
-            else:
-                counts["avoided"] += 1
-        return counts
+        engines = self._fleet.engines.values()
+        return self.capacity.placement.count_states(engines, self._clock.monotonic())
 
     def _respond_scrape(self, exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -1,6 +1,5 @@
 """Runs one online request."""
 
-import math
 from typing import Any
 
 import attrs
@@ -12,7 +11,6 @@
     Engine,
     OversizedEventError,
     Route,
-    RouteKind,
     ServingConfig,
     SoftwareVersion,
     Step,
@@ -31,13 +29,13 @@
 from ..platform import CallerRequest, is_stamped, proves_not_run, to_engine
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess, EngineRun
+from ._engine_choice import EngineChoice
 from ._events import EventLog
 from ._refusal import refuse
 from ._response_relay import ResponseRelay
 from ._stream_log import StreamLog
 from ._timing import (
     FIRST_EVENT_OBJECTIVES,
-    MAX_RESUME_WAIT_S,
     MIN_WAIT_S,
     STALL_GAPS,
     STALL_S,
@@ -74,14 +72,26 @@
     software: SoftwareVersion | None = None
     _run: EngineRun | None = None
     _watched: WatchedRun | None = None
-    _wait_s: float = 0.0
+    _choice: EngineChoice = attrs.field(init=False)
     _sent_at: float = 0.0
     _is_done: bool = False
 
+    @_choice.default
+    def _new_choice(self) -> EngineChoice:
+        return EngineChoice(
+            self.access,
+            self.streams,
+            self.events,
+            self.exchange,
+            self.req,
+            self.route,
+            self.plan,
+        )
+
     async def serve(self) -> None:
         """Runs the request, with retries, and responds to the caller."""
         try:
-            if self._is_take_up and not await self._find_version():
+            if self._choice.is_take_up and not await self._find_version():
                 self._fail()
             while not self._is_done:
                 await self._step()
@@ -89,12 +99,6 @@
             if self._run is not None:
                 self._run.close()
 
-    @property
-    def _is_take_up(self) -> bool:
-        """Whether the caller takes up a stream that an earlier request began."""
-        is_stream = self.route.kind is RouteKind.STREAMING
-        return is_stream and self.req.resumes is not None
-
     async def _find_version(self) -> bool:
         """Determines where a stream that is taken up goes on; returns False if unknown.
 
@@ -120,12 +124,13 @@
         if self.plan.next_step(now) is not Step.TRY or not self.relay.can_resume:
             self._fail()
             return
-        engines = self._pick_engines()
-        engine = self._choose(engines, now)
-        if engine is None and self._may_wait(engines, now):
-            await self.access.sleep(max(MIN_WAIT_S, self._limit_wait_s(engines)))
+        choice = self._choice
+        engines = choice.pick_engines(self.software)
+        engine = choice.choose(engines, now)
+        if engine is None and choice.may_wait(engines, now):
+            await self.access.sleep(max(MIN_WAIT_S, choice.limit_wait_s(engines)))
             return
-        if engine is None or self._would_be_late(engine, now):
+        if engine is None or choice.would_be_late(engine, now):
             self._fail()
             return
         if not await self._is_usable(engine):
@@ -169,105 +174,6 @@
                 runs=self.plan.runs,
             )
 
-    def _pick_engines(self) -> list[Engine]:
-        """Returns the engines of a service of the route that can still be tried."""
-        if self.software is not None:
-            engines = self._engines_of(self.software)
-        else:
-            service = self.route.pick_service(self.access.random.random())
-            engines = self.access.fleet.of(service) if service is not None else []
-            engines = self.streams.usable(engines)
-        return [e for e in engines if e.record.id not in self.plan.excluded]
-
-    def _engines_of(self, software: SoftwareVersion) -> list[Engine]:
-        """Returns the engines at which a stream that this version began can go on."""
-        engines = []
-        if software.service in self.route.services:
-            engines = self.access.fleet.of(software.service)
-        engines = [e for e in engines if e.record.software == software]
-        if not engines:
-            self.events.warn(
-                "version_unavailable",
-                id=self.req.id,
-                resumes=self.req.resumes,
-                service=software.service,
-                version=software.version,
-            )
-        return engines
-
-    def _choose(self, engines: list[Engine], now: float) -> Engine | None:
-        open_engines = [e for e in engines if self.access.limit_wait_s(e) <= 0]
-        return self.access.placement.choose(open_engines, now)
-
-    def _limit_wait_s(self, engines: list[Engine]) -> float:
-        """Returns the seconds until the limit of an engine allows the request."""
-        waits_s = (self.access.limit_wait_s(engine) for engine in engines)
-        return min(waits_s, default=math.inf)
-
-    @property
-    def _is_resume(self) -> bool:
-        """Whether an engine would go on with a stream that has begun."""
-        return self.plan.may_have_run or self._is_take_up
-
-    def _may_wait(self, engines: list[Engine], now: float) -> bool:
-        """Whether an engine's limit allows the request before it is too late.
-
-        That is the latency objective; a request that may have run has until its caller
-        would give up on it.
-        """
-        wait_s = self._limit_wait_s(engines)
-        elapsed_s = now - self.exchange.arrived_at
-        if self._is_resume:
-            can_wait = wait_s <= MAX_RESUME_WAIT_S and now + wait_s < self.plan.deadline
-        else:
-            start_s = self.access.admission.start_delay_s
-            can_wait = elapsed_s + wait_s + start_s <= self.route.objective_s
-        if not can_wait and wait_s < math.inf:
-            self.events.info(
-                "limits_reached",
-                id=self.req.id,
-                wait_s=wait_s,
-                elapsed_s=elapsed_s,
-                runs=self.plan.runs,
-            )
-        return can_wait
-
-    def _would_be_late(self, engine: Engine, now: float) -> bool:
-        """Whether the request would start too late to be sent.
-
-        A late request would lengthen the queue and make later requests late too. A
-        request that may have run is always sent. So is a stream that is taken up,
-        unless its caller would give up first: most of it may have been delivered.
-        """
-        if self.plan.may_have_run:
-            return False
-        wait_s = self.access.placement.expected_wait(engine, now)
-        elapsed_s = now - self.exchange.arrived_at
-        if self._is_take_up and elapsed_s + wait_s <= MAX_RESUME_WAIT_S:
-            return False
-        # Refused callers that are due to retry count only against a request that waits.
-        interval_s = 0.0
-        if wait_s > 0:
-            interval_s = self.access.slot_interval_s(engine.record.service)
-        if self.access.admission.allows(
-            self.route, self.req.deadline_s, elapsed_s, wait_s, interval_s, now
-        ):
-            self._wait_s = wait_s
-            return False
-        self.events.info(
-            "would_be_late",
-            id=self.req.id,
-            engine=engine.record.id,
-            wait_s=wait_s,
-            start_s=self.access.admission.start_delay_s,
-            interval_s=interval_s,
-            returning=self.access.admission.count_due(now, self.route),
-            deadline_s=self.req.deadline_s,
-            online=engine.online_occupancy(now),
-            load_age_s=engine.load_age(now),
-        )
-        return True
-
     async def _attempt(self, engine: Engine, is_trial: bool) -> None:
         engine_id = engine.record.id
         remaining_s = self.plan.deadline - self.access.now()
@@ -457,9 +363,15 @@
         self.events.metrics.observe_response(
             self.route.name, status, self.relay.first_event_s, took_s
         )
-        if self.plan.runs == 1 and self._wait_s > 0 and self.relay.first_event_s > 0:
+        if (
+            self.plan.runs == 1
+            and self._choice.wait_s > 0
+            and self.relay.first_event_s > 0
+        ):
             first_at = self.exchange.arrived_at + self.relay.first_event_s
-            self.access.admission.note_start(self._wait_s, first_at - self._sent_at)
+            self.access.admission.note_start(
+                self._choice.wait_s, first_at - self._sent_at
+            )
         if self.relay.stream_s > 0:
             self.access.placement.note_hold(engine.record.service, self.relay.stream_s)
         self.events.info(
@@ -500,7 +412,7 @@
         )
         if self.relay.has_begun:
             self.exchange.abort()
-        elif status == 503 and self._is_take_up and not self.plan.is_stopped:
+        elif status == 503 and self._choice.is_take_up and not self.plan.is_stopped:
             refuse(self.exchange, 503, self.access.retry_after.elsewhere())
         elif status == 503 and self.plan.is_stopped:
             refuse(self.exchange, 503, self.crashes.quarantined_for(self.keys))
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -35,6 +35,8 @@
 MAX_RESUME_WAIT_S = 1.5
 # Least time between two looks at the limits by a request that waits.
 MIN_WAIT_S = 0.005
+# How many events of a response make a sample of its engine's pace: some in a short one.
+PACE_EVENTS = 6
 # Time-out for the first event, as a multiple of the latency objective, after which an
 # idempotent request is retried on another engine.
 FIRST_EVENT_OBJECTIVES = 2.0
--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -34,7 +34,8 @@
     which a request with a revoked key must not run, None where that is not enforced.
     The rate limits of workspaces hold in each window of ``rate_window_s``, up to the
     share ``rate_overrun`` and ``rate_slack`` requests more. ``is_first_start`` is set
-    only if the whole deployment starts for the first time.
+    only if the whole deployment starts for the first time. ``is_placement_learned`` is
+    unset to place work without what is learned about engines' speeds.
     """
 
     name: str
@@ -55,6 +56,7 @@
     rate_overrun: float = 0.0
     rate_slack: float = 0.0
     is_first_start: bool = False
+    is_placement_learned: bool = True
 
 
 class _Reader:
@@ -83,11 +85,11 @@
         self.faults.append(Fault(path, FaultCode.MISSING_KEY, "is missing"))
         return kind_default(kind)
 
-    def flag(self, path: str) -> bool:
-        """Returns a field that is true or false, false if it is missing."""
+    def flag(self, path: str, default: bool = False) -> bool:
+        """Returns a field that is true or false, the default if it is missing."""
         value: Any = self._data
         for key in path.split("."):
-            value = value.get(key, False) if isinstance(value, Mapping) else False
+            value = value.get(key, default) if isinstance(value, Mapping) else default
         if not isinstance(value, bool):
             fault = Fault(path, FaultCode.WRONG_TYPE, "is not true or false")
             self.faults.append(fault)
@@ -148,6 +150,7 @@
         rate_overrun=reader.get("bounds.quotaOverrun", NUMBER, 0),
         rate_slack=reader.get("bounds.quotaSlack", NUMBER, 0),
         is_first_start=reader.flag("bootstrap"),
+        is_placement_learned=reader.flag("placement.learned", True),
     )
     if reader.faults:
         raise SettingsError(reader.faults, path)
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,185 @@
+"""Learned speeds of engines, and placement by them, in virtual time."""
+
+import math
+from random import Random
+
+import pytest
+
+from _capacity_fleet import CapacityFleet, SimEngine, record
+from pomeloshift.capacity import CapacityTable, LogLine, Slowdown
+from pomeloshift.dispatch import Engine, EngineLoad
+
+ENGINES = 28
+
+
+def constant(factor):
+    return lambda now: factor
+
+
+def between(start, end, factor):
+    return lambda now: factor if start <= now < end else 1.0
+
+
+def flapping(now):
+    return 5.0 if int(now) % 2 else 1.0
+
+
+def slow_and_flapping(**kwargs):
+    """A quarter is five times slower from 3 to 9 s; three alternate each second."""
+    slowdowns = [between(3.0, 9.0, 5.0)] * 7 + [flapping] * 3
+    slowdowns += [constant(1.0)] * (ENGINES - len(slowdowns))
+    return [SimEngine(record(n), s, **kwargs) for n, s in enumerate(slowdowns)]
+
+
+def half_cold():
+    return [
+        SimEngine(record(n, cold_left_s=8.0), between(0.0, 8.0, 4.0))
+        if n < ENGINES // 2
+        else SimEngine(record(n), constant(1.0))
+        for n in range(ENGINES)
+    ]
+
+
+def mixed():
+    """Engines of 1 to 5 times the usual time, with knees at 3, 4 and 8 requests."""
+    random = Random(5)
+    return [
+        SimEngine(
+            record(n),
+            constant(1 + 4 * random.random() ** 2),
+            knee=random.choice([3, 4, 8]),
+        )
+        for n in range(ENGINES)
+    ]
+
+
+def good_share(sims, rate, gateways, view_s, is_learned, seed=1):
+    fleet = CapacityFleet(seed, sims, gateways, view_s, is_learned)
+    fleet.play(rate, until=10.0)
+    return fleet.good_share()
+
+
+@pytest.fixture
+def table():
+    return CapacityTable()
+
+
+@pytest.fixture
+def engine():
+    return Engine(record(1))
+
+
+def measure(capacity, factor, since, until, step_s=0.05):
+    """Adds samples of an engine that takes 20 ms empty and 40 ms full."""
+    for n in range(int((until - since) / step_s)):
+        now = since + n * step_s
+        occupancy = 1 + round(now / step_s) % 8
+        capacity.note_start(occupancy, 8, factor * 0.02 * 2 ** (occupancy / 8), now)
+
+
+def test_line_follows_level_and_slope_of_samples():
+    line = LogLine(forget_s=60.0, max_weight=1000.0)
+    for n in range(800):
+        x = n % 8 / 8 - 0.5
+        line.add(x, -3.0 + 0.7 * x, now=n * 0.01)
+    level, slope = line.fit((0.0, 0.0), now=8.0)
+    assert level == pytest.approx(-3.0, abs=0.05)
+    assert slope == pytest.approx(0.7, abs=0.05)
+
+
+def test_line_without_recent_samples_is_the_prior():
+    line = LogLine(forget_s=1.0, max_weight=8.0)
+    line.add(0.1, 5.0, now=0.0)
+    assert line.fit((-3.0, 0.7), now=30.0) == pytest.approx((-3.0, 0.7))
+
+
+@pytest.mark.parametrize("factor", [0.5, 2.0, 5.0])
+def test_changed_speed_is_followed_within_two_seconds(table, engine, factor):
+    capacity = table.of(engine)
+    measure(capacity, 1.0, 0.0, 10.0)
+    before = capacity.start_s(4, 8, now=10.0)
+    measure(capacity, factor, 10.0, 12.0)
+    assert capacity.start_s(4, 8, now=12.0) == pytest.approx(factor * before, rel=0.2)
+
+
+def test_false_report_is_made_up_for_by_measured_times(table, engine):
+    table.note_slowdown(engine, 1.0, now=0.0)
+    measure(table.of(engine), 1.0, 0.0, 5.0)
+    before = table.of(engine).start_s(4, 8, now=5.0)
+    for n in range(20):
+        table.note_slowdown(engine, 0.1, now=5.0 + n / 10)
+        measure(table.of(engine), 1.0, 5.0 + n / 10, 5.1 + n / 10)
+    after = table.of(engine).start_s(4, 8, now=7.0)
+    assert after == pytest.approx(before, rel=0.3)
+
+
+def test_slowdown_counts_at_once_and_less_with_age():
+    slowdown = Slowdown()
+    for n in range(100):
+        slowdown.note(1.0, now=n * 0.1)
+    for n in range(5):
+        slowdown.note(5.0, now=10.0 + n * 0.1)
+    assert math.exp(slowdown.log_at(10.4)) == pytest.approx(5.0, rel=0.3)
+    assert math.exp(slowdown.log_at(14.0)) < 1.3
+
+
+def test_request_without_its_first_event_shows_that_an_engine_is_slow(table, engine):
+    capacity = table.of(engine)
+    measure(capacity, 1.0, 0.0, 5.0)
+    before = capacity.start_s(1, 8, now=5.0)
+    key = capacity.begin(expected_s=0.03, now=5.0)
+    assert capacity.start_s(1, 8, now=5.3) > 4 * before
+    capacity.end(key)
+    assert capacity.start_s(1, 8, now=5.3) == pytest.approx(before, rel=0.2)
+
+
+def test_cold_engine_is_slower_until_its_time_is_over(table):
+    warm, cold = Engine(record(1)), Engine(record(2, cold_left_s=3.0))
+    for engine in (warm, cold):
+        table.note_record(engine.record, now=1.0)
+    # The same record is read again: the time does not start anew.
+    table.note_record(cold.record, now=3.0)
+    assert table.is_active("lm", now=3.0)
+    assert table.start_s(cold, 3.9) > 1.5 * table.start_s(warm, 3.9)
+    assert table.start_s(cold, 4.1) == pytest.approx(table.start_s(warm, 4.1))
+
+
+def test_new_incarnation_starts_without_evidence_of_the_last_one(table, engine):
+    measure(table.of(engine), 5.0, 0.0, 5.0)
+    before = table.start_s(engine, 5.0)
+    engine.reported_incarnation = 2
+    assert table.start_s(engine, 5.0) < before
+
+
+def test_service_without_reports_is_not_active(table, engine):
+    table.note_record(engine.record, now=1.0)
+    assert not table.is_active("lm", now=1.0)
+    table.note_slowdown(engine, 1.0, now=1.0)
+    assert table.is_active("lm", now=1.0)
+    table.is_enabled = False
+    assert not table.is_active("lm", now=1.0)
+
+
+def test_where_nothing_is_reported_requests_go_where_they_went_before():
+    """Guards against a change of service on deployments without the figure."""
+    fleets = []
+    for is_learned in (False, True):
+        sims = slow_and_flapping(reports=constant(None))
+        fleets.append(CapacityFleet(1, sims, 3, 0.05, is_learned))
+        fleets[-1].play(300.0, until=3.0)
+    assert fleets[0].sent == fleets[1].sent
+    assert fleets[0].outcomes == fleets[1].outcomes
+
+
+@pytest.mark.parametrize(
+    ("sims", "rate"), [(slow_and_flapping, 600.0), (half_cold, 600.0), (mixed, 450.0)]
+)
+def test_more_streams_are_in_time_than_by_free_slots(sims, rate):
+    today = good_share(sims(), rate, 26, 0.05, is_learned=False)
+    learned = good_share(sims(), rate, 26, 0.05, is_learned=True)
+    assert learned > today
+
+
+def test_report_without_the_figure_changes_nothing(table, engine):
+    engine.note_load(EngineLoad(1, 0, 8), now=1.0)
+    assert not table.is_active("lm", now=1.0)
--- a/tests/test_cores_are_pure.py
+++ b/tests/test_cores_are_pure.py
@@ -12,6 +12,7 @@
     "admission",
     "attempts",
     "batch",
+    "capacity",
     "config",
     "dispatch",
     "errors",
