Compare only some engines where speeds are learned

Gateways that all know the fastest engine all choose it until they hear of each other's requests. Placement now draws two engines of the zone, two of the region and one of another region, at least three, in proportion to what each can do, and takes the best.

--- a/src/pomeloshift/capacity/_capacity_table.py
+++ b/src/pomeloshift/capacity/_capacity_table.py
@@ -108,6 +108,13 @@
         """Returns the expected time from the first event to the last one."""
         return self._service(engine.record.service).events * self.gap_s(engine, now)
 
+    def hold_s(self, engine: Engine, now: float) -> float:
+        """Returns how long a request occupies a slot of the engine while it is full."""
+        capacity, slots = self.of(engine), engine.slots
+        events = self._service(engine.record.service).events
+        start_s = capacity.start_s(slots, slots, now)
+        return start_s + events * capacity.gap_s(slots, slots, now)
+
     def _service(self, name: str) -> _Service:
         return self._services.setdefault(name, _Service())
 
--- a/src/pomeloshift/dispatch/_capacity_model.py
+++ b/src/pomeloshift/dispatch/_capacity_model.py
@@ -16,3 +16,6 @@
 
     def run_s(self, engine: Engine, now: float) -> float:
         """Returns the expected time from the first event to the last one."""
+
+    def hold_s(self, engine: Engine, now: float) -> float:
+        """Returns how long a request occupies a slot of the engine while it is full."""
--- a/src/pomeloshift/dispatch/_placement.py
+++ b/src/pomeloshift/dispatch/_placement.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterable
+from enum import Enum
 from random import Random
 
 import attrs
@@ -13,6 +14,21 @@
 from ._engine import Engine
 
 
+class Distance(Enum):
+    """Where an engine is, seen from an entry."""
+
+    ZONE = "same zone"
+    REGION = "same region"
+    FAR = "other region"
+
+
+# How many engines are drawn by distance. Of two or three, the better one spreads the
+# requests of 26 and 300 entries with views 40 to 500 ms old best; the best of eight
+# attracts too many. One far engine is enough to leave a region that is overloaded.
+CANDIDATES = ((Distance.ZONE, 2), (Distance.REGION, 2), (Distance.FAR, 1))
+MIN_CANDIDATES = 3
+
+
 @attrs.frozen
 class PlacementConfig:
     """Weights of the placement; those that end in ``_s`` are seconds.
@@ -49,7 +65,8 @@
     The cost is the expected wait for a slot plus the weights of `PlacementConfig`,
     in seconds. ``zone`` is this entry's zone and ``regions`` maps zones to regions.
     ``learned`` knows how engines differ in speed. Where it is active for a service, the
-    cost is the wait, the start and a part of the run at that engine.
+    cost is the wait, the start and a part of the run at that engine, and only some
+    engines are compared.
     """
 
     zone: str
@@ -74,7 +91,7 @@
         pool = healthy or allowed
         if not pool:
             return None
-        return min(pool, key=lambda e: self._cost(e, now))
+        return min(self._candidates(pool, now), key=lambda e: self._cost(e, now))
 
     def note_hold(self, service: str, held_s: float) -> None:
         """Records how long an online request occupied its slot, without its wait."""
@@ -120,7 +137,7 @@
         learned = self._learned_of(engine, now)
         if learned is None:
             return self.hold_s(engine.record.service)
-        return learned.start_s(engine, now) + learned.run_s(engine, now)
+        return learned.hold_s(engine, now)
 
     def expected_start(self, engine: Engine, now: float) -> float | None:
         """Returns the seconds from a slot to the first event, None if not learned."""
@@ -133,6 +150,33 @@
             return None
         return learned
 
+    def _candidates(self, engines: list[Engine], now: float) -> list[Engine]:
+        """Returns the engines to compare: all, or some drawn where speeds are learned.
+
+        Entries that all knew the fastest engine would all choose it until they hear of
+        each other's requests. Engines are drawn in proportion to what they can do.
+        """
+        learned = self._learned_of(engines[0], now)
+        if learned is None or len(engines) <= MIN_CANDIDATES:
+            return engines
+        # Of exponential times with means in proportion to the time for a request, the
+        # shortest belongs to an engine with a probability in proportion to its speed.
+        keys = {
+            engine.record.id: self._random.expovariate(1.0)
+            * learned.hold_s(engine, now)
+            for engine in engines
+        }
+        ranked = sorted(engines, key=lambda e: keys[e.record.id])
+        left = dict(CANDIDATES)
+        drawn = []
+        for engine in ranked:
+            distance = self._distance(engine.record.zone)
+            if left[distance] > 0:
+                left[distance] -= 1
+                drawn.append(engine)
+        others = [engine for engine in ranked if engine not in drawn]
+        return drawn + others[: max(0, MIN_CANDIDATES - len(drawn))]
+
     def _cost(self, engine: Engine, now: float) -> float:
         cfg = self.config
         cost = self.expected_wait(engine, now)
@@ -145,8 +189,17 @@
         return cost + cfg.jitter_s * self._random.random()
 
     def _distance_cost(self, zone: str) -> float:
+        cfg = self.config
+        costs = {
+            Distance.ZONE: 0.0,
+            Distance.REGION: cfg.zone_cost_s,
+            Distance.FAR: cfg.region_cost_s,
+        }
+        return costs[self._distance(zone)]
+
+    def _distance(self, zone: str) -> Distance:
         if zone == self.zone:
-            return 0.0
+            return Distance.ZONE
         if self.regions.get(zone) == self.regions.get(self.zone):
-            return self.config.zone_cost_s
-        return self.config.region_cost_s
+            return Distance.REGION
+        return Distance.FAR
