Give slow engines fewer batch items than they serve in time

BatchSlots filled all slots of an engine, however slow it had become. Now an engine that cannot use all its slots within the objective and the longest pause of its routes gets one item fewer than it serves in time, and at least one, which shows when it becomes faster. An engine that meets them with all slots gets items as before, and so does every engine of a service without reports. The usual number of events of a response is measured.

--- a/src/pomeloshift/capacity/_capacity_table.py
+++ b/src/pomeloshift/capacity/_capacity_table.py
@@ -1,8 +1,10 @@
 """What is known of the speed of all engines."""
 
+from collections.abc import Iterable
+
 import attrs
 
-from ..dispatch import Engine, EngineRecord
+from ..dispatch import Engine, EngineRecord, Route, RouteKind
 from ._cold_effect import ColdEffect
 from ._engine_capacity import EngineCapacity, EngineCurve
 from ._service_curve import ServiceCurve
@@ -16,6 +18,9 @@
 # Events after the first one of a request, until measured.
 EVENTS_GUESS = 24.0
 EVENTS_SMOOTHING = 0.02
+# Longest time to the first event, and longest pause, where no route states them.
+OBJECTIVE_S = 0.3
+PAUSE_S = 0.25
 
 
 @attrs.define
@@ -27,6 +32,8 @@
     cold: ColdEffect = attrs.field(factory=ColdEffect)
     events: float = EVENTS_GUESS
     active_until: float = float("-inf")
+    objective_s: float = OBJECTIVE_S
+    pause_s: float = PAUSE_S
 
 
 @attrs.define
@@ -115,6 +122,31 @@
         start_s = capacity.start_s(slots, slots, now)
         return start_s + events * capacity.gap_s(slots, slots, now)
 
+    def note_routes(self, routes: Iterable[Route]) -> None:
+        """Takes the objectives of streams from the routes in force."""
+        streams = [route for route in routes if route.kind is RouteKind.STREAMING]
+        for name in {name for route in streams for name in route.services}:
+            own = [route for route in streams if name in route.services]
+            service = self._service(name)
+            service.objective_s = min(route.objective_s for route in own)
+            gaps_s = [route.event_gap_s for route in own if route.event_gap_s > 0]
+            service.pause_s = min(gaps_s, default=PAUSE_S)
+
+    def max_requests(self, engine: Engine, now: float) -> int:
+        """Returns with how many requests the engine still serves streams in time.
+
+        That is, the first event comes within the objective and no pause is too long. A
+        stream pauses while the engine begins another request.
+        """
+        capacity, slots = self.of(engine), engine.slots
+        service = self._service(engine.record.service)
+        for count in range(slots, 0, -1):
+            start_s = capacity.start_s(count, slots, now)
+            pause_s = start_s + capacity.gap_s(count, slots, now)
+            if start_s <= service.objective_s and pause_s <= service.pause_s:
+                return count
+        return 0
+
     def _service(self, name: str) -> _Service:
         return self._services.setdefault(name, _Service())
 
--- a/src/pomeloshift/dispatch/_capacity_model.py
+++ b/src/pomeloshift/dispatch/_capacity_model.py
@@ -19,3 +19,6 @@
 
     def hold_s(self, engine: Engine, now: float) -> float:
         """Returns how long a request occupies a slot of the engine while it is full."""
+
+    def max_requests(self, engine: Engine, now: float) -> int:
+        """Returns with how many requests the engine still serves streams in time."""
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -56,7 +56,7 @@
         self._is_batch = is_batch
         self._sent_at = access.now()
         self._is_counted = True
-        self._measured = access.capacity.begin(engine, self._sent_at)
+        self._measured = access.capacity.begin(engine, self._sent_at, is_batch)
         self._key = engine.begin(self._sent_at, is_batch)
 
     async def next(
@@ -77,6 +77,8 @@
             if self._measured is not None:
                 self._measured.note_data(event.data, now)
         else:
+            if self._measured is not None and isinstance(event, ResponseEnd):
+                self._measured.complete()
             self._end()
         return event
 
--- a/src/pomeloshift/gateway/_engine_capacity.py
+++ b/src/pomeloshift/gateway/_engine_capacity.py
@@ -23,7 +23,9 @@
         if load.slowdown is not None and self.table.is_enabled:
             self.table.note_slowdown(engine, load.slowdown, now)
 
-    def begin(self, engine: Engine, now: float) -> "MeasuredRun | None":
+    def begin(
+        self, engine: Engine, now: float, is_batch: bool = False
+    ) -> "MeasuredRun | None":
         """Returns the measurement of a request that is sent to an engine now.
 
         None where the work of the engine's service is not placed by learned times.
@@ -35,7 +37,8 @@
         expected_s = wait_s + self.table.start_s(engine, now)
         capacity = self.table.of(engine)
         key = capacity.begin(expected_s, now)
-        return MeasuredRun(engine, capacity, key, now, wait_s, expected_s)
+        table = None if is_batch else self.table
+        return MeasuredRun(engine, capacity, key, now, wait_s, expected_s, table)
 
 
 @attrs.define
@@ -52,6 +55,7 @@
     _sent_at: float
     wait_s: float
     expected_s: float
+    _online_table: CapacityTable | None = None
     started_s: float | None = None
     events: int = 0
     is_paused: bool = False
@@ -81,6 +85,11 @@
             if self._gap_events >= PACE_EVENTS:
                 self._note_pace(now)
 
+    def complete(self) -> None:
+        """Records that the response is complete."""
+        if self._online_table is not None and self.events > 0:
+            self._online_table.note_events(self.engine.record.service, self.events - 1)
+
     def end(self) -> None:
         """Records that the request is over."""
         self.capacity.end(self._key)
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -215,7 +215,7 @@
             cleaner,
             ownership,
             item_routes,
-            BatchSlots(settings.ip, self.peers.loads),
+            BatchSlots(settings.ip, self.peers.loads, learned=capacity.table),
             self.crashes,
             events,
         )
@@ -461,6 +461,7 @@
         )
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
+        self.capacity.table.note_routes(config.routes)
 
 
 def _listen(listener: HttpListener, address: str) -> str:
--- a/src/pomeloshift/jobs/_batch_slots.py
+++ b/src/pomeloshift/jobs/_batch_slots.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from ..dispatch import Engine, PeerLoads
+from ..dispatch import CapacityModel, Engine, PeerLoads
 
 # Window over which the peak of concurrent online requests is taken: about half as long
 # as a request holds its slot, so that a slot is not returned to batch work between two
@@ -46,12 +46,14 @@
     """Decides how many batch items each engine can run beside online requests.
 
     ``name`` is this entry's name, and ``loads`` holds the counts that peers report.
+    ``learned`` knows how many requests an engine can run without making streams late.
     """
 
     name: str
     loads: PeerLoads
     _recent: dict[str, _Recent] = attrs.field(factory=dict)
     _preempted_at: dict[str, float] = attrs.field(factory=dict)
+    learned: CapacityModel | None = None
 
     def observe(self, engines: list[Engine], now: float) -> None:
         """Records how many online requests are at each engine; called on each poll."""
@@ -69,7 +71,19 @@
         peak = self.peak(engine)
         batch = engine.batch + engine.peers.batch
         held = max(engine.occupancy(now), peak + batch)
-        return max(0, int(engine.slots - held))
+        return max(0, int(self._usable_slots(engine, now) - held))
+
+    def _usable_slots(self, engine: Engine, now: float) -> int:
+        """Returns how many slots batch items may fill where online requests leave them.
+
+        An engine that cannot use all its slots in time keeps one for online requests,
+        but one item shows how fast a cold or slow engine has become.
+        """
+        learned = self.learned
+        if learned is None or not learned.is_active(engine.record.service, now):
+            return engine.slots
+        count = learned.max_requests(engine, now)
+        return engine.slots if count >= engine.slots else max(1, count - 1)
 
     def items_to_preempt(self, engine: Engine, now: float) -> int:
         """Returns how many of this entry's items to preempt.
--- a/tests/_capacity_fleet.py
+++ b/tests/_capacity_fleet.py
@@ -194,6 +194,7 @@
         if not request.left:
             engine.end(request.key, is_batch=False)
             if measured is not None:
+                measured.complete()
                 measured.end()
             request.gateway.capacity.placement.note_hold("lm", now - request.first_at)
             first_s = request.first_at - request.arrived_at
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -6,15 +6,18 @@
 import attrs
 import pytest
 
-from _capacity_fleet import CapacityFleet, SimEngine, record
+from _capacity_fleet import ROUTE, CapacityFleet, SimEngine, record
 from pomeloshift.capacity import CapacityTable, LogLine, Slowdown
 from pomeloshift.dispatch import (
     Engine,
     EngineLoad,
+    PeerLoads,
     Placement,
     PlacementConfig,
     RequestCounts,
+    Split,
 )
+from pomeloshift.jobs import BatchSlots
 
 ENGINES = 28
 
@@ -218,3 +221,29 @@
 def test_report_without_the_figure_changes_nothing(table, engine):
     engine.note_load(EngineLoad(1, 0, 8), now=1.0)
     assert not table.is_active("lm", now=1.0)
+
+
+def test_engine_is_given_fewer_items_than_it_serves_in_time(table, engine):
+    slots = BatchSlots("a", PeerLoads(), learned=table)
+    table.note_slowdown(engine, 1.0, now=0.0)
+    measure(table.of(engine), 1.0, 0.0, 5.0)
+    assert table.max_requests(engine, 5.0) == slots.free(engine, 5.0) == 8
+    measure(table.of(engine), 7.0, 5.0, 8.0)
+    count = table.max_requests(engine, 8.0)
+    assert 1 < count < 8
+    assert slots.free(engine, 8.0) == count - 1
+    measure(table.of(engine), 40.0, 8.0, 11.0)
+    assert table.max_requests(engine, 11.0) == 0
+    assert slots.free(engine, 11.0) == 1  # to see when it becomes faster
+    engine.reserve_slot()
+    assert slots.free(engine, 11.0) == 0
+
+
+def test_objectives_of_the_routes_in_force_decide(table, engine):
+    table.note_slowdown(engine, 1.0, now=0.0)
+    measure(table.of(engine), 1.0, 0.0, 5.0)
+    table.note_routes([attrs.evolve(ROUTE, splits=(Split("lm", 1.0),))])
+    assert table.max_requests(engine, 5.0) == 8
+    strict = attrs.evolve(ROUTE, splits=(Split("lm", 1.0),), objective_s=0.03)
+    table.note_routes([strict])
+    assert 0 < table.max_requests(engine, 5.0) < 8
