--- a/src/pomeloshift/capacity/_slowdown.py
+++ b/src/pomeloshift/capacity/_slowdown.py
@@ -43,6 +43,10 @@
         self._mean += mean * (value - self._mean)
         self._at = max(self._at, now)
 
+    def at(self, now: float) -> float:
+        """Returns the expected slowdown, 1 if none was reported."""
+        return math.exp(self.log_at(now))
+
     def log_at(self, now: float) -> float:
         """Returns the logarithm of the expected slowdown, 0 if none was reported."""
         if not self.is_reported:
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -59,6 +59,11 @@
         self._measured = access.capacity.begin(engine, self._sent_at, is_batch)
         self._key = engine.begin(self._sent_at, is_batch)
 
+    @property
+    def expected_s(self) -> float | None:
+        """The expected time to the first event, None where it is not learned."""
+        return self._measured.expected_s if self._measured is not None else None
+
     async def next(
         self, timeout_s: float
     ) -> ResponseHead | Chunk | ResponseEnd | Disconnected:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -68,6 +68,10 @@
         "engine_limit_changed",
         "An engine names another limit of requests a second, or none.",
     ),
+    EventSpec(
+        "engine_speed_changed",
+        "What is learned of an engine's start delay or pace changed by a fifth.",
+    ),
     EventSpec("address_not_published", "Other gateways cannot find this one."),
     EventSpec("peer_ignored", "A gateway's address cannot be read."),
     EventSpec("peer_silent", "No heartbeat of a gateway arrives any more."),
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -38,6 +38,7 @@
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
+from ._capacity_report import CapacityReport
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
 from ._engine_capacity import new_capacity
@@ -59,6 +60,7 @@
 from ._store_relay import StoreRelay
 from ._stream_log import StreamLog
 from ._timing import (
+    CAPACITY_TICK_S,
     CLOSE_MARGIN_S,
     DIRECT_PROBE_S,
     DRAIN_TICK_S,
@@ -133,6 +135,9 @@
             capacity,
         )
         self._access = access
+        self.capacity_report = CapacityReport(
+            capacity.table, self._fleet, events, clock
+        )
         self._blobs = BlobStore(
             self._store,
             self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
@@ -331,6 +336,7 @@
         self._periodic_tasks.repeat(self._engine_list.drop_missing, DROP_MISSING_TICK_S)
         self._periodic_tasks.repeat(self.members.update_members, MEMBERS_TICK_S)
         self._periodic_tasks.repeat(self._store_link.probe, DIRECT_PROBE_S)
+        self._periodic_tasks.repeat(self.capacity_report.tick, CAPACITY_TICK_S)
         self.batch_loop.start(self._periodic_tasks)
         self._events.info(
             "started",
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -1,9 +1,11 @@
 """The metrics of a gateway."""
 
 import math
+from collections.abc import Iterable
 from typing import Any
 
 from ..metrics import Metrics, collect_process
+from ._learned_engine import LearnedEngine
 
 
 class GatewayMetrics:
@@ -42,6 +44,20 @@
             "gateway_store_call_seconds", took_s, call=call, outcome=outcome
         )
 
+    def _set_learned(self, engines: Iterable[LearnedEngine]) -> None:
+        """Sets what is learned of engines; those that have left lose their gauges."""
+        metrics = self._metrics
+        names = ("requests", "evidence", "start_seconds", "gap_seconds", "age_seconds")
+        for name in names:
+            metrics.clear(f"gateway_learned_{name}")
+        for one in engines:
+            engine = one.engine
+            metrics.set("gateway_learned_start_seconds", one.start_s, engine=engine)
+            metrics.set("gateway_learned_gap_seconds", one.gap_s, engine=engine)
+            metrics.set("gateway_learned_requests", one.requests, engine=engine)
+            metrics.set("gateway_learned_evidence", one.evidence, engine=engine)
+            metrics.set("gateway_learned_age_seconds", one.age_s, engine=engine)
+
     def render(self, gateway: Any) -> bytes:
         """Returns the body of the response to a scrape."""
         metrics = self._metrics
@@ -61,6 +77,7 @@
         metrics.set("gateway_job_log_age_seconds", age_s if age_s < math.inf else -1)
         for state, count in gateway.count_engines().items():
             metrics.set("gateway_engines", count, state=state)
+        self._set_learned(gateway.capacity_report.learned())
         metrics.advance("gateway_log_lines_dropped_total", gateway.lines_dropped)
         collect_process(metrics)
         body, _ = metrics.render()
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -200,6 +200,7 @@
             run=self.plan.runs,
             remaining_s=remaining_s,
             occupancy=engine.occupancy(self.access.now()),
+            expected_s=run.expected_s,
             load_age_s=engine.load_age(self.access.now()),
             resume_from=self.relay.resume_from,
             resumes=self.req.resumes,
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -37,6 +37,8 @@
 MIN_WAIT_S = 0.005
 # How many events of a response make a sample of its engine's pace: some in a short one.
 PACE_EVENTS = 6
+# Interval at which changed estimates of engines' speeds are logged.
+CAPACITY_TICK_S = 1.0
 # Time-out for the first event, as a multiple of the latency objective, after which an
 # idempotent request is retried on another engine.
 FIRST_EVENT_OBJECTIVES = 2.0
--- a/src/pomeloshift/metrics/_metrics.py
+++ b/src/pomeloshift/metrics/_metrics.py
@@ -45,6 +45,13 @@
         collector, given = self._find(metric, MetricKind.GAUGE, labels)
         collector.set(given, value)
 
+    def clear(self, metric: str) -> None:
+        """Removes all values of a gauge, whatever their labels."""
+        spec = self._spec(metric)
+        if spec.kind is not MetricKind.GAUGE:
+            raise MetricError(f"{metric} is a {spec.kind.value}")
+        self._collectors[metric].values.clear()
+
     def observe(self, metric: str, value: float, **labels: str) -> None:
         """Adds an observation to a histogram."""
         collector, given = self._find(metric, MetricKind.HISTOGRAM, labels)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -247,3 +247,30 @@
     strict = attrs.evolve(ROUTE, splits=(Split("lm", 1.0),), objective_s=0.03)
     table.note_routes([strict])
     assert 0 < table.max_requests(engine, 5.0) < 8
+
+
+def test_changed_speed_is_logged_once_and_measured(play):
+    async def scenario(deployment):
+        deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        (engine,) = gateway.capacity_report.fleet.engines.values()
+        table, report = gateway.capacity.table, gateway.capacity_report
+        table.note_slowdown(engine, 1.0, deployment.reactor.seconds())
+        for slowdown in (1.0, 1.0, 3.0):
+            for _ in range(20):
+                now = deployment.reactor.seconds()
+                table.note_slowdown(engine, slowdown, now)
+            report.tick()
+        decisions = gateway._metrics._metrics.get(
+            "gateway_decisions_total", event="engine_speed_changed"
+        )
+        before = gateway._metrics.render(gateway)
+        report.fleet.engines.clear()
+        report.tick()
+        return decisions, before, gateway._metrics.render(gateway), table.engines
+
+    decisions, before, after, engines = play(scenario)
+    assert decisions == 2
+    assert b'gateway_learned_start_seconds{engine="' in before
+    assert b'gateway_learned_start_seconds{engine="' not in after
+    assert engines == {}
