--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -1,6 +1,5 @@
 """Sends requests to engines and counts them in the fleet."""
 
-import math
 from collections.abc import Callable
 from random import Random
 from typing import Any
@@ -36,6 +35,7 @@
     report_request,
     says_leaving,
 )
+from ._engine_capacity import LearnedCapacity
 from ._events import EventLog
 from ._sleep import sleep
 from ._timing import AVOID_FAILED_S, AVOID_FULL_S, MAX_REPORT_BYTES, PROBE_TIMEOUT_S
@@ -55,8 +55,14 @@
         self._call = call
         self._is_batch = is_batch
         self._sent_at = access.now()
-        self._key = engine.begin(self._sent_at, is_batch)
         self._is_counted = True
+        self._measured = access.capacity.begin(engine, self._sent_at, is_batch)
+        self._key = engine.begin(self._sent_at, is_batch)
+
+    @property
+    def expected_s(self) -> float | None:
+        """The expected time to the first event, None where it is not learned."""
+        return self._measured.expected_s if self._measured is not None else None
 
     async def next(
         self, timeout_s: float
@@ -69,14 +75,22 @@
         if isinstance(event, ResponseHead):
             self.engine.on_bytes(self._key, self._access.now())
             self._access.note_head(self.engine, event, self._sent_at)
+            if self._measured is not None:
+                self._measured.note_head(event)
         elif isinstance(event, Chunk):
-            self.engine.last_byte_at = self._access.now()
+            now = self.engine.last_byte_at = self._access.now()
+            if self._measured is not None:
+                self._measured.note_data(event.data, now)
         else:
+            if self._measured is not None and isinstance(event, ResponseEnd):
+                self._measured.complete()
             self._end()
         return event
 
     def pause(self, is_paused: bool) -> None:
         """Pauses or resumes reading from the engine."""
+        if self._measured is not None:
+            self._measured.is_paused = is_paused
         if is_paused:
             self._call.pause()
         else:
@@ -91,6 +105,8 @@
         if self._is_counted:
             self._is_counted = False
             self.engine.end(self._key, self._is_batch)
+            if self._measured is not None:
+                self._measured.end()
 
 
 @attrs.define
@@ -109,6 +125,7 @@
     events: EventLog
     _clock: Any
     _reactor: Any
+    capacity: LearnedCapacity
 
     def now(self) -> float:
         """Returns the monotonic time in seconds."""
@@ -124,18 +141,6 @@
         hold_s = self.placement.hold_s(service)
         return hold_s * self.count_gateways() / max(1, slots)
 
-    def count_engines(self) -> dict[str, int]:
-        """Returns the number of engines by state: serving, draining or avoided."""
-        counts = {"serving": 0, "draining": 0, "avoided": 0}
-        for engine in self.fleet.engines.values():
-            if not engine.is_serving:
-                counts["draining"] += 1
-            elif self.placement.is_healthy(engine, self.now()):
-                counts["serving"] += 1
-            else:
-                counts["avoided"] += 1
-        return counts
-
     async def send(
         self, engine: Engine, head: RequestHead, body: bytes, is_batch: bool
     ) -> EngineRun:
@@ -155,10 +160,6 @@
             return 0.0
         return engine.limit.wait_s(self.rank_at(engine), self.now())
 
-    def least_limit_wait_s(self, engines: list[Engine]) -> float:
-        """Returns the seconds until the limit of an engine allows a request."""
-        return min(map(self.limit_wait_s, engines), default=math.inf)
-
     def charge_limit(self, engine: Engine) -> None:
         """Records that a request is sent to an engine, if it names a limit."""
         if engine.limit is not None:
@@ -178,6 +179,7 @@
         load = decode_load_header(head.headers)
         if load is not None:
             engine.note_load(load, now)
+            self.capacity.note_load(engine, load, now)
         if head.status == MISDIRECTED or not (is_stamped(head) or proves_not_run(head)):
             # Of another engine at the same address, or of none.
             return
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -8,10 +8,9 @@
 
 from ..dispatch import (
     ConfigHolder,
+    EngineRecord,
     Fleet,
     OnlineAdmission,
-    Placement,
-    PlacementConfig,
     RetryAfter,
     ServingConfig,
     StorePath,
@@ -37,9 +36,11 @@
 from ._batch_api import BatchApi
 from ._batch_loop import BatchLoop
 from ._blob_store import BlobStore
+from ._capacity_report import CapacityReport
 from ._config_reader import ConfigReader
 from ._crash_log import CrashLog
 from ._engine_access import EngineAccess
+from ._engine_capacity import new_capacity
 from ._engine_list import EngineList
 from ._events import EventLog
 from ._item_writer import ItemWriter
@@ -58,6 +59,7 @@
 from ._store_relay import StoreRelay
 from ._stream_log import StreamLog
 from ._timing import (
+    CAPACITY_TICK_S,
     CLOSE_MARGIN_S,
     DIRECT_PROBE_S,
     DRAIN_TICK_S,
@@ -118,12 +120,10 @@
         self._store.on_call = self._metrics.observe_store_call
         self._relay = StoreRelay(settings.store.address, client, reactor, clock)
         ownership = Ownership(settings.ip)
-        placement = Placement(
-            settings.zone, settings.regions, PlacementConfig(), random
-        )
+        self.capacity = capacity = new_capacity(settings, random)
         access = EngineAccess(
             self._fleet,
-            placement,
+            capacity.placement,
             RetryAfter(random),
             OnlineAdmission(),
             lambda: 1 + len(self.peers.loads.states),
@@ -134,8 +134,12 @@
             events,
             clock,
             reactor,
+            capacity,
         )
         self._access = access
+        self.capacity_report = CapacityReport(
+            capacity.table, self._fleet, events, clock
+        )
         self._blobs = BlobStore(
             self._store,
             self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
@@ -218,7 +222,7 @@
             cleaner,
             ownership,
             item_routes,
-            BatchSlots(settings.ip, self.peers.loads),
+            BatchSlots(settings.ip, self.peers.loads, learned=capacity.table),
             self.crashes,
             events,
         )
@@ -237,12 +241,7 @@
             clock,
         )
         self.workspaces.attach(self.online, self._batch_api, self.batch_loop)
-        self._engine_list = EngineList(
-            self._fleet,
-            events,
-            clock,
-            lambda record: self.streams.note_engine(record.software),
-        )
+        self._engine_list = EngineList(self._fleet, events, clock, self._note_engine)
         self._engine_follower = self._follow(
             ENGINES_TOPIC, self._engine_list.handlers()
         )
@@ -300,6 +299,10 @@
         is_read = self._engine_follower.is_synced
         return is_read and not self._fleet.is_store_unavailable
 
+    def _note_engine(self, record: EngineRecord) -> None:
+        self.capacity.table.note_record(record, self._clock.monotonic())
+        self.streams.note_engine(record.software)
+
     def _note_doubt(self, request_id: str, address: str) -> None:
         self._events.info("response_doubted", id=request_id, address=address)
 
@@ -359,6 +362,7 @@
         self._periodic_tasks.repeat(self._engine_list.drop_missing, DROP_MISSING_TICK_S)
         self._periodic_tasks.repeat(self.members.update_members, MEMBERS_TICK_S)
         self._periodic_tasks.repeat(self._store_link.probe, DIRECT_PROBE_S)
+        self._periodic_tasks.repeat(self.capacity_report.tick, CAPACITY_TICK_S)
         self.batch_loop.start(self._periodic_tasks)
         self.workspaces.start(self._periodic_tasks)
         self._events.info(
@@ -464,7 +468,8 @@
 
     def count_engines(self) -> dict[str, int]:
         """Returns the number of engines by state: serving, draining or avoided."""
-        return self._access.count_engines()
+        engines = self._fleet.engines.values()
+        return self.capacity.placement.count_states(engines, self._clock.monotonic())
 
     def _respond_scrape(self, exchange: Exchange) -> None:
         headers = [(b"Content-Type", b"text/plain; version=0.0.4")]
@@ -476,3 +481,4 @@
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
         self.rates.apply_config(config)
+        self.capacity.table.note_routes(config.routes)
--- a/tests/test_cores_are_pure.py
+++ b/tests/test_cores_are_pure.py
@@ -13,6 +13,7 @@
     "appends",
     "attempts",
     "batch",
+    "capacity",
     "config",
     "dispatch",
     "errors",
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -184,8 +184,11 @@
     """Guards against jobs that are lost when the records get a field."""
     record = JobSubmitted("j1", "q", "h", "/p", 1.0, [])
     fields = msgspec.msgpack.decode(encode_record(record))
-    assert fields[-1] == ""
-    assert decode_record(msgspec.msgpack.encode(fields[:-1])) == record
+    # The workspace and the cap are the last two fields.
+    assert fields[-2:] == ["", 0]
+    for missing in (1, 2):
+        earlier = msgspec.msgpack.encode(fields[:-missing])
+        assert decode_record(earlier) == record
 
 
 def test_callers_may_use_the_jobs_of_their_workspace_and_of_none():
