Poll for the lease only where the configuration has workspaces

Cause: with strict revocation set, a deployment without workspaces also got shorter polls and additional reads.

Change: the poll's length follows the configuration in force.

Tests: tests/test_lease_renewal.py covers a configuration without workspaces; it, the follower's, the gateway's tests of workspaces and those of processes pass.

--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -68,7 +68,6 @@
     METRICS_PORT,
     PEER_REFRESH_S,
     PEER_TICK_S,
-    POLL_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
 )
@@ -223,9 +222,7 @@
         )
         lease = ConfigLease(settings.revocation_s)
         reader = ConfigReader(self.config, lease.confirm, self._apply_config, events)
-        self._config_follower = self._follow(
-            CONFIG_TOPIC, reader.handlers(), min(POLL_S, lease.poll_s)
-        )
+        self._config_follower = self._follow(CONFIG_TOPIC, reader.handlers())
         self.workspaces = WorkspaceAccess(
             self.config,
             KeyCheck(lease),
@@ -322,18 +319,9 @@
             or self.streams.has_unwritten
         )
 
-    def _follow(
-        self, topic: str, handlers: TopicHandlers, poll_s: float = POLL_S
-    ) -> TopicFollower:
+    def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
         return TopicFollower(
-            topic,
-            0,
-            self._store,
-            self._reactor,
-            self._clock,
-            self._events,
-            handlers,
-            poll_s=poll_s,
+            topic, 0, self._store, self._reactor, self._clock, self._events, handlers
         )
 
     async def start(self) -> None:
@@ -471,6 +459,7 @@
     def _apply_config(self, config: ServingConfig) -> None:
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
+        self.workspaces.apply_config(config)
 
 
 def _listen(listener: HttpListener, address: str) -> str:
--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -61,7 +61,7 @@
 
 
 class TopicFollower:
-    """Reads the records of a partition in order with long polls."""
+    """Reads the records of a partition in order with long polls of ``poll_s``."""
 
     def __init__(
         self,
@@ -83,7 +83,7 @@
         self._events = events
         self._handlers = handlers
         self._read_gap_s = read_gap_s
-        self._poll_s = poll_s
+        self.poll_s = poll_s
         self._offset: int | None = None
         self._is_reachable = True
         self._failures = 0
@@ -186,7 +186,7 @@
             return
         # A read that does not wait for records shows at once whether the store is
         # available again.
-        wait_s = self._poll_s if self._is_reachable else 0.0
+        wait_s = self.poll_s if self._is_reachable else 0.0
         offset, requested_at = self._offset, self._request_time()
         page = await self._store.read(self.topic, self.partition, offset, wait_s)
         if self._apply(offset, page) and page.next_offset >= page.end:
--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -16,7 +16,7 @@
 from ._batch_loop import BatchLoop
 from ._events import EventLog
 from ._online_service import OnlineService
-from ._timing import CONFIG_MAX_AGE_S, LEASE_TICK_S
+from ._timing import CONFIG_MAX_AGE_S, LEASE_TICK_S, POLL_S
 from ._topic_follower import TopicFollower
 
 
@@ -52,6 +52,11 @@
         if self.check.lease.revocation_s is not None:
             periodic_tasks.repeat(self.tick, LEASE_TICK_S)
 
+    def apply_config(self, config: ServingConfig) -> None:
+        """Polls often enough for the lease where callers have workspaces."""
+        poll_s = min(POLL_S, self.check.lease.poll_s)
+        self.follower.poll_s = poll_s if config.has_workspaces else POLL_S
+
     @property
     def lease_age_s(self) -> float:
         """The seconds since the configuration was confirmed, infinity if never."""
@@ -80,9 +85,11 @@
 
     def may_start(self) -> bool:
         """Whether jobs may be accepted and items started, and the gateway is ready."""
-        config = self.config.current
-        has_workspaces = config is not None and config.has_workspaces
-        return not has_workspaces or self.check.lease.is_valid(self._now())
+        return not self._has_workspaces or self.check.lease.is_valid(self._now())
+
+    @property
+    def _has_workspaces(self) -> bool:
+        return self.config.current is not None and self.config.current.has_workspaces
 
     async def read_since(self, current_since: float) -> None:
         """Reads the configuration to its end, not earlier than at ``current_since``.
@@ -109,6 +116,8 @@
 
     def tick(self) -> None:
         """Reads the configuration through another path if the lease becomes old."""
+        if not self._has_workspaces:
+            return
         now = self._now()
         lease = self.check.lease
         self._note_validity(lease.is_valid(now))
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -5,6 +5,7 @@
 from urllib.parse import parse_qs, urlsplit
 
 import attrs
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 from twisted.internet.defer import Deferred
@@ -80,7 +81,7 @@
 class VirtualGateway:
     """What keeps the lease at one gateway."""
 
-    def __init__(self, revocation_s=REVOCATION_S, relays=3, **faults):
+    def __init__(self, revocation_s=REVOCATION_S, relays=3, names=("north",), **faults):
         self.reactor = reactor = BootClock()
         self.network = Network(reactor, **faults)
         random, events = Random(1), EventLog(reactor, GatewayMetrics("n"))
@@ -91,7 +92,7 @@
         StoreLink(store, STORE, path, self.list_relays, events, reactor).attach()
         self.lease = ConfigLease(revocation_s)
         config = ConfigHolder()
-        config.offer(ServingConfig(1, (), workspaces=(Workspace("north"),)))
+        config.offer(ServingConfig(1, (), workspaces=tuple(map(Workspace, names))))
         reader = ConfigReader(config, self.lease.confirm, lambda config: None, events)
         self.follower = TopicFollower(
             CONFIG_TOPIC,
@@ -101,7 +102,6 @@
             reactor,
             events,
             reader.handlers(),
-            poll_s=min(POLL_S, self.lease.poll_s),
         )
         self.access = WorkspaceAccess(
             config,
@@ -112,6 +112,7 @@
             events,
             reactor,
         )
+        self.access.apply_config(config.current)
         self.follower.start()
         self.tasks = PeriodicTasks(reactor)
         self.access.start(self.tasks)
@@ -161,8 +162,9 @@
     assert gateway.network.calls / 100.0 * GATEWAYS <= READS_PER_S / 100
 
 
-def test_without_strict_revocation_reads_stay_as_they_are():
-    gateway = VirtualGateway(revocation_s=None)
+@pytest.mark.parametrize("changes", [{"revocation_s": None}, {"names": ()}])
+def test_without_strict_revocation_or_workspaces_reads_stay_as_they_are(changes):
+    gateway = VirtualGateway(**changes)
     assert gateway.run(until=100.0) == []
     assert gateway.network.calls <= 100.0 / POLL_S + 2
 
