--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -70,7 +70,6 @@
     METRICS_PORT,
     PEER_REFRESH_S,
     PEER_TICK_S,
-    POLL_S,
     RESERVED_DESCRIPTORS,
     SIDE_CONNECTIONS,
 )
@@ -228,9 +227,7 @@
         )
         lease = ConfigLease(settings.revocation_s)
         reader = ConfigReader(self.config, lease.confirm, self._apply_config, events)
-        self._config_follower = self._follow(
-            CONFIG_TOPIC, reader.handlers(), min(POLL_S, lease.poll_s)
-        )
+        self._config_follower = self._follow(CONFIG_TOPIC, reader.handlers())
         self.workspaces = WorkspaceAccess(
             self.config,
             KeyCheck(lease),
@@ -330,18 +327,9 @@
             or self.streams.has_unwritten
         )
 
-    def _follow(
-        self, topic: str, handlers: TopicHandlers, poll_s: float = POLL_S
-    ) -> TopicFollower:
+    def _follow(self, topic: str, handlers: TopicHandlers) -> TopicFollower:
         return TopicFollower(
-            topic,
-            0,
-            self._store,
-            self._reactor,
-            self._clock,
-            self._events,
-            handlers,
-            poll_s=poll_s,
+            topic, 0, self._store, self._reactor, self._clock, self._events, handlers
         )
 
     async def start(self) -> None:
@@ -482,3 +470,4 @@
         self.streams.apply_config(config)
         self.rates.apply_config(config)
         self.capacity.table.note_routes(config.routes)
+        self.workspaces.apply_config(config)
