Keep requests within the memory of engines

An engine crashes if the tokens of its requests, also the waiting ones, exceed its memory, and slots alone do not bound them.

Where the configuration states engine_tokens, a request is sent only where it stays within 90% of that, and a batch item within 70%. A gateway counts its own requests by their tokens, and those of others by the mean of its own. A request that fits no engine gets 503 at once and is logged as memory_full; it has not run. Without engine_tokens nothing changes.

--- a/src/pomeloshift/capacity/__init__.py
+++ b/src/pomeloshift/capacity/__init__.py
@@ -5,6 +5,7 @@
 
 from ._capacity_table import CapacityTable
 from ._engine_capacity import EngineCapacity
+from ._engine_memory import EngineMemory
 from ._log_line import LogLine
 from ._service_curve import ServiceCurve
 from ._slowdown import Slowdown
@@ -12,6 +13,7 @@
 __all__ = [
     "CapacityTable",
     "EngineCapacity",
+    "EngineMemory",
     "LogLine",
     "ServiceCurve",
     "Slowdown",
--- a/src/pomeloshift/dispatch/_engine.py
+++ b/src/pomeloshift/dispatch/_engine.py
@@ -25,7 +25,8 @@
     it is about to exit. ``may_have_restarted`` is set once a crash of this incarnation
     is known, until a report names the one that runs: ``reported_incarnation``, which
     is None while that of the record is current. ``limit`` paces the requests of all
-    entries while the engine names a limit.
+    entries while the engine names a limit. ``tokens`` sums the tokens of this entry's
+    own requests.
     """
 
     record: EngineRecord
@@ -46,6 +47,7 @@
     _known_at_report: int = 0
     _unanswered: dict[int, float] = attrs.field(factory=dict)
     _next_key: int = 0
+    tokens: int = 0
 
     @property
     def incarnation(self) -> int:
@@ -177,13 +179,15 @@
         self._unanswered[self._next_key] = now
         return self._next_key
 
-    def reserve_slot(self) -> None:
+    def reserve_slot(self, tokens: int = 0) -> None:
         """Counts a batch item that was chosen for the engine, before it is sent."""
         self.batch += 1
+        self.tokens += tokens
 
-    def release_slot(self) -> None:
+    def release_slot(self, tokens: int = 0) -> None:
         """Uncounts a batch item that is no longer at the engine."""
         self.batch -= 1
+        self.tokens -= tokens
 
     def on_bytes(self, key: int, now: float) -> None:
         """Records that bytes of a request's response arrived."""
--- a/src/pomeloshift/gateway/_batch_loop.py
+++ b/src/pomeloshift/gateway/_batch_loop.py
@@ -165,7 +165,7 @@
         for work in trials.without_held(pending):
             route = self.routes.of(work.job, work.index)
             service = self._pick_service(route)
-            fitting = [e for e in open_engines if e.record.service == service]
+            fitting = self.access.capacity.fitting(open_engines, service, work.tokens)
             if route is None or not fitting:
                 if not work.is_late and not has_preempted:
                     has_preempted = True
@@ -360,7 +360,7 @@
             event_id=work.job.events_done.get(work.index, 0),
         )
         self.queue.running.add(key)
-        engine.reserve_slot()
+        self.access.capacity.take_item(engine, work.tokens)
         self.access.charge_limit(engine)
         self._runs[key] = run
         self._tasks[key] = spawn(self._run(key, run, route))
@@ -387,7 +387,7 @@
             self.queue.defer(key, self.access.now() + ITEM_STORE_RETRY_S)
             return
         finally:
-            run.engine.release_slot()
+            run.engine.release_slot(run.work.tokens)
             self._runs.pop(key, None)
             self._tasks.pop(key, None)
             self.queue.running.discard(key)
--- a/src/pomeloshift/gateway/_engine_access.py
+++ b/src/pomeloshift/gateway/_engine_access.py
@@ -48,7 +48,12 @@
     """One request that runs at one engine, and its response."""
 
     def __init__(
-        self, access: "EngineAccess", engine: Engine, call: Call, is_batch: bool
+        self,
+        access: "EngineAccess",
+        engine: Engine,
+        call: Call,
+        is_batch: bool,
+        tokens: int = 0,
     ) -> None:
         self.engine = engine
         self._access = access
@@ -56,6 +61,9 @@
         self._is_batch = is_batch
         self._sent_at = access.now()
         self._is_counted = True
+        # A batch item's tokens were counted when it was chosen.
+        self._tokens = tokens
+        engine.tokens += tokens
         self._measured = access.capacity.begin(engine, self._sent_at, is_batch)
         self._key = engine.begin(self._sent_at, is_batch)
 
@@ -105,6 +113,7 @@
         if self._is_counted:
             self._is_counted = False
             self.engine.end(self._key, self._is_batch)
+            self.engine.tokens -= self._tokens
             if self._measured is not None:
                 self._measured.end()
 
@@ -142,7 +151,12 @@
         return hold_s * self.count_gateways() / max(1, slots)
 
     async def send(
-        self, engine: Engine, head: RequestHead, body: bytes, is_batch: bool
+        self,
+        engine: Engine,
+        head: RequestHead,
+        body: bytes,
+        is_batch: bool,
+        tokens: int = 0,
     ) -> EngineRun:
         """Sends a request; raises `ConnectError` if nothing was sent.
 
@@ -152,7 +166,7 @@
             self.charge_limit(engine)
         address = engine.record.address
         call = await self.pool.send(address, head, body, report_request(address))
-        return EngineRun(self, engine, call, is_batch)
+        return EngineRun(self, engine, call, is_batch, tokens)
 
     def limit_wait_s(self, engine: Engine) -> float:
         """Returns the seconds until the engine's limit allows a request."""
--- a/src/pomeloshift/gateway/_engine_capacity.py
+++ b/src/pomeloshift/gateway/_engine_capacity.py
@@ -4,8 +4,15 @@
 
 import attrs
 
-from ..capacity import CapacityTable, EngineCapacity
-from ..dispatch import EVENT_STREAM, Engine, EngineLoad, Placement, PlacementConfig
+from ..capacity import CapacityTable, EngineCapacity, EngineMemory
+from ..dispatch import (
+    EVENT_STREAM,
+    Engine,
+    EngineLoad,
+    Placement,
+    PlacementConfig,
+    ServingConfig,
+)
 from ..http1 import ResponseHead
 from ..platform import PlatformSettings
 from ._timing import PACE_EVENTS
@@ -17,6 +24,28 @@
 
     table: CapacityTable
     placement: Placement
+    memory: EngineMemory = attrs.field(factory=EngineMemory)
+
+    def apply_config(self, config: ServingConfig) -> None:
+        """Takes the objectives of routes and the memory of engines."""
+        self.table.note_routes(config.routes)
+        self.memory.note_services(config.services if self.table.is_enabled else ())
+
+    def fitting(
+        self, engines: list[Engine], service: str | None, tokens: int
+    ) -> list[Engine]:
+        """Returns the engines of a service that have memory for a batch item."""
+        return [
+            engine
+            for engine in engines
+            if engine.record.service == service
+            and self.memory.has_room(engine, tokens, is_batch=True)
+        ]
+
+    def take_item(self, engine: Engine, tokens: int) -> None:
+        """Counts a batch item that was chosen for an engine."""
+        engine.reserve_slot(tokens)
+        self.memory.note_request(tokens, is_batch=True)
 
     def note_load(self, engine: Engine, load: EngineLoad, now: float) -> None:
         """Records the slowdown in a load, if the engine reports one."""
--- a/src/pomeloshift/gateway/_engine_choice.py
+++ b/src/pomeloshift/gateway/_engine_choice.py
@@ -29,6 +29,17 @@
     route: Route
     plan: AttemptPlan
     wait_s: float = 0.0
+    _tokens: int | None = None
+
+    @property
+    def tokens(self) -> int:
+        """The tokens that the request takes at an engine, also if it states none."""
+        if self._tokens is None:
+            memory = self.access.capacity.memory
+            if self.req.tokens is not None:
+                memory.note_request(self.req.tokens, is_batch=False)
+            self._tokens = memory.usual_tokens(self.req.tokens, is_batch=False)
+        return self._tokens
 
     @property
     def is_take_up(self) -> bool:
@@ -68,7 +79,11 @@
     def choose(self, engines: list[Engine], now: float) -> Engine | None:
         """Returns the engine with the least cost whose limit allows the request."""
         open_engines = [e for e in engines if self.access.limit_wait_s(e) <= 0]
-        return self.access.placement.choose(open_engines, now)
+        with_room = [e for e in open_engines if self._has_room(e)]
+        return self.access.placement.choose(with_room, now)
+
+    def _has_room(self, engine: Engine) -> bool:
+        return self.access.capacity.memory.has_room(engine, self.tokens)
 
     def limit_wait_s(self, engines: list[Engine]) -> float:
         """Returns the seconds until the limit of an engine allows the request."""
@@ -84,8 +99,12 @@
         """Whether an engine's limit allows the request before it is too late.
 
         That is the latency objective; a request that may have run has until its caller
-        would give up on it.
+        would give up on it. A new request does not wait for an engine's memory.
         """
+        if not self._is_resume and not any(map(self._has_room, engines)):
+            if engines:
+                self.events.info("memory_full", id=self.req.id, tokens=self.tokens)
+            return False
         wait_s = self.limit_wait_s(engines)
         elapsed_s = now - self.exchange.arrived_at
         if self._is_resume:
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -88,6 +88,7 @@
     ),
     EventSpec("would_be_late", "No engine can start it within its objective."),
     EventSpec("limits_reached", "No engine's limit allows it within its objective."),
+    EventSpec("memory_full", "No engine has memory for the request's tokens."),
     EventSpec("attempt_sent", "A request was written to an engine."),
     EventSpec(
         "attempt_refused",
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -467,7 +467,7 @@
         )
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
-        self.capacity.table.note_routes(config.routes)
+        self.capacity.apply_config(config)
 
 
 def _listen(listener: HttpListener, address: str) -> str:
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -181,7 +181,9 @@
             self.exchange.head, engine_id, remaining_s, self.relay.resume_from
         )
         try:
-            run = await self.access.send(engine, head, self.exchange.body, False)
+            run = await self.access.send(
+                engine, head, self.exchange.body, False, self._choice.tokens
+            )
         except ConnectError as exc:
             self.plan.record_unreachable(engine_id)
             self.access.note_failed(engine, exc.message, self.req.id)
--- a/src/pomeloshift/jobs/_work_queue.py
+++ b/src/pomeloshift/jobs/_work_queue.py
@@ -72,6 +72,11 @@
         """The job's id and the item's position in it."""
         return self.job.id, self.index
 
+    @property
+    def tokens(self) -> int:
+        """The item's prompt tokens and its largest number of output tokens."""
+        return self.job.items[self.index].tokens
+
     def choose(
         self,
         free: dict[str, int],
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -7,7 +7,7 @@
 import pytest
 
 from _capacity_fleet import ROUTE, CapacityFleet, SimEngine, record
-from pomeloshift.capacity import CapacityTable, LogLine, Slowdown
+from pomeloshift.capacity import CapacityTable, EngineMemory, LogLine, Slowdown
 from pomeloshift.dispatch import (
     Engine,
     EngineLoad,
@@ -15,6 +15,7 @@
     Placement,
     PlacementConfig,
     RequestCounts,
+    Service,
     Split,
 )
 from pomeloshift.jobs import BatchSlots
@@ -274,3 +275,49 @@
     assert b'gateway_learned_start_seconds{engine="' in before
     assert b'gateway_learned_start_seconds{engine="' not in after
     assert engines == {}
+
+
+@pytest.fixture
+def memory():
+    memory = EngineMemory()
+    memory.note_services([Service("lm", engine_tokens=10_000)])
+    return memory
+
+
+def test_requests_of_all_gateways_stay_within_the_memory(memory, engine):
+    memory.note_request(1000, is_batch=False)
+    engine.peers = RequestCounts(online=4)
+    engine.reserve_slot(4000)
+    assert memory.has_room(engine, 1000)
+    assert not memory.has_room(engine, 1001)
+    assert not memory.has_room(engine, 1000, is_batch=True)
+    engine.release_slot(4000)
+    assert memory.has_room(engine, 5000)
+    engine.peers = RequestCounts()
+    assert memory.has_room(engine, 10_000)
+    assert not memory.has_room(engine, 10_001)
+
+
+def test_memory_that_is_not_known_bounds_nothing(memory, engine):
+    memory.note_services([Service("lm")])
+    engine.peers = RequestCounts(online=40)
+    assert memory.has_room(engine, 10**9)
+
+
+def test_request_that_fits_no_engine_is_refused_as_not_run(play):
+    """Guards against engines that crash because requests exceed their memory."""
+
+    async def scenario(deployment):
+        engine = deployment.add_engine()
+        gateway = await deployment.add_gateway()
+        gateway.capacity.memory.note_services([Service("lm", engine_tokens=1000)])
+        (known,) = gateway.capacity_report.fleet.engines.values()
+        assert known.record.service == "lm"
+        known.tokens, known.online = 800, 1
+        headers = {"X-Token-Count": "100,24"}
+        full = await deployment.call(gateway, "POST", "/once/a", **headers)
+        known.tokens = 700
+        fits = await deployment.call(gateway, "POST", "/once/a", **headers)
+        return full.status, fits.status, known.tokens, len(engine.requests)
+
+    assert play(scenario) == (503, 200, 700, 1)
