--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -469,5 +469,5 @@
         self._caller_listener.limits = config.limits
         self.streams.apply_config(config)
         self.rates.apply_config(config)
-        self.capacity.table.note_routes(config.routes)
+        self.capacity.apply_config(config)
         self.workspaces.apply_config(config)
