Send large bodies in slices, and show the memory of callers in metrics

Cause: a body sent to an engine was joined twice, with its head and in the transport. Metrics show bytes by kind, the limit, and refusals and closes by reason.

--- a/src/pomeloshift/gateway/_caller_budget.py
+++ b/src/pomeloshift/gateway/_caller_budget.py
@@ -42,7 +42,7 @@
         held = HeldMemory(self, connection)
         account, dropped = self.budget.open(held, CONNECTION_BYTES, self.now())
         if account is None:
-            self.note_refused("connection", held, CONNECTION_BYTES)
+            self.note_refused("connection", CONNECTION_BYTES)
             return None
         held.account = account
         self.drop(dropped, "memory")
@@ -52,7 +52,7 @@
         """Closes the connection with the least progress; False without any."""
         account = self.budget.least(self.now())
         if account is None:
-            self._events.info("caller_refused", why="connections", bytes=0, used=0)
+            self.note_refused("connections", 0)
             return False
         self.budget.close(account)
         self.drop((account,), "connections")
@@ -63,6 +63,7 @@
         now = self.now()
         for account in accounts:
             held: Any = account.owner
+            self._events.metrics.count_caller("dropped", why)
             self._events.info(
                 "caller_dropped",
                 why=why,
@@ -73,8 +74,9 @@
             held.connection.drop()
             held.wake(False)
 
-    def note_refused(self, why: str, held: HeldMemory, size: int) -> None:
+    def note_refused(self, why: str, size: int) -> None:
         """Logs that a request is refused for lack of memory."""
+        self._events.metrics.count_caller("refused", why)
         self._events.info(
             "caller_refused",
             why=why,
@@ -85,6 +87,7 @@
 
     def note_unread(self, unsent: int) -> None:
         """Logs that a caller is disconnected because it does not read."""
+        self._events.metrics.count_caller("cut", "unread")
         self._events.info("caller_unread", unsent=unsent, used=self.budget.used)
 
     def decide_soon(self, delay_s: float = 0.0) -> None:
@@ -106,6 +109,6 @@
             held.granted()
         for account in decisions.refused:
             waiting: Any = account.owner
-            self.note_refused("wait", waiting, 0)
+            self.note_refused("wait", 0)
             waiting.refused()
         self.decide_soon(DECIDE_TICK_S)
--- a/src/pomeloshift/gateway/_held_memory.py
+++ b/src/pomeloshift/gateway/_held_memory.py
@@ -66,7 +66,7 @@
             self.account.note_begun(self._shared.now())
             return Grant.GRANTED
         if not budget.can_ever_fit(self.account.total + size):
-            self._shared.note_refused("size", self, size)
+            self._shared.note_refused("size", size)
             return Grant.REFUSED
         budget.wait(self.account, Kind.BODY, size, self._shared.now())
         self._shared.decide_soon(0.1)
@@ -119,7 +119,7 @@
             return True
         budget = self._shared.budget
         if not budget.can_ever_fit(self.account.total + size):
-            self._shared.note_refused("decoding", self, size)
+            self._shared.note_refused("decoding", size)
             return False
         budget.wait(self.account, Kind.DECODING, size, self._shared.now())
         self._shared.decide_soon(0.1)
@@ -172,7 +172,7 @@
         dropped = shared.budget.reserve(self.account, kind, size, shared.now())
         if dropped is None:
             if is_final:
-                shared.note_refused(kind.value, self, size)
+                shared.note_refused(kind.value, size)
             return False
         shared.drop(dropped, "memory")
         return True
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -42,6 +42,17 @@
             "gateway_store_call_seconds", took_s, call=call, outcome=outcome
         )
 
+    def count_caller(self, outcome: str, why: str) -> None:
+        """Counts a caller that was refused, dropped or cut because of its memory."""
+        self._metrics.inc("gateway_caller_memory_ends_total", outcome=outcome, why=why)
+
+    def _set_memory(self, memory: Any) -> None:
+        metrics = self._metrics
+        limit = memory.policy.limit
+        metrics.set("gateway_caller_memory_limit_bytes", limit)
+        for kind, size in memory.budget.held().items():
+            metrics.set("gateway_caller_memory_bytes", size, kind=kind.value)
+
     def render(self, gateway: Any) -> bytes:
         """Returns the body of the response to a scrape."""
         metrics = self._metrics
@@ -62,6 +73,8 @@
         for state, count in gateway.count_engines().items():
             metrics.set("gateway_engines", count, state=state)
         metrics.advance("gateway_log_lines_dropped_total", gateway.lines_dropped)
+        if gateway.memory is not None:
+            self._set_memory(gateway.memory)
         collect_process(metrics)
         body, _ = metrics.render()
         return body
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -7,6 +7,7 @@
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 
+from ._body_sender import SLICE_BYTES, BodySender
 from ._mailbox import Mailbox
 from ._messages import (
     Chunk,
@@ -102,6 +103,7 @@
         self._call: Call | None = None
         self._head: RequestHead | None = None
         self._body = b""
+        self._sender: BodySender | None = None
         self._probe: RequestHead | None = None
         self._held: list[ResponseEvent] = []
         self._completed_calls = 0
@@ -133,11 +135,20 @@
         self._overhead = Overhead()
         self._skipped_responses = 0
         transport: Any = self.transport
-        transport.write(self._encode(head, body))
+        parts = self._encode(head, body)
+        if len(body) <= SLICE_BYTES:
+            transport.write(b"".join(parts))
+        else:
+            transport.write(parts[0])
+            self._sender = BodySender(transport, body)
+            self._sender.start()
         return self._call
 
-    def _encode(self, head: RequestHead, body: bytes) -> bytes:
-        """Returns the request's bytes and makes the parser expect its response."""
+    def _encode(self, head: RequestHead, body: bytes) -> list[bytes]:
+        """Returns the request's parts, the head first.
+
+        The parser expects its response from then on.
+        """
         fields = list(head.headers)
         if body or head.method not in (b"GET", b"DELETE"):
             fields.append((b"Content-Length", str(len(body)).encode()))
@@ -146,7 +157,7 @@
         if body:
             parts.append(self._h11.send(h11.Data(data=body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        return [part for part in parts if part]
 
     def set_reading(self, is_reading: bool) -> None:
         transport: Any = self.transport
@@ -290,6 +301,8 @@
         request = h11.Request(
             method=self._probe.method, target=self._probe.target, headers=fields
         )
+        if self._sender is not None:
+            self._sender.flush()
         encoder = h11.Connection(h11.CLIENT)
         transport: Any = self.transport
         transport.write(encoder.send(request))
@@ -303,6 +316,8 @@
             self._is_open
             and not trailing
             and not is_closed
+            # The body is still being sent.
+            and (self._sender is None or self._sender.is_done)
             # The response to the probe is still due.
             and not self._held
             and self._h11.our_state is h11.DONE
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -251,6 +251,27 @@
         (),
         GATEWAY,
     ),
+    MetricSpec(
+        "gateway_caller_memory_bytes",
+        GAUGE,
+        "Memory that callers hold, by what for; see docs/design/memory-budget.md.",
+        ("kind",),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_caller_memory_limit_bytes",
+        GAUGE,
+        "Memory that all callers may hold together.",
+        (),
+        GATEWAY,
+    ),
+    MetricSpec(
+        "gateway_caller_memory_ends_total",
+        COUNTER,
+        "Callers refused, dropped or cut for lack of memory or of progress.",
+        ("outcome", "why"),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_peers",
         GAUGE,
--- a/tests/processes/test_untrusted_clients.py
+++ b/tests/processes/test_untrusted_clients.py
@@ -165,3 +165,18 @@
 
 def test_idle_connections(besiege):
     besiege([b""] * 600)
+
+
+def test_single_largest_requests_are_served(play_processes, monkeypatch):  # noqa: F811
+    """Guards against a budget that refuses what is within the limits."""
+    monkeypatch.setattr("processes.test_gateway_process.TOML", TOML + LIMITS)
+
+    async def scenario(deployment, add):
+        engine = deployment.add_engine()
+        gateway = await add()
+        body = bytes(MAX_BODY)
+        online = await deployment.call(gateway, "POST", "/once/a", body)
+        batch = await deployment.submit(gateway, "job1", [bytes(3_100_000)])
+        return online.status, batch.status, engine.requests[0].body == body
+
+    assert play_processes(scenario) == (200, 202, True)
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -29,6 +29,12 @@
     opened(budget, body=40)
 
 
+def test_limit_holds_to_the_byte(budget):
+    account = opened(budget, is_complete=True)
+    assert budget.reserve(account, Kind.REQUEST, 991, 0.0) is None
+    assert budget.reserve(account, Kind.REQUEST, 990, 0.0) == ()
+
+
 def test_least_progress_for_the_memory_goes_first(budget):
     stopped, slow, fast = (opened(budget, body=280) for _ in range(3))
     slow.note_received(20, 5.0)
