Name the request in log lines about callers' memory, and bound side listeners

Readiness and metrics take no bodies any more: 64 connections with 4 MiB each would exceed the memory of a small instance. A waiting request that does not fit keeps larger ones from being tried, because each trial looks at all accounts.

--- a/src/pomeloshift/gateway/_caller_budget.py
+++ b/src/pomeloshift/gateway/_caller_budget.py
@@ -66,6 +66,7 @@
             self._events.metrics.count_caller("dropped", why)
             self._events.info(
                 "caller_dropped",
+                id=held.request_id,
                 why=why,
                 progress=account.progress(now),
                 body=held.received,
@@ -74,21 +75,23 @@
             held.connection.drop()
             held.wake(False)
 
-    def note_refused(self, why: str, size: int) -> None:
+    def note_refused(self, why: str, size: int, request_id: str = "") -> None:
         """Logs that a request is refused for lack of memory."""
         self._events.metrics.count_caller("refused", why)
         self._events.info(
             "caller_refused",
+            id=request_id,
             why=why,
             bytes=size,
             used=self.budget.used,
             limit=self.policy.limit,
         )
 
-    def note_unread(self, unsent: int) -> None:
+    def note_unread(self, request_id: str, unsent: int) -> None:
         """Logs that a caller is disconnected because it does not read."""
         self._events.metrics.count_caller("cut", "unread")
-        self._events.info("caller_unread", unsent=unsent, used=self.budget.used)
+        used = self.budget.used
+        self._events.info("caller_unread", id=request_id, unsent=unsent, used=used)
 
     def decide_soon(self, delay_s: float = 0.0) -> None:
         """Considers the waiting requests after a delay."""
@@ -109,6 +112,6 @@
             held.granted()
         for account in decisions.refused:
             waiting: Any = account.owner
-            self.note_refused("wait", 0)
+            self.note_refused("wait", 0, waiting.request_id)
             waiting.refused()
         self.decide_soon(DECIDE_TICK_S)
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -140,6 +140,7 @@
     EventSpec("item_stopped", "This gateway ended a run of an item."),
     EventSpec("item_run", "A run of an item ended."),
     EventSpec("item_given_up", "An item expired, or its route has ended.", True),
+    EventSpec("memory_divided", "How much memory callers may hold together."),
     EventSpec("caller_refused", "A caller's request or connection found no memory."),
     EventSpec(
         "caller_dropped", "An incomplete request was ended for others, or a connection."
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -48,7 +48,7 @@
 from ._job_log import JobLog
 from ._log_writer import LogWriter
 from ._members import Members
-from ._memory import caller_budget, caller_listener
+from ._memory import caller_budget, caller_listener, side_listener
 from ._metrics import GatewayMetrics
 from ._online_service import OnlineService
 from ._peer_directory import PeerDirectory
@@ -70,7 +70,6 @@
     METRICS_PORT,
     PEER_REFRESH_S,
     PEER_TICK_S,
-    SIDE_CONNECTIONS,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 
@@ -268,12 +267,8 @@
         self._caller_listener = caller_listener(
             settings, reactor, clock, self._dispatcher.handle, self.memory
         )
-        self._ready_listener = HttpListener(
-            reactor, clock, self._respond_ready, SIDE_CONNECTIONS
-        )
-        self._metrics_listener = HttpListener(
-            reactor, clock, self._respond_scrape, SIDE_CONNECTIONS
-        )
+        self._ready_listener = side_listener(reactor, clock, self._respond_ready)
+        self._metrics_listener = side_listener(reactor, clock, self._respond_scrape)
 
     def _is_fleet_current(self) -> bool:
         """Whether an engine that is not in the fleet has left."""
--- a/src/pomeloshift/gateway/_held_memory.py
+++ b/src/pomeloshift/gateway/_held_memory.py
@@ -4,8 +4,9 @@
 
 from twisted.internet.defer import Deferred
 
-from ..http1 import Grant
+from ..http1 import Grant, RequestHead
 from ..memory import Account, Kind
+from ..platform import request_id_of
 
 # Objects of an open connection, and of a request beside its body.
 CONNECTION_BYTES = 8 * 1024
@@ -26,6 +27,7 @@
         self.connection = connection
         self.account: Account = Account(self, shared.policy.progress_s, shared.now())
         self.received = 0
+        self.request_id = ""
         self.unread_s = shared.policy.unread_s
         self._shared = shared
         self._decoding: Deferred[bool] | None = None
@@ -35,6 +37,10 @@
 
     # Reading a request
 
+    def note_head(self, head: RequestHead) -> None:
+        """Records the id of the request that is read."""
+        self.request_id = request_id_of(head)
+
     def note_received(self, size: int) -> None:
         """Records bytes that have arrived."""
         self.received += size
@@ -66,7 +72,7 @@
             self.account.note_begun(self._shared.now())
             return Grant.GRANTED
         if not budget.can_ever_fit(self.account.total + size):
-            self._shared.note_refused("size", size)
+            self._shared.note_refused("size", size, self.request_id)
             return Grant.REFUSED
         budget.wait(self.account, Kind.BODY, size, self._shared.now())
         self._shared.decide_soon(0.1)
@@ -119,7 +125,7 @@
             return True
         budget = self._shared.budget
         if not budget.can_ever_fit(self.account.total + size):
-            self._shared.note_refused("decoding", size)
+            self._shared.note_refused("decoding", size, self.request_id)
             return False
         budget.wait(self.account, Kind.DECODING, size, self._shared.now())
         self._shared.decide_soon(0.1)
@@ -143,7 +149,7 @@
 
     def note_unread(self, unsent: int) -> None:
         """Records that the caller is disconnected because it has read nothing."""
-        self._shared.note_unread(unsent)
+        self._shared.note_unread(self.request_id, unsent)
 
     # Decisions of the budget
 
@@ -172,7 +178,7 @@
         dropped = shared.budget.reserve(self.account, kind, size, shared.now())
         if dropped is None:
             if is_final:
-                shared.note_refused(kind.value, size)
+                shared.note_refused(kind.value, size, self.request_id)
             return False
         shared.drop(dropped, "memory")
         return True
--- a/src/pomeloshift/gateway/_memory.py
+++ b/src/pomeloshift/gateway/_memory.py
@@ -5,13 +5,14 @@
 from resource import getpagesize
 from typing import Any
 
+from ..dispatch import HttpLimits
 from ..http1 import Exchange, HttpListener
 from ..memory import MemoryBudget, MemoryPolicy
 from ..platform import PlatformSettings
 from ._caller_budget import CallerBudget
 from ._events import EventLog
 from ._heap import return_freed_memory
-from ._timing import RESERVED_DESCRIPTORS
+from ._timing import RESERVED_DESCRIPTORS, SIDE_CONNECTIONS
 
 # Share of the instance's memory that is kept for everything but callers and the size at
 # the start: engines' responses, records, jobs, metrics.
@@ -43,7 +44,8 @@
         return None
     chosen = settings.caller_memory
     reserve = chosen.reserve_bytes or int(settings.memory_bytes * RESERVE_SHARE)
-    limit = settings.memory_bytes - resident_bytes() - reserve
+    resident = resident_bytes()
+    limit = settings.memory_bytes - resident - reserve
     policy = MemoryPolicy(
         limit=max(LEAST_LIMIT, limit),
         max_wait_s=chosen.wait_s,
@@ -52,9 +54,21 @@
         unread_s=chosen.unread_s,
     )
     return_freed_memory()
+    events.info(
+        "memory_divided", callers=policy.limit, resident=resident, reserve=reserve
+    )
     return CallerBudget(MemoryBudget(policy), reactor, clock, events)
 
 
+def side_listener(
+    reactor: Any, clock: Any, handle: Callable[[Exchange], None]
+) -> HttpListener:
+    """Returns a listener for readiness or metrics, whose requests have no bodies."""
+    listener = HttpListener(reactor, clock, handle, SIDE_CONNECTIONS)
+    listener.limits = HttpLimits(max_body_bytes=0)
+    return listener
+
+
 def resident_bytes() -> int:
     """Returns the process's resident memory, 0 where the system does not tell it."""
     try:
--- a/src/pomeloshift/http1/_caller_memory.py
+++ b/src/pomeloshift/http1/_caller_memory.py
@@ -4,6 +4,8 @@
 from typing import Any
 from typing import Protocol as Interface
 
+from ._messages import RequestHead
+
 
 class Grant(Enum):
     """Whether memory is granted: now, later by a call back, or not at all."""
@@ -18,6 +20,9 @@
 
     unread_s: float
 
+    def note_head(self, head: RequestHead) -> None:
+        """Records the head of the request that is read."""
+
     def note_received(self, size: int) -> None:
         """Records bytes that have arrived."""
 
@@ -81,6 +86,9 @@
 
     unread_s = float("inf")
 
+    def note_head(self, head: RequestHead) -> None:
+        """Does nothing."""
+
     def note_received(self, size: int) -> None:
         """Does nothing."""
 
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -273,6 +273,7 @@
             headers = Headers(event.headers.raw_items())
             self._head = RequestHead(event.method, event.target, headers)
             self._body = BodyBuffer()
+            self.memory.note_head(self._head)
             self._arm_body()
         elif isinstance(event, h11.Data):
             self._overhead.body += len(event.data)
--- a/src/pomeloshift/memory/_budget.py
+++ b/src/pomeloshift/memory/_budget.py
@@ -110,11 +110,16 @@
         granted: list[Account] = []
         dropped: list[Account] = []
         refused: list[Account] = []
+        # What follows one that did not fit is not smaller: it is not tried, because
+        # each trial looks at all accounts.
+        full: set[bool] = set()
         for account in sorted(self._waiting, key=_wanted_first):
             if account.wanted is None or not account.is_open:
                 continue
             kind, size = account.wanted
-            found = self.reserve(account, kind, size, now)
+            found = None
+            if account.is_complete not in full:
+                found = self.reserve(account, kind, size, now)
             if found is not None:
                 self._end_wait(account, now)
                 granted.append(account)
@@ -122,6 +127,8 @@
             elif now - account.waits_since >= self.policy.max_wait_s:
                 self._end_wait(account, now)
                 refused.append(account)
+            if found is None:
+                full.add(account.is_complete)
         # One that was granted is fresh, but a complete request displaces it too.
         gone = set(dropped)
         return Decisions(
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -8,6 +8,7 @@
     JobRead,
     read_batch_call,
     read_caller_request,
+    request_id_of,
 )
 from ._configuration import decode_config
 from ._deploy_file import check_deploy_file
@@ -92,6 +93,7 @@
     "proves_not_run",
     "read_batch_call",
     "read_caller_request",
+    "request_id_of",
     "report_request",
     "says_leaving",
     "shared_parts",
--- a/src/pomeloshift/platform/_caller_request.py
+++ b/src/pomeloshift/platform/_caller_request.py
@@ -102,6 +102,11 @@
     )
 
 
+def request_id_of(head: RequestHead) -> str:
+    """Returns the id that a request states, empty if it states none."""
+    return head.headers.text(REQUEST_ID)
+
+
 def _split_target(target: str) -> tuple[str, str]:
     """Returns the path and the query of a request target."""
     try:
