--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -13,15 +13,24 @@
 import pytest
 
 from _admin import INTERNAL_KEY, SECRETS, Harness, Loop
+from _gateway import settings_table
 from pomeloshift.cli._check import check
 from pomeloshift.cli._commands import Commands
-from pomeloshift.settings import EntrySettings, SidecarSettings
+from pomeloshift.platform import CallerMemorySettings, parse_platform_settings
+from pomeloshift.settings import EntrySettings, SettingsError, SidecarSettings
 
 ROOT = pathlib.Path(__file__).parent.parent
 PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
 BLOCK = re.compile(r"```(\w+)\n(.*?)```", re.DOTALL)
 PORTS = ("7000", "7001", "7002", "8080", "8081", "8090")
 LIMIT_S = 120
+CALLER_MEMORY_DEFAULTS = {
+    "reserveMb": 0,
+    "waitMs": 1000,
+    "bodyBytesPerS": 4096,
+    "bodyPauseMs": 30000,
+    "unreadMs": 2000,
+}
 
 
 def blocks(page, language):
@@ -115,7 +124,28 @@
 def test_settings_reference_lists_every_key():
     page = (ROOT / "docs/operations/settings.md").read_text()
     listed = re.findall(r"^(\| `.*?` \| .*? \|)", page, re.MULTILINE)
-    assert listed == [*settings_rows(EntrySettings), *settings_rows(SidecarSettings)]
+    gateway = [
+        f"| `callerMemory.{key}` | `{default}` |"
+        for key, default in CALLER_MEMORY_DEFAULTS.items()
+    ]
+    assert listed == [
+        *settings_rows(EntrySettings),
+        *settings_rows(SidecarSettings),
+        *gateway,
+    ]
+
+
+def test_defaults_of_callers_memory_are_those_of_the_page():
+    table = {"callerMemory": CALLER_MEMORY_DEFAULTS, **settings_table("a:1")}
+    assert parse_platform_settings(table).caller_memory == CallerMemorySettings()
+    fields = attrs.asdict(CallerMemorySettings())
+    for key, default in CALLER_MEMORY_DEFAULTS.items():
+        table["callerMemory"] = {key: default + 7}
+        changed = attrs.asdict(parse_platform_settings(table).caller_memory)
+        assert sum(changed[name] != value for name, value in fields.items()) == 1
+        table["callerMemory"] = {key: -1}
+        with pytest.raises(SettingsError, match=key):
+            parse_platform_settings(table)
 
 
 def test_commands_are_found_in_the_pages():
