Release what an ended connection holds at once

Cause: a connection is in a reference cycle with its transport, so that its body stayed until the garbage collector ran. An idle connection to an engine kept its last body. Change: bodies are released when a connection ends or a call has its response, and what is written while a caller does not read is collected in one buffer.

--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -309,6 +309,7 @@
 
     def _finish(self, call: Call, held: list[ResponseEvent] | None = None) -> None:
         """Ends the call, whose response is complete, and delivers what was held."""
+        self._body = b""
         self._call = None
         self._completed_calls += 1
         trailing, is_closed = self._h11.trailing_data
@@ -346,6 +347,7 @@
     def _close(self) -> None:
         if self._is_open:
             self._is_open = False
+            self._body, self._sender = b"", None
             self._pool.discard(self)
             transport: Any = self.transport
             transport.abortConnection()
--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -33,6 +33,7 @@
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=size)
         self._head: RequestHead | None = None
         self._body = BodyBuffer()
+        self._pending = bytearray()
         self._budget: CallerMemory | None = listener.memory
         self.memory: ConnectionMemory = UnlimitedMemory()
         self._is_held = False
@@ -105,7 +106,10 @@
         self.memory.hold_response(0)
         if self._unread is not None:
             self._unread.stop()
-        if self._exchange is not None:
+        self._put_pending()
+        if self.is_paused:
+            self.memory.hold_response(count_unsent(self.transport))
+        elif self._exchange is not None:
             self._exchange.on_pause(False)
         elif self._budget is not None:
             self._process_events()
@@ -167,6 +171,7 @@
         self._disarm()
         self._listener.flush(self)
         transport: Any = self.transport
+        self._put_pending()
         if self._unread is not None:
             self._unread.start(transport)
         transport.unregisterProducer()
@@ -198,7 +203,6 @@
         self._is_open = False
         self._listener.flush(self)
         self._release()
-        self._h11 = h11.Connection(h11.SERVER)
         transport: Any = self.transport
         transport.resumeProducing()
         transport.unregisterProducer()
@@ -224,6 +228,11 @@
         self._disarm()
         if self._unread is not None:
             self._unread.stop()
+        # The connection is in a reference cycle with its transport: what it holds would
+        # stay until the garbage collector finds it.
+        self._body, self._pending = BodyBuffer(), bytearray()
+        if self._budget is not None:
+            self._h11 = h11.Connection(h11.SERVER)
         self.memory.close()
 
     def _write(self, event: Any) -> None:
@@ -231,15 +240,27 @@
             return
         data = self._h11.send(event)
         if data:
-            transport: Any = self.transport
-            if self._unread is not None:
-                self._unread.written += len(data)
-            transport.write(data)
             if self.is_paused and self._budget is not None:
-                unsent = count_unsent(transport)
+                # Small pieces would take several times their size in the transport.
+                self._pending += data
+            else:
+                self._put(data)
+            if self.is_paused and self._budget is not None:
+                unsent = count_unsent(self.transport) + len(self._pending)
                 if not self.memory.hold_response(unsent):
                     self._end_unread(unsent)
 
+    def _put(self, data: bytes) -> None:
+        if self._unread is not None:
+            self._unread.written += len(data)
+        transport: Any = self.transport
+        transport.write(data)
+
+    def _put_pending(self) -> None:
+        if self._pending:
+            data, self._pending = bytes(self._pending), bytearray()
+            self._put(data)
+
     def _process_events(self) -> None:
         budget = self._budget
         if budget is not None and self.is_paused:
--- a/tests/test_caller_memory.py
+++ b/tests/test_caller_memory.py
@@ -196,6 +196,36 @@
     assert len(callers.exchanges) == 2
 
 
+def test_what_is_written_while_the_caller_does_not_read_stays_in_order(callers):
+    connection = callers.connect()
+    connection.transport.takes = False
+    connection.dataReceived(b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    (exchange,) = callers.exchanges
+    pauses = []
+    exchange.on_pause = pauses.append
+    exchange.start(200, [])
+    for byte in b"abc":
+        exchange.write(bytes([byte]) * 70_000)
+    assert bytes([98]) not in connection.transport.dataBuffer[100:]
+    connection.transport.dataBuffer = b""
+    connection.resumeProducing()
+    connection.transport.dataBuffer, connection.transport.takes = b"", True
+    connection.resumeProducing()
+    exchange.finish()
+    order = answer(connection).split(b"\r\n\r\n", 1)[1]
+    assert order.index(b"a" * 99) < order.index(b"b" * 99) < order.index(b"c" * 99)
+    assert order.endswith(b"0\r\n\r\n")
+    assert pauses == [True, True, False]
+
+
+def test_ended_connection_holds_no_body(callers):
+    """The garbage collector runs too late where callers come back again and again."""
+    connection = callers.begin()
+    connection.connectionLost(None)
+    assert connection._body.size == 0
+    assert callers.memory.budget.used == 0
+
+
 def test_new_connection_displaces_the_oldest_idle_one():
     callers = Callers(8 * MB, max_connections=2)
     idle = callers.connect()
