--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -19,7 +19,6 @@
     Client,
     ConnectionPool,
     Exchange,
-    HttpListener,
     PoolConfig,
 )
 from ..jobs import BatchSlots, ItemRoutes, Ownership, WorkQueue
@@ -48,6 +47,7 @@
 from ._job_log import JobLog
 from ._log_writer import LogWriter
 from ._members import Members
+from ._memory import caller_budget, caller_listener, side_listener
 from ._metrics import GatewayMetrics
 from ._online_service import OnlineService
 from ._peer_directory import PeerDirectory
@@ -70,8 +70,6 @@
     METRICS_PORT,
     PEER_REFRESH_S,
     PEER_TICK_S,
-    RESERVED_DESCRIPTORS,
-    SIDE_CONNECTIONS,
 )
 from ._topic_follower import TopicFollower, TopicHandlers
 from ._workspace_access import WorkspaceAccess
@@ -267,9 +265,7 @@
         self.rates = WorkspaceRates(
             settings, self.peers, self._directory, self.members, events, clock
         )
-        max_caller_connections = max(
-            64, settings.max_descriptors - RESERVED_DESCRIPTORS
-        )
+        self.memory = caller_budget(settings, reactor, clock, events)
         self._dispatcher = RequestDispatcher(
             self.config,
             self._config_follower,
@@ -281,15 +277,11 @@
             self.workspaces,
             self.rates,
         )
-        self._caller_listener = HttpListener(
-            reactor, clock, self._dispatcher.handle, max_caller_connections
-        )
-        self._ready_listener = HttpListener(
-            reactor, clock, self._respond_ready, SIDE_CONNECTIONS
-        )
-        self._metrics_listener = HttpListener(
-            reactor, clock, self._respond_scrape, SIDE_CONNECTIONS
+        self._caller_listener = caller_listener(
+            settings, reactor, clock, self._dispatcher.handle, self.memory
         )
+        self._ready_listener = side_listener(reactor, clock, self._respond_ready)
+        self._metrics_listener = side_listener(reactor, clock, self._respond_scrape)
 
     def _is_fleet_current(self) -> bool:
         """Whether an engine that is not in the fleet has left."""
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -59,6 +59,17 @@
             metrics.set("gateway_learned_evidence", one.evidence, engine=engine)
             metrics.set("gateway_learned_age_seconds", one.age_s, engine=engine)
 
+    def count_caller(self, outcome: str, why: str) -> None:
+        """Counts a caller that was refused, dropped or cut because of its memory."""
+        self._metrics.inc("gateway_caller_memory_ends_total", outcome=outcome, why=why)
+
+    def _set_memory(self, memory: Any) -> None:
+        metrics = self._metrics
+        limit = memory.policy.limit
+        metrics.set("gateway_caller_memory_limit_bytes", limit)
+        for kind, size in memory.budget.held().items():
+            metrics.set("gateway_caller_memory_bytes", size, kind=kind.value)
+
     def render(self, gateway: Any) -> bytes:
         """Returns the body of the response to a scrape."""
         metrics = self._metrics
@@ -85,6 +96,8 @@
         self._set_learned(gateway.capacity_report.learned())
         metrics.advance("gateway_log_lines_dropped_total", gateway.lines_dropped)
         collect_rates(metrics, gateway.rates)
+        if gateway.memory is not None:
+            self._set_memory(gateway.memory)
         collect_process(metrics)
         body, _ = metrics.render()
         return body
--- a/src/pomeloshift/platform/__init__.py
+++ b/src/pomeloshift/platform/__init__.py
@@ -8,6 +8,7 @@
     JobRead,
     read_batch_call,
     read_caller_request,
+    request_id_of,
 )
 from ._configuration import decode_config
 from ._deploy_file import check_deploy_file
@@ -36,10 +37,11 @@
     StoreRejectedError,
     StoreUnreachableError,
 )
-from ._job_bodies import decode_items, encode_results
+from ._job_bodies import decode_items, decoding_cost, encode_results
 from ._names import CONFIG_KEY, CONFIG_TOPIC, ENGINES_TOPIC, READY_PATH
 from ._prompt_parts import item_parts, shared_parts
 from ._settings import (
+    CallerMemorySettings,
     PlatformSettings,
     StoreSettings,
     load_platform_settings,
@@ -56,6 +58,7 @@
     "MAX_PORT",
     "READY_PATH",
     "UNREADABLE",
+    "CallerMemorySettings",
     "CallerRequest",
     "HistoryLostError",
     "ItemRead",
@@ -77,6 +80,7 @@
     "decode_config",
     "decode_engine",
     "decode_items",
+    "decoding_cost",
     "decode_limit_header",
     "decode_load_header",
     "decode_report",
@@ -91,6 +95,7 @@
     "proves_not_run",
     "read_batch_call",
     "read_caller_request",
+    "request_id_of",
     "report_request",
     "says_leaving",
     "shared_parts",
--- a/tests/test_cores_are_pure.py
+++ b/tests/test_cores_are_pure.py
@@ -22,6 +22,7 @@
     "limits",
     "log",
     "membership",
+    "memory",
     "model",
     "questionnaire",
     "report",
