Name the events of the lease where they are logged

Cause: tests/test_explain.py found the events lease_expired and lease_renewed of the catalogue nowhere in the code, because their names were chosen in an expression.

Change: each has a call of its own.

Tests: tests/test_explain.py, which failed before, and those of the lease pass.

--- a/src/pomeloshift/gateway/_workspace_access.py
+++ b/src/pomeloshift/gateway/_workspace_access.py
@@ -142,7 +142,7 @@
             self.events.info(
                 "lease_not_renewed",
                 path=relay or "direct",
-                age_s=self.check.lease.age(self._now()),
+                age_s=self.lease_age_s,
                 code=exc.code.value,
                 why=exc.message,
             )
@@ -151,8 +151,11 @@
         if is_valid == self._was_valid:
             return
         self._was_valid = is_valid
-        event = "lease_renewed" if is_valid else "lease_expired"
-        self.events.warn(event, age_s=self.check.lease.age(self._now()))
+        age_s = self.lease_age_s
+        if is_valid:
+            self.events.warn("lease_renewed", age_s=age_s)
+        else:
+            self.events.warn("lease_expired", age_s=age_s)
 
     def _now(self) -> float:
         return float(self.clock.boottime())
