Allow for pauses of a gateway before others count as unheard

Heartbeats of an idle gateway are 0.54 s apart, and a loss was assumed after 0.6 s: a gateway whose processor was short for a moment would have set aside the part of others, and refused requests under the limit. It is now 0.7 s, and after a pause of 0.2 to 1 s the heartbeats that arrived meanwhile are read first. After a longer pause the share is determined at once.

--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -152,13 +152,19 @@
 LIMIT_RECENT_S = 0.3
 ALL_LIMITS_S = 2.0
 # A gateway without a heartbeat for this long may not hear this one's requests either,
-# so that its share of the rate limits is left to it: one heartbeat and its latency.
-RATE_HEARD_S = 0.6
+# so that its share of the rate limits is left to it: one heartbeat, its latency and the
+# delay of a busy process.
+RATE_HEARD_S = 0.7
 # How long heartbeats hold a changed counter of a workspace: until the next one that is
 # sent without a change.
 RATE_RECENT_S = 0.6
 # How long this gateway's share of the limits is used before it is determined again.
 RATE_SHARE_S = 0.05
+# After a pause of this process between these times, heartbeats that arrived meanwhile
+# are read before the share is determined again. After a longer one it is determined at
+# once: a process that was suspended may have been cut off.
+RATE_PAUSE_S = 0.2
+RATE_LONG_PAUSE_S = 1.0
 # Every `ALL_LIMITS_S`, heartbeats hold the counters that changed within this time, so
 # that each is sent five times at least; all counters, 1.6 KB of 85 workspaces, would
 # take 70 KB/s of a gateway with 87 others. Those are sent every `ALL_COUNTERS_S`.
--- a/src/pomeloshift/gateway/_workspace_rates.py
+++ b/src/pomeloshift/gateway/_workspace_rates.py
@@ -15,7 +15,7 @@
 from ._peer_directory import PeerDirectory
 from ._peer_exchange import PeerExchange
 from ._refusal import refuse
-from ._timing import RATE_HEARD_S, RATE_SHARE_S
+from ._timing import RATE_HEARD_S, RATE_LONG_PAUSE_S, RATE_PAUSE_S, RATE_SHARE_S
 
 
 class WorkspaceRates:
@@ -96,7 +96,9 @@
     def _update_share(self, now: float) -> None:
         if now - self._share_at < RATE_SHARE_S or not self._directory.is_synced:
             return
-        self._share_at = now
+        pause_s, self._share_at = now - self._share_at, now
+        if RATE_PAUSE_S < pause_s < RATE_LONG_PAUSE_S:
+            return
         self._heard, self._registered = self._peers.count_heard(RATE_HEARD_S)
         share = self._heard / self._registered
         self.rates.set_share(share, now, now - RATE_HEARD_S)
--- a/tests/test_gateway_rates.py
+++ b/tests/test_gateway_rates.py
@@ -1,10 +1,14 @@
 """Workspaces whose rate is limited over all gateways together."""
 
+from types import SimpleNamespace
+
 import msgspec
 import pytest
 from loguru import logger
 
 from _gateway import config
+from pomeloshift.dispatch import Workspace
+from pomeloshift.gateway._workspace_rates import WorkspaceRates
 
 BURST = 6
 RATE = 0.5  # requests a second
@@ -112,3 +116,27 @@
     assert any('"acme"' in line and "taken" in line and " 6" in line for line in ours)
     others = [line for line in bounded.splitlines() if line.startswith(total)]
     assert any('"other"' in line and "refused" in line for line in others)
+
+
+def test_gateway_that_was_paused_spends_its_share_until_it_hears_others():
+    now, heard = [10.0], [(4, 4)]
+    rates = WorkspaceRates(
+        SimpleNamespace(
+            rate_window_s=5.0, rate_overrun=0.1, rate_slack=20.0, is_first_start=True
+        ),
+        SimpleNamespace(count_heard=lambda within_s: heard[0]),
+        SimpleNamespace(is_synced=True),
+        SimpleNamespace(),
+        None,
+        SimpleNamespace(monotonic=lambda: now[0]),
+    )
+    workspace = Workspace("acme", rate_per_s=0.5, burst=8.0)
+    rates.apply_config(SimpleNamespace(workspaces=[workspace]))
+    assert rates.check(workspace, 10.0).share == 1.0
+    heard[0] = (1, 4)
+    assert rates.check(workspace, 10.5).share == 1.0  # its heartbeats are read first
+    assert rates.check(workspace, 10.6).share == 0.25
+    heard[0] = (4, 4)
+    assert rates.check(workspace, 10.7).share == 1.0
+    heard[0] = (1, 4)
+    assert rates.check(workspace, 13.0).share == 0.25
