--- a/src/pomeloshift/http1/_server_connection.py
+++ b/src/pomeloshift/http1/_server_connection.py
@@ -207,10 +207,7 @@
         self._arm(DISCARD_S, transport.abortConnection)
 
     def drop(self) -> None:
-        """Ends an incomplete request, or closes a connection without one.
-
-        What was written is sent: it may be the end of a complete response.
-        """
+        """Ends an incomplete request, or a connection after what was written."""
         if self._head is not None:
             self.refuse()
         else:
@@ -227,8 +224,7 @@
         self._disarm()
         if self._unread is not None:
             self._unread.stop()
-        # The connection is in a reference cycle with its transport: what it holds would
-        # stay until the garbage collector finds it.
+        # A reference cycle with the transport would keep this until it is collected.
         self._body, self._pending = BodyBuffer(), bytearray()
         if self._budget is not None:
             self._h11 = h11.Connection(h11.SERVER)
