--- a/src/pomeloshift/capacity/_capacity_table.py
+++ b/src/pomeloshift/capacity/_capacity_table.py
@@ -12,9 +12,9 @@
 # How long a service is placed by learned times after the last sign that its engines
 # differ: a reported slowdown or the end of a slow start.
 ACTIVE_S = 30.0
-# How long a gateway that joins a running deployment only measures. Until then engines may
-# run requests of its predecessors that no gateway knows: after a restart of all gateways,
-# placement by few measurements made several times as many streams late.
+# How long a gateway that joins a running deployment only measures. Until then engines
+# may run requests of its predecessors that no gateway knows: after a restart of all
+# gateways, placement by few measurements made several times as many streams late.
 WARM_UP_S = 6.0
 # First guesses of the time to the first event and between events, at half of the slots.
 START_GUESS_S = 0.05
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -264,6 +264,7 @@
         gateway = await deployment.add_gateway()
         (engine,) = gateway.capacity_report.fleet.engines.values()
         table, report = gateway.capacity.table, gateway.capacity_report
+        table.active_from = float("-inf")  # as at the first start of a deployment
         table.note_slowdown(engine, 1.0, deployment.reactor.seconds())
         for slowdown in (1.0, 1.0, 3.0):
             for _ in range(20):
