Learned placement is a setting that is off by default

Change: placement.learned is false unless the settings say true.

What costs the items is that only a few engines are compared.

--- a/src/pomeloshift/platform/_settings.py
+++ b/src/pomeloshift/platform/_settings.py
@@ -74,7 +74,7 @@
     rate_overrun: float = 0.0
     rate_slack: float = 0.0
     is_first_start: bool = False
-    is_placement_learned: bool = True
+    is_placement_learned: bool = False
     caller_memory: CallerMemorySettings = CallerMemorySettings()
 
 
@@ -113,11 +113,11 @@
             return default
         return value
 
-    def flag(self, path: str, default: bool = False) -> bool:
-        """Returns a field that is true or false, the default if it is missing."""
+    def flag(self, path: str) -> bool:
+        """Returns a field that is true or false, false if it is missing."""
         value: Any = self._data
         for key in path.split("."):
-            value = value.get(key, default) if isinstance(value, Mapping) else default
+            value = value.get(key, False) if isinstance(value, Mapping) else False
         if not isinstance(value, bool):
             fault = Fault(path, FaultCode.WRONG_TYPE, "is not true or false")
             self.faults.append(fault)
@@ -178,7 +178,7 @@
         rate_overrun=reader.get("bounds.quotaOverrun", NUMBER, 0),
         rate_slack=reader.get("bounds.quotaSlack", NUMBER, 0),
         is_first_start=reader.flag("bootstrap"),
-        is_placement_learned=reader.flag("placement.learned", True),
+        is_placement_learned=reader.flag("placement.learned"),
         caller_memory=_read_caller_memory(reader),
     )
     if reader.faults:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -264,7 +264,8 @@
         gateway = await deployment.add_gateway()
         (engine,) = gateway.capacity_report.fleet.engines.values()
         table, report = gateway.capacity.table, gateway.capacity_report
-        table.active_from = float("-inf")  # as at the first start of a deployment
+        # As with the setting, at the first start of a deployment.
+        table.is_enabled, table.active_from = True, float("-inf")
         table.note_slowdown(engine, 1.0, deployment.reactor.seconds())
         for slowdown in (1.0, 1.0, 3.0):
             for _ in range(20):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -90,11 +90,11 @@
     assert [fault.path for fault in info.value.faults] == [path]
 
 
-def test_learned_placement_is_on_unless_the_settings_switch_it_off():
+def test_learned_placement_is_off_unless_the_settings_switch_it_on():
     table = settings_table("10.0.0.9:80", port=7000)
-    assert parse_platform_settings(table).is_placement_learned
-    off = parse_platform_settings({**table, "placement": {"learned": False}})
-    assert not off.is_placement_learned
+    assert not parse_platform_settings(table).is_placement_learned
+    on = parse_platform_settings({**table, "placement": {"learned": True}})
+    assert on.is_placement_learned
 
 
 def test_settings_file_is_named_by_the_environment(tmp_path, monkeypatch):
