--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -132,6 +132,7 @@
         *settings_rows(EntrySettings),
         *settings_rows(SidecarSettings),
         *gateway,
+        "| `placement.learned` | `false` |",
     ]
 
 
