--- a/review/deployment.py
+++ b/review/deployment.py
@@ -21,6 +21,8 @@
 # The command of deploy/system.toml; its build puts the libraries into target/deps.
 COMMAND = ["python3", "deploy/launch.py"]
 SERVICE = "assist"
+# Closing a socket resets its connection.
+NO_LINGER = struct.pack("ii", 1, 0)
 HOST = "nony24.example"
 
 SETTINGS = """
@@ -131,10 +133,18 @@
 
 
 class Server:
-    """An HTTP/1.1 server; `handle` answers one request on a writer."""
+    """An HTTP/1.1 server; `handle` answers one request on a writer.
+
+    It resets channels beyond ``max_channels``, and closes one that is idle for
+    ``idle_s`` seconds.
+    """
+
+    max_channels = 4096
+    idle_s = None
 
     def __init__(self):
         self.address = ""
+        self.resets = 0
         self._server = None
         self._writers = set()
 
@@ -145,16 +155,27 @@
         port = self._server.sockets[0].getsockname()[1]
         self.address = f"{host}:{port}"
 
+    @property
+    def channels(self):
+        """The number of open channels."""
+        return len(self._writers)
+
     async def close(self):
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
     async def _serve(self, reader, writer):
+        if len(self._writers) >= self.max_channels:
+            self.resets += 1
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         try:
             while True:
-                message = await read_message(reader)
+                message = await asyncio.wait_for(read_message(reader), self.idle_s)
                 if message is None:
                     return
                 line, headers, body = message
@@ -164,6 +185,8 @@
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             return
+        except asyncio.TimeoutError:
+            return
         except asyncio.CancelledError:
             # The script has ended.
             return
@@ -574,13 +597,13 @@
     return int(line.split(" ")[1]), fields, content
 
 
-def job_body(job_id, bodies, prefix="/batch/", tokens=600):
+def job_body(job_id, bodies, prefix="/batch/", tokens=600, headers=()):
     """Returns the body of a batch job whose items have these bodies."""
     items = [
         {
             "id": f"{job_id}{number:04x}",
             "path": f"{prefix}{number}",
-            "headers": {"X-Model": "m", "X-Token-Count": "350,250"},
+            "headers": {"X-Model": "m", "X-Token-Count": "350,250", **dict(headers)},
             "body": base64.b64encode(body).decode(),
             "tokens": tokens,
         }
