--- a/review/deployment.py
+++ b/review/deployment.py
@@ -20,6 +20,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 # The command of deploy/system.toml; its build puts the libraries into target/deps.
 COMMAND = ["python3", "deploy/launch.py"]
+# Scripts that run at the same time use different addresses of the loopback range.
+NET = 1 + os.getpid() % 250
 SERVICE = "assist"
 # Closing a socket resets its connection.
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -199,11 +201,14 @@
     """The platform's store as PROTOCOL.md describes it, as far as gateways use it.
 
     ``answer_s`` is the time of an answer. Appends of a partition take it in turn.
+    ``max_bytes`` is how much it stores in total; only the newest record of each key
+    counts, the records that may expire do not.
     """
 
-    def __init__(self, answer_s=0.004):
+    def __init__(self, answer_s=0.004, max_bytes=400 * 2**20):
         super().__init__()
-        self.answer_s = answer_s
+        self.answer_s, self.max_bytes = answer_s, max_bytes
+        self.stored, self.sizes = 0, {}
         self.parts = {}
         self.producers = {}
         self.locks = {}
@@ -243,8 +248,10 @@
         if len(body) > 2097152 or any(len(r) > 262144 for r in records):
             return 400, {}
         held = self.records(*place)
+        if self.stored >= self.max_bytes:
+            return 507, {}
         if "producer" not in query:
-            return self._add(held, records)
+            return self._add(place, held, records)
         name = (*place, query["producer"])
         epoch, seq = int(query["epoch"]), int(query["seq"])
         known = self.producers.get(name)
@@ -258,16 +265,20 @@
         if seq != known["last"] + 1:
             return 409, {"why": "seq", "seq": known["last"] + 1}
         known["last"] = seq
-        known["kept"][seq] = result = self._add(held, records)
+        known["kept"][seq] = result = self._add(place, held, records)
         known["kept"].pop(seq - 5, None)
         return result
 
-    @staticmethod
-    def _add(held, records):
+    def _add(self, place, held, records):
         offset = len(held)
         for record in records:
             size = record[0]
-            held.append((record[1 : 1 + size].decode(), record[1 + size :]))
+            key, value = record[1 : 1 + size].decode(), record[1 + size :]
+            held.append((key, value))
+            known = self.sizes.pop((place, key), 0)
+            if value:
+                self.sizes[place, key] = len(record)
+            self.stored += self.sizes.get((place, key), 0) - known
         return 200, {"offset": offset, "end": len(held)}
 
     async def do_log_read(self, req, writer):
@@ -513,7 +524,7 @@
     """A gateway process."""
 
     def __init__(self, folder, number, store, zone, regions, memory_mb=170):
-        self.ip = f"127.0.{number}.1"
+        self.ip = f"127.{NET}.{number}.1"
         front, ready, peer = free_ports(self.ip, 3)
         self.name = f"edge-{zone}-{number}"
         self.front, self.ready = f"{self.ip}:{front}", f"{self.ip}:{ready}"
