--- a/review/deployment.py
+++ b/review/deployment.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import signal
 import socket
 import struct
 import sys
@@ -437,7 +438,8 @@
         self.target, self.delay_s, self.mbps = target, delay_s, mbps
         self.address = ""
         self.sent = [0, 0]
-        self._locks = [asyncio.Lock(), asyncio.Lock()]
+        # When the bandwidth of each way is free again; monotonic seconds.
+        self._free_at = [0.0, 0.0]
         self._server = None
 
     async def listen(self, host="127.0.0.1"):
@@ -480,9 +482,12 @@
         try:
             while data := await reader.read(8192):
                 if self.mbps is not None:
-                    # Channels take turns, so that they share the bandwidth.
-                    async with self._locks[way]:
-                        await asyncio.sleep(len(data) * 8 / (self.mbps * 1e6))
+                    # A channel has one piece waiting, so that all share the bandwidth.
+                    now = time.monotonic()
+                    sent_at = max(now, self._free_at[way])
+                    sent_at += len(data) * 8 / (self.mbps * 1e6)
+                    self._free_at[way] = sent_at
+                    await asyncio.sleep(sent_at - now)
                 self.sent[way] += len(data)
                 await queue.put((time.monotonic() + self.delay_s, data))
             await queue.put((time.monotonic() + self.delay_s, b""))
@@ -700,6 +705,8 @@
     is brought about.
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the gateways also if the script is ended.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     record = Record(Path(folder) / "record.txt")
     record.note(f"begins, trouble={int(trouble)}")
 
