Log the size of appends that are repeated, and what waits behind them

Cause: a repeated append named neither its size nor what was queued behind it, so that a log could not tell a store that does not respond from a call that is too large for the path to it, nor show that other records wait.

Change: append_repeated has bytes, took_s, waiting and waiting_bytes; the gauge gateway_append_waiting_bytes has the size of the queue of each topic. A factory for the writers lists them for that.

Result: no change of behaviour; the tests of appends, metrics, explain and batch jobs pass.

--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -37,7 +37,8 @@
     EventSpec(
         "append_repeated",
         "An append had no response or was rejected for now; `state` says whether it may"
-        " be applied, `step` what is tried next.",
+        " be applied, `step` what is tried next, `bytes` and `took_s` how large and how"
+        " long the call was, `waiting` what is queued behind it.",
     ),
     EventSpec("append_failed", "An append was rejected permanently.", True),
     EventSpec("removal_failed", "Old records could not be removed."),
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -45,7 +45,7 @@
 from ._item_writer import ItemWriter
 from ._job_cleaner import JobCleaner
 from ._job_log import JobLog
-from ._log_writer import LogWriter
+from ._log_writers import LogWriters
 from ._members import Members
 from ._memory import caller_budget, caller_listener, side_listener
 from ._metrics import GatewayMetrics
@@ -137,14 +137,21 @@
         self.capacity_report = CapacityReport(
             capacity.table, self._fleet, events, clock
         )
+        self.log_writers = LogWriters(
+            self._store,
+            self._incarnation,
+            settings.store.call_bytes,
+            reactor,
+            events,
+        )
         self._blobs = BlobStore(
             self._store,
-            self._writer(_blob_store.TOPIC, _blob_store.PARTITION),
+            self.log_writers.new(_blob_store.TOPIC, _blob_store.PARTITION),
             settings.store.record_bytes,
         )
         self.job_log = JobLog(
             self._store,
-            self._writer(_job_log.TOPIC, _job_log.PARTITION),
+            self.log_writers.new(_job_log.TOPIC, _job_log.PARTITION),
             settings.store.record_bytes,
             reactor,
             clock,
@@ -182,7 +189,7 @@
         )
         self.crashes = CrashLog(
             self._store,
-            self._writer(_crash_log.TOPIC, _crash_log.PARTITION),
+            self.log_writers.new(_crash_log.TOPIC, _crash_log.PARTITION),
             self._fleet,
             ownership,
             events,
@@ -191,7 +198,7 @@
         )
         self.streams = StreamLog(
             self._store,
-            self._writer(_stream_log.TOPIC, _stream_log.PARTITION),
+            self.log_writers.new(_stream_log.TOPIC, _stream_log.PARTITION),
             self._fleet,
             ownership,
             events,
@@ -245,7 +252,7 @@
         self.peers.on_limit_change = access.note_limit_changed
         self._directory = PeerDirectory(
             self._store,
-            self._writer(_peer_directory.TOPIC, _peer_directory.PARTITION),
+            self.log_writers.new(_peer_directory.TOPIC, _peer_directory.PARTITION),
             self.peers,
             events,
             reactor,
@@ -299,17 +306,6 @@
         self._batch_api.job_changed(job_id)
         self.batch_loop.job_changed(job_id)
 
-    def _writer(self, topic: str, partition: int) -> LogWriter:
-        return LogWriter(
-            topic,
-            partition,
-            self._store,
-            self._incarnation,
-            self._settings.store.call_bytes,
-            self._reactor,
-            self._events,
-        )
-
     @property
     def _has_unwritten(self) -> bool:
         return (
--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -95,6 +95,11 @@
         """Whether appends are queued or in flight."""
         return bool(self._queue) or self._is_writing
 
+    @property
+    def waiting_bytes(self) -> int:
+        """The size of the appends that wait for the call in flight, in bytes."""
+        return sum(append.size for append in self._queue)
+
     def stop(self) -> None:
         """Stops writing; appends that are still queued are never written."""
         self._is_stopped = True
@@ -167,7 +172,9 @@
                 group = [append for append in group if not append.done.called]
             if not group:
                 return
+            began_at = self._reactor.seconds()
             offset, exc = await self._call(group)
+            took_s = self._reactor.seconds() - began_at
             if sequence.state is AppendState.SETTLED:
                 is_applied = sequence.take()
                 self._mark(group, False)
@@ -185,6 +192,10 @@
                     why=exc.message,
                     state=sequence.state.value,
                     step=sequence.step.value,
+                    bytes=_size(group),
+                    took_s=took_s,
+                    waiting=len(self._queue),
+                    waiting_bytes=self.waiting_bytes,
                 )
                 await sleep(self._reactor, delay_s)
                 delay_s = min(2 * delay_s, STORE_RETRY_MAX_S)
@@ -281,6 +292,10 @@
                 append.done.errback(exc)
 
 
+def _size(group: list[Append]) -> int:
+    return sum(append.size for append in group)
+
+
 def _outcome_of(exc: PomeloshiftError) -> CallOutcome:
     """Returns what an error of the store says about the call."""
     if isinstance(exc, StoreNoResponseError):
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -91,6 +91,9 @@
         metrics.set("gateway_items_waiting", waiting)
         age_s = gateway.job_log.age()
         metrics.set("gateway_job_log_age_seconds", age_s if age_s < math.inf else -1)
+        for writer in gateway.log_writers:
+            size = writer.waiting_bytes
+            metrics.set("gateway_append_waiting_bytes", size, topic=writer.topic)
         for state, count in gateway.count_engines().items():
             metrics.set("gateway_engines", count, state=state)
         self._set_learned(gateway.capacity_report.learned())
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -209,6 +209,13 @@
         GATEWAY,
         buckets=LOG_BUCKETS_S,
     ),
+    MetricSpec(
+        "gateway_append_waiting_bytes",
+        GAUGE,
+        "Size of the records that wait for a call to the store, by topic.",
+        ("topic",),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_open_requests",
         GAUGE,
