Size appends by the path to the store, and their time-outs by their size

Cause: a call had 1.0 s, whatever its size, and the call that timed out was repeated as it was, with everything else of its topic behind it.

Change: CallPace, a core, limits the size of calls by what the store took in a quarter of a second, and gives a call the time that its size needs, more with each repeat. The bodies of a job are stored in several appends with other records between them (UploadPlan, BlobUpload); an upload that cannot be in time by its own measured pace is refused at once, and what was stored of it is removed. Calls of some kilobytes keep their 1 s. On the same path: a blob larger than a call of the store could never be stored; it is divided as well, and read by its key.

Why it works: a call is never larger than what passes in about half a second once measured, and whatever its size, its repeats end up with the time that it takes at 64 KB/s, so that no call can block its topic for good.

One failure on the way, traced: the test's large job was refused for memory, because its limit counts the memory of the whole test process; it has a limit of its own now.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -15,13 +15,10 @@
 from ..errors import PomeloshiftError, Ran
 from ..http1 import Exchange
 from ..jobs import (
-    BlobRef,
     CapRoom,
     ItemRoutes,
     Job,
     JobEnded,
-    JobSubmitted,
-    NewItem,
     Result,
 )
 from ..net._periodic_tasks import spawn
@@ -34,14 +31,14 @@
     decode_items,
     decoding_cost,
     encode_results,
-    without_caller_fields,
 )
 from ..workspaces import Caller
 from ._blob_store import BlobStore
 from ._cap_decisions import CapDecisions
 from ._events import EventLog
 from ._job_log import JobLog
-from ._log_writer import LogTimeoutError, LogUnavailableError
+from ._job_store import JobStore
+from ._log_writer import LogUnavailableError
 from ._refusal import refuse, respond_json
 from ._refused_records import RefusedRecords
 from ._timing import MAX_LONG_POLL_S, RESULTS_MAX_AGE_S, SUBMIT_TIMEOUT_S
@@ -73,12 +70,17 @@
     _waiting: dict[str, list[Deferred[None]]] = attrs.field(factory=dict)
     _is_stopping: bool = False
     _decisions: CapDecisions = attrs.field(init=False)
+    _jobs: JobStore = attrs.field(init=False)
 
     @_decisions.default
     def _new_decisions(self) -> CapDecisions:
         refused = RefusedRecords(self.log, self.blobs, self.events)
         return CapDecisions(self.log, refused, self.events, self.reactor, self.clock)
 
+    @_jobs.default
+    def _new_jobs(self) -> JobStore:
+        return JobStore(self.log, self.blobs, self._decisions, self.clock)
+
     def submit(
         self, exchange: Exchange, req: CallerRequest, route: Route, caller: Caller
     ) -> None:
@@ -209,65 +211,11 @@
                 )
                 refuse(exchange, 429, route.job_deadline_s / 4)
                 return
-        if await self._store_job(req, room, items, caller):
+        if await self._jobs.store(req, room, items, caller):
             self._respond_accepted(exchange, req, "new", len(items))
         else:
             refuse(exchange, 429, route.job_deadline_s / 4)
 
-    async def _store_job(
-        self,
-        req: CallerRequest,
-        room: CapRoom,
-        items: tuple[NewItem, ...],
-        caller: Caller,
-    ) -> bool:
-        """Stores the bodies and then the job record, which refers to them.
-
-        Returns whether the job is accepted; without a cap it always is.
-        """
-        until = self.clock.monotonic() + SUBMIT_TIMEOUT_S
-        try:
-            refs = await self.blobs.put(
-                req.id, [item.body for item in items], SUBMIT_TIMEOUT_S
-            )
-        except LogTimeoutError as exc:
-            # Only the job record refers to the bodies. It was not appended, so the job
-            # is certainly not accepted.
-            raise LogUnavailableError(exc.message) from exc
-        record = self._record(req, room, items, refs, caller)
-        if room.cap:
-            return await self._decisions.append(record, until)
-        try:
-            await self.log.append_within(record, until - self.clock.monotonic())
-        except LogTimeoutError:
-            self._decisions.note_undecided(req.id)
-            raise
-        return True
-
-    def _record(
-        self,
-        req: CallerRequest,
-        room: CapRoom,
-        items: tuple[NewItem, ...],
-        bodies: list[BlobRef],
-        caller: Caller,
-    ) -> JobSubmitted:
-        rows = [
-            (item.id, item.path, _stored_headers(item, caller), body, item.tokens)
-            for item, body in zip(items, bodies, strict=True)
-        ]
-        wall = self.clock.wall()
-        return JobSubmitted(
-            req.id,
-            room.queue,
-            req.host,
-            req.path,
-            wall,
-            rows,
-            room.workspace,
-            room.record_cap,
-        )
-
     def _respond_known(
         self, exchange: Exchange, req: CallerRequest, job: Job, caller: Caller
     ) -> None:
@@ -392,13 +340,6 @@
         refuse(exchange, 404)
 
 
-def _stored_headers(item: NewItem, caller: Caller) -> list[tuple[str, str]]:
-    """Returns the headers of an item for the log, which all gateways read."""
-    if caller.name is None:
-        return list(item.headers)
-    return without_caller_fields(item.headers)
-
-
 def _page(results: list[Result]) -> list[Result]:
     """Returns the first results that fit into one response, at least one."""
     size = 0
--- a/src/pomeloshift/gateway/_blob_store.py
+++ b/src/pomeloshift/gateway/_blob_store.py
@@ -7,10 +7,15 @@
 from collections import OrderedDict
 from typing import Any
 
+from twisted.internet.defer import CancelledError
+
+from ..appends import UploadPlan
 from ..errors import ErrorCode, PomeloshiftError, Ran
-from ..jobs import Assembler, BlobRef, base_key, split
+from ..jobs import Assembler, BlobRef, base_key
 from ..platform import HistoryLostError, KeyedRecord, StoreClient
-from ._log_writer import LogWriter
+from ._blob_upload import BlobUpload
+from ._events import EventLog
+from ._log_writer import LogUnavailableError, LogWriter
 
 TOPIC = "keyed.blobs"
 PARTITION = 0
@@ -31,36 +36,61 @@
     """Writes and reads blobs, with a cache of the most recently used ones."""
 
     def __init__(
-        self, store: StoreClient, writer: LogWriter, record_bytes: int
+        self,
+        store: StoreClient,
+        writer: LogWriter,
+        record_bytes: int,
+        events: EventLog,
     ) -> None:
         self.writer = writer
+        self._events = events
         self._store = store
         self._record_bytes = record_bytes
         self._cache: OrderedDict[str, bytes] = OrderedDict()
         self._cached_bytes = 0
 
     async def put(
-        self, owner: str, blobs: list[bytes], timeout_s: float
+        self,
+        owner: str,
+        blobs: list[bytes],
+        timeout_s: float,
+        append_timeout_s: float | None = None,
     ) -> list[BlobRef]:
         """Stores blobs that belong to the job ``owner`` and returns their references.
 
-        Raises the errors of `LogWriter.wait`.
+        They are stored in several appends if the path to the store is too slow for one,
+        so that other records are written between them. Each is waited for up to
+        ``append_timeout_s`` seconds, all together up to ``timeout_s``, and none is
+        begun once the rest cannot be stored in time. Blobs of an upload that fails are
+        removed. Raises the errors of `LogWriter.wait`.
         """
-        records: list[tuple[str, bytes | None]] = []
-        layout = []
-        for blob in blobs:
-            key = self.writer.new_key(owner)
-            fragments = split(key, blob, self._record_bytes)
-            layout.append((key, len(records), len(fragments)))
-            records += fragments
-        first = await self.writer.wait(self.writer.append(records), timeout_s)
-        refs = [
-            BlobRef(key, first + at, len(blob), count)
-            for (key, at, count), blob in zip(layout, blobs, strict=True)
-        ]
-        for ref, blob in zip(refs, blobs, strict=True):
+        writer = self.writer
+        plan = UploadPlan([len(blob) for blob in blobs], writer.now() + timeout_s)
+        upload = BlobUpload(writer, owner, self._record_bytes)
+        try:
+            while group := plan.next_group(writer.pace.call_bytes):
+                began_at = writer.now()
+                remaining_s = plan.until - began_at
+                await upload.append(
+                    [blobs[index] for index in group],
+                    min(remaining_s, append_timeout_s or remaining_s),
+                )
+                plan.note_stored(writer.now() - began_at)
+                if plan.is_too_late(writer.now()):
+                    raise LogUnavailableError("the path to the store is too slow")
+        except (PomeloshiftError, CancelledError) as exc:
+            self._events.warn(
+                "upload_abandoned",
+                job=owner,
+                bytes=sum(plan.sizes),
+                stored=sum(ref.size for ref in upload.refs),
+                why=str(exc) or type(exc).__name__,
+            )
+            self.remove(upload.left)
+            raise
+        for ref, blob in zip(upload.refs, blobs, strict=True):
             self._cache_blob(ref.key, blob)
-        return refs
+        return upload.refs
 
     async def get(self, ref: BlobRef) -> bytes:
         """Returns a blob; raises `BlobLostError` or an error of the store."""
@@ -68,32 +98,37 @@
         if blob is not None:
             self._cache.move_to_end(ref.key)
             return blob
-        try:
-            blob = await self._read(ref)
-        except HistoryLostError:
+        blob = await self._read(ref)
+        if blob is None:
             blob = await self._find_by_key(ref)
         self._cache_blob(ref.key, blob)
         return blob
 
-    async def _read(self, ref: BlobRef) -> bytes:
-        """Reads a blob at its offset."""
+    async def _read(self, ref: BlobRef) -> bytes | None:
+        """Reads a blob at its offset, if its records are together and still there."""
+        if ref.size > self.writer.pace.max_bytes:
+            return None
         max_kb = math.ceil(ref.size / 1024) + READ_SLACK_KB
         assembler = Assembler()
         offset = ref.offset
         while offset < ref.offset + ref.parts:
-            page = await self._store.read(
-                TOPIC, PARTITION, offset, wait_s=0.0, max_kb=max_kb
-            )
+            try:
+                page = await self._store.read(
+                    TOPIC, PARTITION, offset, wait_s=0.0, max_kb=max_kb
+                )
+            except HistoryLostError:
+                return None
             if not page.records:
                 raise BlobLostError(f"no record at offset {offset}")
             blob = _assemble(assembler, page.records, ref)
             if blob is not None:
                 return blob
             offset = page.next_offset
-        raise BlobLostError(f"the blob {ref.key} is incomplete")
+        # Its records are in several appends, with those of other gateways between them.
+        return None
 
     async def _find_by_key(self, ref: BlobRef) -> bytes:
-        """Reads a blob by key, if the retained history starts after ``ref.offset``."""
+        """Reads a blob by key, wherever its records are."""
         assembler = Assembler()
         # Sorts directly before the keys of the blob's fragments.
         after = f"{ref.key}!"
@@ -115,6 +150,16 @@
             _, dropped = self._cache.popitem(last=False)
             self._cached_bytes -= len(dropped)
 
+    def remove(self, refs: list[BlobRef]) -> None:
+        """Removes blobs from the store, once it is known whether they are in it."""
+        if refs:
+            removal = self.writer.append(self.remove_keys(refs))
+            removal.done.addErrback(self._note_removal_failed)
+
+    def _note_removal_failed(self, failure: Any) -> None:
+        failure.trap(PomeloshiftError)
+        self._events.warn("removal_failed", why=failure.value.message)
+
     def remove_keys(self, refs: list[BlobRef]) -> list[tuple[str, Any]]:
         """Returns the records whose append removes the blobs from the store."""
         return [
--- a/src/pomeloshift/gateway/_event_catalogue.py
+++ b/src/pomeloshift/gateway/_event_catalogue.py
@@ -41,6 +41,11 @@
         " long the call was, `waiting` what is queued behind it.",
     ),
     EventSpec("append_failed", "An append was rejected permanently.", True),
+    EventSpec(
+        "upload_abandoned",
+        "Bodies or an output were not stored; `stored` of `bytes` were, and are removed"
+        " again.",
+    ),
     EventSpec("removal_failed", "Old records could not be removed."),
     EventSpec("config_applied", "A newer configuration is in force here."),
     EventSpec("key_unknown", "The request has no key of a workspace.", True),
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.error import CannotListenError
 
+from ..appends import CallPace
 from ..dispatch import (
     ConfigHolder,
     EngineRecord,
@@ -24,6 +25,7 @@
 from ..jobs import BatchSlots, ItemRoutes, Ownership, WorkQueue
 from ..net._periodic_tasks import PeriodicTasks
 from ..platform import (
+    CALL_TIMEOUT_S,
     CONFIG_TOPIC,
     ENGINES_TOPIC,
     READY_PATH,
@@ -140,7 +142,7 @@
         self.log_writers = LogWriters(
             self._store,
             self._incarnation,
-            settings.store.call_bytes,
+            CallPace(settings.store.call_bytes // 2, CALL_TIMEOUT_S),
             reactor,
             events,
         )
@@ -148,6 +150,7 @@
             self._store,
             self.log_writers.new(_blob_store.TOPIC, _blob_store.PARTITION),
             settings.store.record_bytes,
+            events,
         )
         self.job_log = JobLog(
             self._store,
--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -6,7 +6,7 @@
 import attrs
 from twisted.internet.defer import Deferred
 
-from ..appends import AppendSequence, AppendState, CallOutcome, Step
+from ..appends import AppendSequence, AppendState, CallOutcome, CallPace, Step
 from ..errors import ErrorCode, PomeloshiftError, Ran
 from ..net._periodic_tasks import spawn
 from ..platform import (
@@ -61,10 +61,11 @@
 class LogWriter:
     """Writes to one partition with at most one call in flight.
 
-    Appends that are queued meanwhile are sent together in the next call. Each call
-    has this process's producer name and a sequence number, so that a call whose
-    response was lost can be retried without a second effect. `AppendSequence` decides
-    when a call's outcome is known; until then nothing else is sent.
+    Appends that are queued meanwhile are sent together in the next call, as many as
+    ``pace`` allows. Each call has this process's producer name and a sequence number,
+    so that a call whose response was lost can be retried without a second effect.
+    `AppendSequence` decides when a call's outcome is known; until then nothing else is
+    sent.
     """
 
     def __init__(
@@ -73,7 +74,7 @@
         partition: int,
         store: StoreClient,
         producer: str,
-        call_bytes: int,
+        pace: CallPace,
         reactor: Any,
         events: EventLog,
     ) -> None:
@@ -81,7 +82,7 @@
         self.partition = partition
         self._store = store
         self._producer = producer
-        self._call_bytes = call_bytes
+        self.pace = pace
         self._reactor = reactor
         self._events = events
         self._sequence = AppendSequence()
@@ -100,6 +101,10 @@
         """The size of the appends that wait for the call in flight, in bytes."""
         return sum(append.size for append in self._queue)
 
+    def now(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return float(self._reactor.seconds())
+
     def stop(self) -> None:
         """Stops writing; appends that are still queued are never written."""
         self._is_stopped = True
@@ -157,14 +162,14 @@
         """Removes from the queue the appends that fit into one call."""
         group = [self._queue.popleft()]
         size = group[0].size
-        while self._queue and size + self._queue[0].size <= self._call_bytes // 2:
+        while self._queue and size + self._queue[0].size <= self.pace.call_bytes:
             size += self._queue[0].size
             group.append(self._queue.popleft())
         return group
 
     async def _write(self, group: list[Append]) -> None:
         """Writes appends in one call; returns once their outcome is known."""
-        sequence, delay_s = self._sequence, STORE_RETRY_S
+        sequence, delay_s, lost_calls = self._sequence, STORE_RETRY_S, 0
         while not self._is_stopped:
             # Appends that nobody waits for any more are left out until the store may
             # have applied the call; after that a retry must repeat the same call.
@@ -172,9 +177,10 @@
                 group = [append for append in group if not append.done.called]
             if not group:
                 return
-            began_at = self._reactor.seconds()
-            offset, exc = await self._call(group)
-            took_s = self._reactor.seconds() - began_at
+            timeout_s = self.pace.timeout_s(_size(group), lost_calls)
+            began_at = self.now()
+            offset, exc = await self._call(group, timeout_s)
+            took_s = self.now() - began_at
             if sequence.state is AppendState.SETTLED:
                 is_applied = sequence.take()
                 self._mark(group, False)
@@ -185,6 +191,9 @@
                     self._fail(group, exc or _not_applied())
                 return
             if exc is not None:
+                if isinstance(exc, StoreNoResponseError) and took_s >= timeout_s:
+                    lost_calls += 1
+                    self.pace.note_lost(_size(group))
                 self._events.info(
                     "append_repeated",
                     topic=self.topic,
@@ -194,6 +203,7 @@
                     step=sequence.step.value,
                     bytes=_size(group),
                     took_s=took_s,
+                    timeout_s=timeout_s,
                     waiting=len(self._queue),
                     waiting_bytes=self.waiting_bytes,
                 )
@@ -201,7 +211,7 @@
                 delay_s = min(2 * delay_s, STORE_RETRY_MAX_S)
 
     async def _call(
-        self, group: list[Append]
+        self, group: list[Append], timeout_s: float
     ) -> tuple[int | None, PomeloshiftError | None]:
         """Makes the next call for a group; returns its offset or its error."""
         sequence = self._sequence
@@ -213,7 +223,8 @@
                 offset = await self._find(group)
                 sequence.settle(offset is not None)
             else:
-                offset = await self._append(group if step is Step.SEND else [])
+                sent = group if step is Step.SEND else []
+                offset = await self._append(sent, timeout_s)
                 sequence.end(CallOutcome.DONE)
         except LogTimeoutError as exc:
             sequence.settle(False)
@@ -225,17 +236,21 @@
             return None, exc
         return offset, None
 
-    async def _append(self, group: list[Append]) -> int:
+    async def _append(self, group: list[Append], timeout_s: float) -> int:
         records = [record for append in group for record in append.records]
         sequence = self._sequence
-        return await self._store.append(
+        began_at = self.now()
+        offset = await self._store.append(
             self.topic,
             self.partition,
             records,
             self._producer,
             sequence.number,
+            timeout_s=timeout_s,
             epoch=sequence.epoch,
         )
+        self.pace.note_response(_size(group), self.now() - began_at)
+        return offset
 
     async def _find(self, group: list[Append]) -> int | None:
         """Returns the offset of a group that the log holds, None if it does not.
--- a/src/pomeloshift/gateway/_log_writers.py
+++ b/src/pomeloshift/gateway/_log_writers.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..appends import CallPace
 from ..platform import StoreClient
 from ._events import EventLog
 from ._log_writer import LogWriter
@@ -14,13 +15,13 @@
 class LogWriters:
     """Makes a `LogWriter` for each topic and lists those that were made.
 
-    ``producer`` identifies this process in the store. Calls hold at most
-    ``call_bytes`` bytes.
+    ``producer`` identifies this process in the store. All writers share ``pace``, as
+    they share the path to the store.
     """
 
     store: StoreClient
     producer: str
-    call_bytes: int
+    pace: CallPace
     reactor: Any
     events: EventLog
     _writers: list[LogWriter] = attrs.field(factory=list, init=False)
@@ -32,7 +33,7 @@
             partition,
             self.store,
             self.producer,
-            self.call_bytes,
+            self.pace,
             self.reactor,
             self.events,
         )
--- a/src/pomeloshift/gateway/_metrics.py
+++ b/src/pomeloshift/gateway/_metrics.py
@@ -91,6 +91,8 @@
         metrics.set("gateway_items_waiting", waiting)
         age_s = gateway.job_log.age()
         metrics.set("gateway_job_log_age_seconds", age_s if age_s < math.inf else -1)
+        call_bytes = gateway.log_writers.pace.call_bytes
+        metrics.set("gateway_append_call_bytes", call_bytes)
         for writer in gateway.log_writers:
             size = writer.waiting_bytes
             metrics.set("gateway_append_waiting_bytes", size, topic=writer.topic)
--- a/src/pomeloshift/gateway/_timing.py
+++ b/src/pomeloshift/gateway/_timing.py
@@ -14,8 +14,10 @@
 CONFIG_MAX_AGE_S = 0.3
 # Results confirmed within this time count as current; the platform allows a second.
 RESULTS_MAX_AGE_S = 0.4
-# How long a submission waits for the log, out of the four seconds that it may take.
+# How long a submission waits for one append, and for all those of a large job, out of
+# the four seconds that it may take.
 SUBMIT_TIMEOUT_S = 1.6
+SUBMIT_TOTAL_S = 2.4
 # How long a finished item's result is held and its append retried while the store is
 # unavailable: longer than an outage lasts. After this the item runs again.
 ITEM_RECORD_TIMEOUT_S = 60.0
@@ -183,7 +185,8 @@
 # Port that serves metrics; deploy/system.toml names the same port.
 METRICS_PORT = 9464
 
-# Time-out of a call that is relayed for another gateway: a long poll and its response.
+# Time-out of a call that is relayed for another gateway: a long poll and its response,
+# besides the transfer of its body.
 RELAY_TIMEOUT_S = 3.0
 RELAY_CONNECTIONS = 256
 # Interval at which the direct path is probed while the store rejects this gateway.
--- a/src/pomeloshift/metrics/_catalogue.py
+++ b/src/pomeloshift/metrics/_catalogue.py
@@ -209,6 +209,13 @@
         GATEWAY,
         buckets=LOG_BUCKETS_S,
     ),
+    MetricSpec(
+        "gateway_append_call_bytes",
+        GAUGE,
+        "Size limit of calls to the store, learned from the time they take.",
+        (),
+        GATEWAY,
+    ),
     MetricSpec(
         "gateway_append_waiting_bytes",
         GAUGE,
--- a/tests/_append_machine.py
+++ b/tests/_append_machine.py
@@ -6,6 +6,7 @@
 from twisted.internet.defer import Deferred, fail
 from twisted.internet.task import Clock
 
+from pomeloshift.appends import CallPace
 from pomeloshift.errors import Ran
 from pomeloshift.gateway._events import EventLog
 from pomeloshift.gateway._log_writer import LogWriter
@@ -46,7 +47,9 @@
         self.partition = Partition()
         self.fates = []
 
-    def append(self, topic, number, records, producer, sequence, epoch=1):
+    def append(
+        self, topic, number, records, producer, sequence, timeout_s=SILENCE_S, epoch=1
+    ):
         fate = self.fates.pop(0) if self.fates else "done"
         if fate in FATES:
             return fail(FATES[fate]())
@@ -58,7 +61,7 @@
             elif fate != "lost before":
                 self.clock.callLater(fate, self.partition.append, *call)
             lost = StoreNoResponseError("lost")
-            self.clock.callLater(SILENCE_S, done.errback, lost)
+            self.clock.callLater(timeout_s, done.errback, lost)
             return done
         result = self.partition.append(*call)
         if hasattr(result, "why"):
@@ -116,7 +119,8 @@
         clock = SystemClock()
         events = EventLog(clock, GatewayMetrics("g"))
         name = f"p{self.started}"
-        return LogWriter("t", 0, self.store, name, 200, self.clock, events)
+        pace = CallPace(100, SILENCE_S)
+        return LogWriter("t", 0, self.store, name, pace, self.clock, events)
 
     @rule(
         at=st.integers(0, 1),
--- a/tests/_crash_topic.py
+++ b/tests/_crash_topic.py
@@ -84,12 +84,21 @@
             timeout_s, super().read(topic, partition, offset, wait_s)
         )
 
-    async def append(self, topic, partition, records, producer, sequence, epoch=1):
+    async def append(
+        self,
+        topic,
+        partition,
+        records,
+        producer,
+        sequence,
+        timeout_s=CALL_TIMEOUT_S,
+        epoch=1,
+    ):
         async def apply():
             super(SilentStore, self).append(records)
             return 0
 
-        return await self._answer(CALL_TIMEOUT_S, apply())
+        return await self._answer(timeout_s, apply())
 
     async def _answer(self, timeout_s, call):
         if self.reactor.seconds() < self.silent_until:
--- a/tests/_gateway.py
+++ b/tests/_gateway.py
@@ -96,7 +96,10 @@
 
 
 class Deployment:
-    """Starts and stops stand-ins and gateways in the test's process."""
+    """Starts and stops stand-ins and gateways in the test's process.
+
+    ``settings`` holds changes of the gateways' settings, by section.
+    """
 
     def __init__(self, reactor):
         self.reactor = reactor
@@ -105,6 +108,7 @@
         self.store_address = self.store.listen()
         self.engines = []
         self.gateways = []
+        self.settings = {}
         self.pool = ConnectionPool(reactor, self.clock, PoolConfig())
         self.client = Client(self.pool, self.clock)
         self.publish(config())
@@ -149,9 +153,10 @@
 
     async def add_gateway(self, **bounds):
         ip = f"127.0.0.{len(self.gateways) + 1}"
-        settings = parse_platform_settings(
-            settings_table(self.store_address, ip, 20000, **bounds)
-        )
+        table = settings_table(self.store_address, ip, 20000, **bounds)
+        for section, changes in self.settings.items():
+            table[section] |= changes
+        settings = parse_platform_settings(table)
         settings = attrs.evolve(
             settings,
             caller_address=f"{ip}:0",
--- a/tests/test_crash_log.py
+++ b/tests/test_crash_log.py
@@ -8,6 +8,7 @@
 
 from _crash_topic import STEP_S, Append, Link, SilentStore, Topic
 from _virtual import VirtualClock
+from pomeloshift.appends import CallPace
 from pomeloshift.dispatch import CrashKeys, Engine, EngineRecord, Fleet, fingerprint
 from pomeloshift.gateway._crash_log import PARTITION, TOPIC, CrashLog
 from pomeloshift.gateway._events import EventLog
@@ -22,7 +23,7 @@
     QUARANTINE_TRIAL_S,
 )
 from pomeloshift.net._periodic_tasks import PeriodicTasks
-from pomeloshift.platform import StoreFullError
+from pomeloshift.platform import CALL_TIMEOUT_S, StoreFullError
 
 CALL_BYTES = 65536
 
@@ -390,9 +391,8 @@
     gateways = []
     for name in ("g0", "g1"):
         events = EventLog(logs.clock, GatewayMetrics(name))
-        writer = LogWriter(
-            TOPIC, PARTITION, store, name, CALL_BYTES, logs.reactor, events
-        )
+        pace = CallPace(CALL_BYTES // 2, CALL_TIMEOUT_S)
+        writer = LogWriter(TOPIC, PARTITION, store, name, pace, logs.reactor, events)
         gateways.append(logs.add(writer=writer))
     logs.advance(2.0)
     silent_for_s = 8.0
--- a/tests/test_gateway_appends.py
+++ b/tests/test_gateway_appends.py
@@ -15,16 +15,14 @@
         self._partition = partition
         gateway._store.append = self.append
 
-    async def append(self, topic, number, records, producer, sequence, epoch=1):
+    async def append(self, topic, number, records, producer, sequence, **options):
         if topic == "keyed.jobs" and self._call is None:
             rows = [bytes([len(k)]) + k.encode() + v for k, v in records]
-            self._call = rows, producer, epoch, sequence
+            self._call = rows, producer, options["epoch"], sequence
             raise StoreNoResponseError("the response was lost")
         if topic == "keyed.jobs" and records and self.refused is None:
             raise StoreFullError("the store is full")
-        return await self._append(
-            topic, number, records, producer, sequence, epoch=epoch
-        )
+        return await self._append(topic, number, records, producer, sequence, **options)
 
     def apply(self):
         """The store applies the call if it still may; it has room again."""
--- a/tests/test_gateway_batch.py
+++ b/tests/test_gateway_batch.py
@@ -193,9 +193,9 @@
 
 
 def test_submission_is_refused_as_not_run_while_the_store_refuses(play, monkeypatch):
-    from pomeloshift.gateway import _batch_api
+    from pomeloshift.gateway import _batch_api, _job_store
 
-    monkeypatch.setattr(_batch_api, "SUBMIT_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(_job_store, "SUBMIT_TIMEOUT_S", 0.3)
     monkeypatch.setattr(_batch_api, "RESULTS_MAX_AGE_S", 60.0)
 
     async def scenario(deployment):
@@ -213,9 +213,9 @@
 
 
 def test_submission_without_a_response_of_the_store_gets_504(play, monkeypatch):
-    from pomeloshift.gateway import _batch_api
+    from pomeloshift.gateway import _batch_api, _job_store
 
-    monkeypatch.setattr(_batch_api, "SUBMIT_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(_job_store, "SUBMIT_TIMEOUT_S", 0.3)
     monkeypatch.setattr(_batch_api, "RESULTS_MAX_AGE_S", 60.0)
 
     async def scenario(deployment):
@@ -283,10 +283,10 @@
         client = second._store._client
         call = client.call
 
-        async def reject_direct(address, *args):
+        async def reject_direct(address, *args, **options):
             if address == deployment.store_address:
                 raise ConnectError("rejected")
-            return await call(address, *args)
+            return await call(address, *args, **options)
 
         client.call = reject_direct
         while second._store_link.path.is_direct:
--- a/tests/test_gateway_cap.py
+++ b/tests/test_gateway_cap.py
@@ -4,7 +4,7 @@
 from twisted.internet.defer import Deferred, gatherResults
 
 from _gateway import config, route
-from pomeloshift.gateway import _batch_api, _cap_decisions, _job_cleaner
+from pomeloshift.gateway import _cap_decisions, _job_cleaner, _job_store
 from pomeloshift.jobs import JobEnded, JobSubmitted
 from pomeloshift.platform import (
     StoreFullError,
@@ -177,7 +177,7 @@
     capped, monkeypatch, is_applied
 ):
     """It is accepted if the log holds it; otherwise its outcome is unknown."""
-    monkeypatch.setattr(_batch_api, "SUBMIT_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(_job_store, "SUBMIT_TIMEOUT_S", 0.3)
 
     async def scenario(deployment, first, second):
         append = first._store.append
