Wait for a response of the store while it still arrives

A page of records or keys had 1 or 2 s in all; on a slow or shared link it was given up while it arrived, and read again from its start. Calls that a gateway relays had 3 s, whatever the size of their body.

Change: a read is lost when nothing of it has arrived for 1 s, up to 32 s in all. Reads with a time-out of their own, such as those that renew the lease on the configuration, keep it. A relayed call has the time that its body takes on the slowest path; the gateway that waits for it closes its connection sooner.

Before: test_response_that_still_arrives_is_waited_for cannot pass a time that ends while bytes arrive; the former client ends the call after 1 s. After: it passes, with those of a response that stops and of one without end.

--- a/src/pomeloshift/gateway/_store_relay.py
+++ b/src/pomeloshift/gateway/_store_relay.py
@@ -4,9 +4,11 @@
 
 from twisted.internet.defer import CancelledError
 
+from ..appends import slowest_transfer_s
 from ..errors import PomeloshiftError, Ran
 from ..http1 import Client, Exchange, Headers, HttpListener, RequestHead
 from ..net._periodic_tasks import spawn
+from ..platform import CALL_TIMEOUT_S
 from ._timing import RELAY_CONNECTIONS, RELAY_TIMEOUT_S
 
 
@@ -34,9 +36,15 @@
         head = exchange.head
         fields = [(b"Host", self._store.encode())]
         forwarded = RequestHead(head.method, head.target, Headers(fields))
+        # The gateway whose call this is knows the path and may give up sooner.
+        timeout_s = RELAY_TIMEOUT_S + slowest_transfer_s(len(exchange.body))
         try:
             resp = await self._client.call(
-                self._store, forwarded, exchange.body, RELAY_TIMEOUT_S
+                self._store,
+                forwarded,
+                exchange.body,
+                timeout_s,
+                pause_s=CALL_TIMEOUT_S,
             )
         except CancelledError:
             raise
--- a/src/pomeloshift/http1/_client.py
+++ b/src/pomeloshift/http1/_client.py
@@ -17,6 +17,8 @@
 # Limit of a response's body. The store's longest holds an item's body, which is
 # limited to the 4 MiB of a caller's request.
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+# How long a response may arrive in all: one of the largest size at 2 Mbit/s.
+MAX_TRANSFER_S = 32.0
 
 
 class Client:
@@ -36,14 +38,21 @@
         body: bytes,
         timeout_s: float,
         max_bytes: int = MAX_RESPONSE_BYTES,
+        pause_s: float = 0.0,
     ) -> Response:
         """Sends a request and returns the complete response.
 
+        The response has to be complete ``timeout_s`` seconds after the call, or still
+        be arriving, with pauses of less than ``pause_s``: a large one on a slow path is
+        then waited for, up to `MAX_TRANSFER_S` in all.
+
         Raises `ConnectError` if nothing was sent, and `ConnectionBrokenError` or
         `CallTimeoutError` if the server may have handled the request. A body of more
         than ``max_bytes`` counts as broken.
         """
-        deadline = self._clock.monotonic() + timeout_s
+        began_at = self._clock.monotonic()
+        deadline = began_at + timeout_s
+        last = max(deadline, began_at + MAX_TRANSFER_S)
         call = await self._pool.send(address, head, body)
         status, headers, content = 0, Headers([]), bytearray()
         try:
@@ -61,9 +70,14 @@
                     return Response(status, headers, bytes(content))
                 elif isinstance(event, Disconnected):
                     raise ConnectionBrokenError(f"{address}: {event.reason}")
+                if pause_s > 0:
+                    resumed_until = self._clock.monotonic() + pause_s
+                    deadline = min(last, max(deadline, resumed_until))
         except CallTimeoutError as exc:
+            took_s = self._clock.monotonic() - began_at
             raise CallTimeoutError(
-                f"{address}: no response within {timeout_s:.1f} s"
+                f"{address}: no response within {took_s:.1f} s"
+                f" ({len(content)} bytes of it)"
             ) from exc
         finally:
             call.abort()
--- a/src/pomeloshift/platform/_store.py
+++ b/src/pomeloshift/platform/_store.py
@@ -175,14 +175,16 @@
         offset: int,
         wait_s: float,
         max_kb: int | None = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
         address: str | None = None,
     ) -> Page:
         """Returns the records of a keyed topic from ``offset`` on.
 
         Waits up to ``wait_s`` for the first one. ``max_kb`` limits the response in
-        kilobytes. A response counts as lost ``timeout_s`` after that wait. ``address``
-        replaces the chosen one. Raises `HistoryLostError` if the records have expired.
+        kilobytes. A response counts as lost when nothing of it has arrived for
+        `CALL_TIMEOUT_S` after that wait, or when it is not complete after ``timeout_s``
+        seconds if that is given. ``address`` replaces the chosen one. Raises
+        `HistoryLostError` if the records have expired.
         """
         query: dict[str, Any] = {"topic": topic, "part": partition, "from": offset}
         if max_kb is not None:
@@ -190,8 +192,15 @@
         if wait_s > 0:
             query["waitMs"] = round(wait_s * 1000)
         self._take(self._reads)
+        limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
         response = await self._call(
-            b"GET", "/api/log-read", query, b"", wait_s + timeout_s, address
+            b"GET",
+            "/api/log-read",
+            query,
+            b"",
+            wait_s + limit_s,
+            pause_s=CALL_TIMEOUT_S if timeout_s is None else 0.0,
+            address=address,
         )
         if response.status == 410:
             expired = decode_json(response.body, "a read", _Expired)
@@ -206,7 +215,12 @@
             query["after"] = after
         self._take(self._reads)
         response = await self._call(
-            b"GET", "/api/log-newest", query, b"", 2 * CALL_TIMEOUT_S
+            b"GET",
+            "/api/log-newest",
+            query,
+            b"",
+            2 * CALL_TIMEOUT_S,
+            pause_s=CALL_TIMEOUT_S,
         )
         _check(response)
         try:
@@ -246,6 +260,7 @@
         query: dict[str, Any],
         body: bytes,
         timeout_s: float,
+        pause_s: float = 0.0,
         address: str | None = None,
     ) -> Response:
         target = f"{path}?{urlencode(query)}" if query else path
@@ -257,7 +272,9 @@
         outcome = "silent"
         address = address or self.choose_address()
         try:
-            response = await self._client.call(address, head, body, timeout_s)
+            response = await self._client.call(
+                address, head, body, timeout_s, pause_s=pause_s
+            )
             outcome = str(response.status)
             self.on_address(address, response.status not in REJECTED_STATUSES)
             return response
--- a/tests/test_gateway_workspaces.py
+++ b/tests/test_gateway_workspaces.py
@@ -271,9 +271,9 @@
         client = second._store._client
         call = client.call
 
-        async def fail_direct(address, *args):
+        async def fail_direct(address, *args, **options):
             if address != deployment.store_address:
-                return await call(address, *args)
+                return await call(address, *args, **options)
             if fault == "silent":
                 await deployment.pause(60.0)
             raise ConnectError("rejected")
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -294,6 +294,44 @@
     assert result.result is CallTimeoutError
 
 
+def test_response_that_still_arrives_is_waited_for(client, connection, clock):
+    """A page of the store that took longer than the time-out was never read."""
+    result = call_result(client, pause_s=1.0)
+    connection.dataReceived(CHUNKED)
+    for _ in range(8):
+        clock.advance(0.9)
+        connection.dataReceived(b"1\r\nx\r\n")
+    connection.dataReceived(b"0\r\n\r\n")
+    assert result.result.body == b"x" * 8
+
+
+@pytest.mark.parametrize("is_begun", [False, True])
+def test_response_that_stops_arriving_ends_the_call(
+    client, connection, clock, is_begun
+):
+    result = call_result(client, pause_s=0.5)
+    if is_begun:
+        clock.advance(0.9)
+        connection.dataReceived(CHUNKED + b"1\r\nx\r\n")
+    clock.advance(0.45)
+    assert connection.transport.ended is None
+    clock.advance(1.0)
+    assert connection.transport.ended == "aborted"
+    result.addBoth(lambda result: result.check(CallTimeoutError))
+    assert result.result is CallTimeoutError
+
+
+def test_response_that_arrives_for_too_long_ends_the_call(client, connection, clock):
+    result = call_result(client, pause_s=1.0)
+    connection.dataReceived(CHUNKED)
+    for _ in range(100):
+        clock.advance(0.5)
+        connection.dataReceived(b"1\r\nx\r\n")
+    assert connection.transport.ended == "aborted"
+    result.addBoth(lambda result: result.check(CallTimeoutError))
+    assert result.result is CallTimeoutError
+
+
 def test_body_without_end_ends_the_call_at_its_limit(client, connection):
     result = call_result(client, max_bytes=4096)
     connection.dataReceived(CHUNKED)
--- a/tests/test_lease_renewal.py
+++ b/tests/test_lease_renewal.py
@@ -54,7 +54,7 @@
     dead_relays: int = 0
     calls: int = 0
 
-    async def call(self, address, head, body, timeout_s, max_bytes=0):
+    async def call(self, address, head, body, timeout_s, max_bytes=0, pause_s=0.0):
         self.calls += 1
         arrives_at = self.reactor.seconds() + LATENCY_S
         is_dead = False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -310,7 +310,7 @@
     def __init__(self, status, body):
         self._response = Response(status, Headers([]), body)
 
-    async def call(self, *args):
+    async def call(self, *args, **options):
         return self._response
 
 
