Refuse responses whose status HTTP does not have

What callers saw: an engine's response with the status 777 reached the caller of a request that may run only once.

Cause: the parser requires 200 to 999 of a final status, so that 000 to 099 end the call here, and 600 to 999 do not. Those counted as a failure that the engine had given.

Change: a status above 599 ends the connection like bytes that are no response.

--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -23,6 +23,8 @@
 MAX_SKIPPED_RESPONSES = 16
 REQUEST_ID = b"x-request-id"
 
+# The last status that HTTP defines. The parser refuses those before the first one.
+LAST_STATUS = 599
 # The status of the response to a probe.
 PROBE_STATUS = 200
 
@@ -232,6 +234,9 @@
             self._fail("closed by the server", by_server=True)
 
     def _begin_response(self, call: Call, event: h11.Response) -> None:
+        if event.status_code > LAST_STATUS:
+            self._fail(f"unknown status {event.status_code}")
+            return
         headers = Headers(event.headers.raw_items())
         head = ResponseHead(event.status_code, headers, _is_framed(event))
         self._origin = self._find_origin(head)
