Send no request in a planned stop that could not finish

What callers saw: other operators' callers had requests cut at the end of the grace period of a planned stop that came late in it, also ones that may not be repeated (LOST). Here those that arrive late are refused; requests that were rejected by an engine, or waited for the configuration, were sent late, and those of long routes were taken as long as short ones.

Cause: the stop looked at the arrival of a request, not at when it is sent, nor at how long it takes.

Change: StopWindow, a core, decides for each first attempt. None is sent after the gateway has left the rotation, nor if others of its route take longer than the rest of the grace period; the time of a route is learned. Such requests get 503 at once. request_failed has may_send in place of has_lease.

--- a/src/pomeloshift/dispatch/__init__.py
+++ b/src/pomeloshift/dispatch/__init__.py
@@ -44,6 +44,7 @@
 from ._serving_config import HttpLimits, Service, ServingConfig
 from ._silent_runs import SilentRun, SilentRuns
 from ._software_version import SoftwareVersion
+from ._stop_window import StopWindow
 from ._store_path import DIRECT, StorePath
 from ._stream_versions import StreamVersions, stream_key
 from ._watched_runs import WatchedRun, WatchedRuns
@@ -93,6 +94,7 @@
     "SoftwareVersion",
     "Split",
     "Step",
+    "StopWindow",
     "StorePath",
     "StreamEvent",
     "StreamVersions",
--- a/src/pomeloshift/gateway/_gateway.py
+++ b/src/pomeloshift/gateway/_gateway.py
@@ -374,6 +374,7 @@
         )
         self.batch_loop.stop_starting()
         last = began + self._settings.grace_s - CLOSE_MARGIN_S
+        self.online.window.begin(began + LEAVE_ROTATION_S, last)
         await sleep(self._reactor, LEAVE_ROTATION_S)
         # Requests that arrive from here on could not finish within the grace period:
         # they are refused as not run.
--- a/src/pomeloshift/gateway/_online.py
+++ b/src/pomeloshift/gateway/_online.py
@@ -420,7 +420,7 @@
             failed_at=",".join(sorted(self.plan.failed_at)),
             is_started=self.relay.has_begun,
             took_s=took_s,
-            has_lease=self.may_send(),
+            may_send=self.may_send(),
         )
         if self.relay.has_begun:
             self.exchange.abort()
--- a/src/pomeloshift/gateway/_online_service.py
+++ b/src/pomeloshift/gateway/_online_service.py
@@ -12,6 +12,7 @@
     Route,
     RouteKind,
     ServingConfig,
+    StopWindow,
     fingerprint,
 )
 from ..http1 import Exchange
@@ -31,7 +32,8 @@
 class OnlineService:
     """Starts an `OnlineRequest` for each request of an online route.
 
-    ``may_send`` says whether a caller's requests may be sent to engines now.
+    ``may_send`` says whether a caller's requests may be sent to engines now, and
+    ``window`` what may still be sent before a planned stop.
     """
 
     access: EngineAccess
@@ -40,6 +42,7 @@
     events: EventLog
     open_requests: int = 0
     may_send: Callable[[Caller], bool] = lambda caller: True
+    window: StopWindow = attrs.field(factory=StopWindow)
 
     def handle(
         self,
@@ -82,16 +85,25 @@
             CrashKeys(digest, req.parts),
             allowance,
             caller=caller,
-            may_send=partial(self.may_send, caller),
+            may_send=partial(self._may_send, caller, route, plan),
         )
         self.open_requests += 1
         task = spawn(self._serve(request))
         exchange.on_disconnect = task.cancel
 
+    def _may_send(self, caller: Caller, route: Route, plan: AttemptPlan) -> bool:
+        """Whether a request may be sent now; a stop lets those go on that have run."""
+        if not self.may_send(caller):
+            return False
+        return plan.may_have_run or self.window.admits(route.name, self.access.now())
+
     async def _serve(self, request: OnlineRequest) -> None:
         try:
             await request.serve()
-            if not request.plan.may_have_run:
+            if request.plan.may_have_run:
+                took_s = self.access.now() - request.exchange.arrived_at
+                self.window.note_run(request.route.name, took_s)
+            else:
                 request.allowance.put_back()
         except CancelledError:
             self.events.info(
--- a/src/pomeloshift/gateway/_request_dispatcher.py
+++ b/src/pomeloshift/gateway/_request_dispatcher.py
@@ -159,7 +159,10 @@
         caller: Caller,
     ) -> None:
         """Serves an online request that is within the limit of its workspace."""
-        if self.rates.admits(exchange, req, caller.workspace):
+        if self.is_closed:
+            # It waited for the configuration until it could no longer finish.
+            self._refuse(exchange, req, "stopping")
+        elif self.rates.admits(exchange, req, caller.workspace):
             allowance = self.rates.allowance(caller.workspace)
             self.online.handle(exchange, req, route, config, caller, allowance)
 
