Test that a doubtful response without end is not kept

Another operator's machine ran out of memory with bytes of a faulty engine. No test had a body without end in a response that names no request, which is held back; it passes.

--- a/tests/test_doubtful_responses.py
+++ b/tests/test_doubtful_responses.py
@@ -15,6 +15,7 @@
     ResponseHead,
 )
 from pomeloshift.http1._client_connection import ClientConnection
+from pomeloshift.http1._overhead import MAX_OVERHEAD_BYTES
 from test_http1 import Transport, VirtualClock, events_of, head, response
 
 PROBE = RequestHead(b"GET", b"/probe", Headers([(b"Host", b"a")]))
@@ -93,6 +94,22 @@
     assert not event.by_server
 
 
+@pytest.mark.parametrize("name", [b"", b"X-Request-Id: r0\r\n"])
+def test_doubtful_response_without_end_is_not_kept(reused, name):
+    """It would be held in memory until the server or the deadline ended it."""
+    call = reused.send(head("r1"), b"", PROBE)
+    reused.dataReceived(
+        b"HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n" % (name, 9**20)
+    )
+    received = 0
+    while reused._is_open and received < 4 * MAX_OVERHEAD_BYTES:
+        reused.dataReceived(b"x" * 65536)
+        received += 65536
+    assert received <= MAX_OVERHEAD_BYTES + 65536
+    (event,) = events_of(call)
+    assert event == Disconnected("too many bytes beside the body")
+
+
 def test_server_that_closes_after_a_doubtful_response_has_not_crashed(reused):
     call = reused.send(head("r1"), b"", PROBE)
     reused.dataReceived(NAMELESS)
