--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -11,6 +11,7 @@
 from ..platform import (
     HistoryLostError,
     KeyedRecord,
+    NewestPage,
     Page,
     StoreClient,
     StoreUnreachableError,
@@ -60,6 +61,29 @@
         return self.record
 
 
+@attrs.define
+class _SnapshotPages:
+    """The pages of a snapshot that have been read, and where the next one begins.
+
+    ``end`` is the partition's end at the time of the first page, which was requested at
+    ``requested_at``.
+    """
+
+    requested_at: float
+    records: list[KeyedRecord] = attrs.field(factory=list)
+    after: str = ""
+    end: int | None = None
+
+    def add(self, page: NewestPage) -> bool:
+        """Adds the next page; returns whether it is the last one."""
+        if self.end is None:
+            self.end = page.end
+        self.records += page.records
+        if page.records:
+            self.after = page.records[-1].key
+        return not page.has_more or not page.records
+
+
 class TopicFollower:
     """Reads the records of a partition in order with long polls of ``poll_s``."""
 
@@ -89,6 +113,8 @@
         self._failures = 0
         self._is_stopped = False
         self._loop: Deferred[None] | None = None
+        # What the loop has read of a snapshot; kept while reads fail.
+        self._pages: _SnapshotPages | None = None
 
     @property
     def is_synced(self) -> bool:
@@ -120,7 +146,7 @@
             raise StoreUnreachableError("the store did not respond to the last read")
         while True:
             if self._offset is None:
-                if await self._take_snapshot():
+                if await self._take_snapshot(_SnapshotPages(self._request_time())):
                     return
                 continue
             offset, requested_at = self._offset, self._request_time()
@@ -160,7 +186,7 @@
                     offset=self._offset,
                     first=exc.first,
                 )
-                self._offset = None
+                self._offset = self._pages = None
             except PomeloshiftError as exc:
                 self._note_failure(exc)
                 await self._wait_after_failure()
@@ -182,7 +208,10 @@
 
     async def _poll(self) -> None:
         if self._offset is None:
-            await self._take_snapshot()
+            if self._pages is None:
+                self._pages = _SnapshotPages(self._request_time())
+            await self._take_snapshot(self._pages)
+            self._pages = None
             return
         # A read that does not wait for records shows at once whether the store is
         # available again.
@@ -194,30 +223,26 @@
         if page.records and self._read_gap_s > 0:
             await sleep(self._reactor, self._read_gap_s)
 
-    async def _take_snapshot(self) -> bool:
+    async def _take_snapshot(self, pages: _SnapshotPages) -> bool:
         """Reads the newest records; returns False if another call did so before.
 
         `catch_up` and the loop may read a snapshot at once. Only the first is applied:
-        a second one might be older than what was applied since.
+        a second one might be older than what was applied since. Pages that ``pages``
+        has already are not read again.
         """
-        requested_at = self._request_time()
-        records: list[KeyedRecord] = []
-        after, end = "", None
         while True:
-            page = await self._store.newest(self.topic, self.partition, after)
-            if end is None:
-                end = page.end
-            records += page.records
-            if not page.has_more or not page.records:
+            page = await self._store.newest(self.topic, self.partition, pages.after)
+            if pages.add(page):
                 break
-            after = page.records[-1].key
+        assert pages.end is not None
+        end = pages.end
         # The pages are not one snapshot: records from the first page's end on are left
         # out here and read again. So are keys that were removed meanwhile, because a
         # later page may lack others that were removed with them.
         removed = await self._removed_keys(end, page.end)
         if self._offset is not None:
             return False
-        known = [r for r in records if r.offset < end and r.key not in removed]
+        known = [r for r in pages.records if r.offset < end and r.key not in removed]
         known.sort(key=lambda record: record.offset)
         self._handlers.begin_snapshot(known)
         for record in known:
@@ -227,7 +252,7 @@
         self._events.info(
             "topic_read", topic=self.topic, records=len(known), offset=end
         )
-        self._confirm(requested_at)
+        self._confirm(pages.requested_at)
         return True
 
     async def _removed_keys(self, start: int, end: int) -> set[str]:
--- a/tests/test_gateway_slow_link.py
+++ b/tests/test_gateway_slow_link.py
@@ -9,19 +9,23 @@
 from _gateway import config, route, settings_table
 from pomeloshift.gateway import _batch_api, _job_store
 from pomeloshift.net._periodic_tasks import spawn
+from pomeloshift.platform import _store
 
 # A link between two regions, in bytes per second.
 LINK_BYTES_PER_S = 15e6 / 8
 PIECE_BYTES = 8192
 # Longer than all calls of a test take together beside load, in seconds.
 SUBMIT_S = 60.0
+# Some reads may be lost beside load; one that can never succeed is lost each time.
+MAX_LOST = 6
 
 
 class SlowLink:
     """Relays channels to an address; all share one bandwidth each way."""
 
-    def __init__(self, reactor, target):
+    def __init__(self, reactor, target, bytes_per_s=LINK_BYTES_PER_S):
         self.reactor = reactor
+        self.bytes_per_s = bytes_per_s
         self.target = target
         self.free_at = {}
         factory = Factory.forProtocol(lambda: _Side(self, "up"))
@@ -32,7 +36,7 @@
     async def reserve(self, way, size):
         """Waits until ``size`` bytes have passed the link."""
         now = self.reactor.seconds()
-        until = max(now, self.free_at.get(way, now)) + size / LINK_BYTES_PER_S
+        until = max(now, self.free_at.get(way, now)) + size / self.bytes_per_s
         self.free_at[way] = until
         await deferLater(self.reactor, until - now, lambda: None)
 
@@ -133,6 +137,35 @@
     assert len(slow(scenario)) == 4
 
 
+def test_page_of_the_job_log_that_takes_long_is_read(play, monkeypatch):
+    """Each read of it timed out and began again, and jobs could not be read (LOST)."""
+    monkeypatch.setattr(_store, "CALL_TIMEOUT_S", 0.5)
+
+    async def scenario(deployment):
+        writer = await deployment.add_gateway()
+        accepted = await deployment.submit(writer, "job1", [b"one"])
+        await writer.stop()  # It would relay the calls of the other one.
+        # A page of half a megabyte, which takes several times the time-out.
+        for number in range(400):
+            record = b"x" * 1000
+            deployment.store.state.put("keyed.jobs", f"other/p/{number}#0", record)
+        store = deployment.store_address
+        link = SlowLink(deployment.reactor, store, bytes_per_s=150_000)
+        deployment.store_address = link.address
+        reader = await deployment.add_gateway()
+        calls = []
+        reader._store.on_call = lambda *call: calls.append(call)
+        while not reader.job_log.follower.is_synced:
+            lost = [call for call in calls if call[:2] == ("log-newest", "silent")]
+            assert len(lost) < MAX_LOST
+            await deployment.pause(0.05)
+        resp = await deployment.call(reader, "GET", "/api/lots/job1?after=0")
+        await link.port.stopListening()
+        return accepted.status, resp.status
+
+    assert play(scenario) == (202, 200)
+
+
 def note_sizes(store, sizes):
     """Notes the bytes of each append that a gateway's client of the store makes."""
     append = store.append
