Refuse items that HTTP cannot carry, and close connections that cannot send

Cause: a request that could not be encoded raised after its connection was marked as in use, which was then neither closed nor returned. Engines saw no request, so none refused them.

Change: a submission with such an item gets 400, which names the item and the field. Headers of items that concern one connection are left out.

--- a/src/pomeloshift/gateway/_batch_api.py
+++ b/src/pomeloshift/gateway/_batch_api.py
@@ -175,7 +175,8 @@
             items = decode_items(exchange.body)
         except MalformedError as exc:
             self.events.warn("job_malformed", id=req.id, why=exc.message)
-            refuse(exchange, 400)
+            headers = [(b"Content-Type", b"text/plain; charset=utf-8")]
+            exchange.respond(400, headers, exc.message.encode("utf-8", "replace"))
             return
         known = self.log.table.jobs.get(req.id)
         if known is not None:
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -4,7 +4,12 @@
 from ._client import Client
 from ._client_connection import Call
 from ._connection_pool import ConnectionPool
-from ._errors import CallTimeoutError, ConnectError, ConnectionBrokenError
+from ._errors import (
+    CallTimeoutError,
+    ConnectError,
+    ConnectionBrokenError,
+    InvalidRequestError,
+)
 from ._exchange import Exchange
 from ._listener import HttpListener
 from ._mailbox import Mailbox
@@ -36,6 +41,7 @@
     "Grant",
     "Headers",
     "HttpListener",
+    "InvalidRequestError",
     "Mailbox",
     "PoolConfig",
     "RequestHead",
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -8,6 +8,7 @@
 from twisted.internet.protocol import Protocol
 
 from ._body_sender import SLICE_BYTES, BodySender
+from ._errors import InvalidRequestError
 from ._mailbox import Mailbox
 from ._messages import (
     Chunk,
@@ -135,6 +136,12 @@
         self, head: RequestHead, body: bytes, probe: RequestHead | None = None
     ) -> Call:
         """Sends a request; see `ConnectionPool.send`."""
+        try:
+            parts = self._encode(head, body)
+        except h11.LocalProtocolError as exc:
+            # The parser cannot be used for another request.
+            self._close()
+            raise InvalidRequestError(f"{self.address}: {exc}") from exc
         self._call = Call(self, self._pool.reactor)
         self._head, self._body, self._probe = head, body, probe
         self._held = []
@@ -142,7 +149,6 @@
         self._overhead = Overhead()
         self._skipped_responses = 0
         transport: Any = self.transport
-        parts = self._encode(head, body)
         if len(body) <= SLICE_BYTES:
             transport.write(b"".join(parts))
         else:
--- a/src/pomeloshift/http1/_connection_pool.py
+++ b/src/pomeloshift/http1/_connection_pool.py
@@ -58,7 +58,8 @@
         status 200. If a response on a reused connection names no request, the probe is
         sent after it: the order of responses shows whether it belongs to the request.
 
-        Raises `ConnectError` if nothing was sent.
+        Raises `ConnectError`, or `InvalidRequestError` for a request that HTTP does not
+        allow, if nothing was sent.
         """
         connection = self._take_idle(address)
         if connection is None:
--- a/src/pomeloshift/http1/_errors.py
+++ b/src/pomeloshift/http1/_errors.py
@@ -22,3 +22,10 @@
 
     code = ErrorCode.OUTCOME_UNKNOWN
     ran = Ran.UNKNOWN
+
+
+class InvalidRequestError(PomeloshiftError):
+    """A request has a part that HTTP does not allow, so nothing was sent."""
+
+    code = ErrorCode.INVALID_REQUEST
+    ran = Ran.NO
--- a/src/pomeloshift/http1/_messages.py
+++ b/src/pomeloshift/http1/_messages.py
@@ -1,11 +1,19 @@
 """The parts of HTTP messages: headers, heads, chunks and ends."""
 
+import re
 from collections.abc import Iterator
 
 import attrs
 
 HeaderList = list[tuple[bytes, bytes]]
 
+# What requests consist of (RFC 9110, 5.5 and 5.6.2, and RFC 9112, 3.2).
+TOKEN = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+FIELD_VALUE = re.compile(
+    rb"([\x21-\x7e\x80-\xff]([\t\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?)?"
+)
+TARGET = re.compile(rb"[\x21-\x7e]+")
+
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and those that frame the body: each
 # connection sets its own.
 CONNECTION_HEADERS = frozenset(
@@ -66,7 +74,7 @@
 
     def _connection_options(self) -> set[bytes]:
         value = self.get(b"connection") or b""
-        return {part.strip().lower() for part in value.split(b",")}
+        return {part.strip().lower() for part in value.split(b",") if part.strip()}
 
     def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
         return iter(self.fields)
@@ -80,6 +88,20 @@
     target: bytes
     headers: Headers
 
+    def find_fault(self) -> str | None:
+        """Returns which part HTTP does not allow, None if the request can be sent.
+
+        RequestHead(b"GET", b"/a b", Headers([])).find_fault() == "the path"
+        """
+        if not TARGET.fullmatch(self.target):
+            return "the path"
+        for name, value in self.headers:
+            if not TOKEN.fullmatch(name):
+                return f"the header name {name.decode('utf-8', 'replace')!r}"
+            if not FIELD_VALUE.fullmatch(value):
+                return f"the value of the header {name.decode()}"
+        return None
+
 
 @attrs.frozen
 class ResponseHead:
--- a/src/pomeloshift/platform/_engine_request.py
+++ b/src/pomeloshift/platform/_engine_request.py
@@ -65,10 +65,11 @@
     if workspace is not None:
         replaced |= OF_WORKSPACE
     fields = [(b"Host", host.encode()), (b"X-Request-Id", item_id.encode())]
+    own = Headers([(name.encode(), value.encode()) for name, value in headers])
     fields += [
-        (name.encode(), value.encode())
-        for name, value in headers
-        if name.lower().encode() not in replaced
+        (name, value)
+        for name, value in own.end_to_end()
+        if name.lower() not in replaced
     ]
     fields += _target_fields(engine_id, last_event_id)
     fields += _workspace_fields(workspace)
--- a/src/pomeloshift/platform/_job_bodies.py
+++ b/src/pomeloshift/platform/_job_bodies.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..jobs import ItemState, NewItem, Result
+from ._engine_request import item_request
 from ._errors import UNREADABLE, MalformedError
 
 
@@ -48,7 +49,7 @@
         wire = _DECODER.decode(body)
         if not all(0 <= item.tokens <= MAX_TOKENS for item in wire.items):
             raise ValueError("the tokens of an item are out of range")
-        return tuple(
+        items = tuple(
             NewItem(
                 item.id,
                 item.path,
@@ -58,8 +59,19 @@
             )
             for item in wire.items
         )
+        for item in items:
+            _check_request(item)
     except UNREADABLE as exc:
         raise MalformedError(f"the job cannot be read: {exc}") from exc
+    return items
+
+
+def _check_request(item: NewItem) -> None:
+    """Raises `ValueError` if an item cannot be sent to an engine as a request."""
+    head = item_request("host", item.path, item.id, item.headers, "engine", None)
+    fault = head.find_fault()
+    if fault is not None:
+        raise ValueError(f"item {item.id!r}: HTTP does not allow {fault}")
 
 
 def encode_results(
