Take the offsets of blobs from the call that stored them

Cause: a group of blobs was counted without its keys, so that it could exceed the largest call and be divided, while the references assumed one call. With records of other gateways in between they named those; the blob was then looked up by its key, which reads more.

Before: test_references_are_right_where_keys_exceed_the_largest_call fails. After: it passes.

--- a/src/pomeloshift/gateway/_blob_upload.py
+++ b/src/pomeloshift/gateway/_blob_upload.py
@@ -28,8 +28,7 @@
     async def append(self, blobs: Iterable[bytes], timeout_s: float) -> None:
         """Stores blobs; raises the errors of `LogWriter.wait`.
 
-        They are stored in one append, unless they exceed the largest call: a single
-        blob may.
+        They are stored in one append, unless they exceed the largest call.
         """
         records: list[Record] = []
         refs = []
@@ -39,25 +38,25 @@
             refs.append(BlobRef(key, len(records), len(blob), len(fragments)))
             records += fragments
         self._unknown = refs
-        first = await self._append_records(records, self.writer.now() + timeout_s)
+        offsets = await self._append_records(records, self.writer.now() + timeout_s)
         self._unknown = []
         self.refs += [
-            BlobRef(ref.key, first + ref.offset, ref.size, ref.parts) for ref in refs
+            BlobRef(ref.key, offsets[ref.offset], ref.size, ref.parts) for ref in refs
         ]
 
-    async def _append_records(self, records: list[Record], until: float) -> int:
-        """Appends records and returns the first one's offset."""
+    async def _append_records(self, records: list[Record], until: float) -> list[int]:
+        """Appends records and returns their offsets."""
         offsets: list[int] = []
         for call in _calls(records, self.writer.pace.max_bytes):
             try:
                 remaining_s = until - self.writer.now()
-                append = self.writer.append(call)
-                offsets.append(await self.writer.wait(append, remaining_s))
+                first = await self.writer.wait(self.writer.append(call), remaining_s)
             except PomeloshiftError as exc:
                 if exc.ran is Ran.NO and not offsets:
                     self._unknown = []
                 raise
-        return offsets[0]
+            offsets += range(first, first + len(call))
+        return offsets
 
     @property
     def left(self) -> list[BlobRef]:
--- a/tests/test_call_pace.py
+++ b/tests/test_call_pace.py
@@ -126,6 +126,20 @@
         assert ref.size == len(body)
 
 
+def test_references_are_right_where_keys_exceed_the_largest_call(clock, make):
+    """The size of a group counts the blobs alone; the call has their keys as well."""
+    store, _, blobs = make(100e6)
+    blobs.writer.pace.call_bytes = MAX_BYTES
+    bodies = [b"%05d" % n * 200 for n in range(1040)]
+    job = begin(blobs.put("large", bodies, 5.0))
+    clock.advance(0.06)
+    # Another process writes between the calls.
+    store.partition.append([b"\x01kv"], "", 0, 0)
+    advance(clock, 2.0)
+    for ref, body in zip(job.result, bodies, strict=True):
+        assert store.partition.records[ref.offset].endswith(body)
+
+
 @pytest.mark.parametrize("bytes_per_s", [MIN_BYTES_PER_S * 1.2, NARROW / 14, NARROW])
 @pytest.mark.parametrize("size", [1_000, 60_000, 900_000, 1_900_000])
 def test_append_gets_through_on_any_path_that_is_fast_enough(
