--- a/src/pomeloshift/gateway/_topic_follower.py
+++ b/src/pomeloshift/gateway/_topic_follower.py
@@ -211,7 +211,6 @@
             if self._pages is None:
                 self._pages = _SnapshotPages(self._request_time())
             await self._take_snapshot(self._pages)
-            self._pages = None
             return
         # A read that does not wait for records shows at once whether the store is
         # available again.
@@ -240,6 +239,7 @@
         # out here and read again. So are keys that were removed meanwhile, because a
         # later page may lack others that were removed with them.
         removed = await self._removed_keys(end, page.end)
+        self._pages = None
         if self._offset is not None:
             return False
         known = [r for r in pages.records if r.offset < end and r.key not in removed]
--- a/tests/test_topic_snapshot.py
+++ b/tests/test_topic_snapshot.py
@@ -138,3 +138,16 @@
     assert sorted(found) == list("abcd")
     assert store.asked == ["", "a", "b", "c", "", "a", "b", "c"]
     follower.stop()
+
+
+def test_pages_are_dropped_once_another_read_has_the_snapshot(store, start):
+    """They stayed in memory, as the loop had no use for them any more."""
+    store.write(*((key, b"1") for key in "abc"))
+    store.lost = ["b"]
+    follower, found = start()
+    assert follower._pages.after == "b"
+    follower._is_reachable = True  # The other read began before the failure.
+    Deferred.fromCoroutine(follower.catch_up())
+    assert found == list("abc")
+    assert follower._pages is None
+    follower.stop()
