Repeat the removal of an upload whose outcome stays unknown

Cause: an append that only removes keys has no record that the log could be searched for. If its repeat is refused, it ends as unknown, and the blobs of the failed upload stayed in the store.

Change: such a removal is tried up to five times; to remove a key twice changes nothing.

--- a/src/pomeloshift/gateway/_blob_store.py
+++ b/src/pomeloshift/gateway/_blob_store.py
@@ -21,6 +21,8 @@
 PARTITION = 0
 # Size of the cache: a small part of the smallest instance's memory.
 CACHE_BYTES = 8 * 1024 * 1024
+# How often a removal is tried whose outcome stays unknown.
+REMOVAL_TRIES = 5
 # A read returns length fields and record keys in addition to the blob's bytes.
 READ_SLACK_KB = 2
 
@@ -150,15 +152,22 @@
             _, dropped = self._cache.popitem(last=False)
             self._cached_bytes -= len(dropped)
 
-    def remove(self, refs: list[BlobRef]) -> None:
-        """Removes blobs from the store, once it is known whether they are in it."""
+    def remove(self, refs: list[BlobRef], tries: int = REMOVAL_TRIES) -> None:
+        """Removes blobs from the store, once it is known whether they are in it.
+
+        A removal with an unknown outcome is repeated, up to ``tries`` calls in all.
+        """
         if refs:
             removal = self.writer.append(self.remove_keys(refs))
-            removal.done.addErrback(self._note_removal_failed)
+            removal.done.addErrback(self._note_removal_failed, refs, tries - 1)
 
-    def _note_removal_failed(self, failure: Any) -> None:
+    def _note_removal_failed(
+        self, failure: Any, refs: list[BlobRef], tries: int
+    ) -> None:
         failure.trap(PomeloshiftError)
-        self._events.warn("removal_failed", why=failure.value.message)
+        self._events.warn("removal_failed", why=failure.value.message, tries=tries)
+        if tries > 0 and failure.value.ran is Ran.UNKNOWN:
+            self.remove(refs, tries)
 
     def remove_keys(self, refs: list[BlobRef]) -> list[tuple[str, Any]]:
         """Returns the records whose append removes the blobs from the store."""
