Remove blobs in one way

Cause: three places appended removals of blobs, each with its own handling of a failure, and only one repeated those whose outcome stays unknown.

Change: the cleaner and the removal of refused jobs use BlobStore.remove.

--- a/src/pomeloshift/gateway/_blob_store.py
+++ b/src/pomeloshift/gateway/_blob_store.py
@@ -158,7 +158,8 @@
         A removal with an unknown outcome is repeated, up to ``tries`` calls in all.
         """
         if refs:
-            removal = self.writer.append(self.remove_keys(refs))
+            keys = [key for ref in refs for key in ref.fragment_keys()]
+            removal = self.writer.append([(key, None) for key in keys])
             removal.done.addErrback(self._note_removal_failed, refs, tries - 1)
 
     def _note_removal_failed(
@@ -169,12 +170,6 @@
         if tries > 0 and failure.value.ran is Ran.UNKNOWN:
             self.remove(refs, tries)
 
-    def remove_keys(self, refs: list[BlobRef]) -> list[tuple[str, Any]]:
-        """Returns the records whose append removes the blobs from the store."""
-        return [
-            (fragment_key, None) for ref in refs for fragment_key in ref.fragment_keys()
-        ]
-
 
 def _assemble(
     assembler: Assembler, records: list[KeyedRecord], ref: BlobRef
--- a/src/pomeloshift/gateway/_job_cleaner.py
+++ b/src/pomeloshift/gateway/_job_cleaner.py
@@ -111,8 +111,7 @@
         self._removing[job.id] = now + REMOVAL_RETRY_S
         self.events.info("job_forgotten", id=job.id, age_s=now - job.accepted_at)
         self.log.remove(job.keys).addErrback(self._note_removal_failed)
-        removals = self.blobs.remove_keys(job.blobs())
-        self.blobs.writer.append(removals).done.addErrback(self._note_removal_failed)
+        self.blobs.remove(job.blobs())
 
     def _remove_refused(self, now: float) -> None:
         """Removes refused records that their submitters have left."""
--- a/src/pomeloshift/gateway/_refused_records.py
+++ b/src/pomeloshift/gateway/_refused_records.py
@@ -32,7 +32,5 @@
         self.events.warn("removal_failed", why=failure.value.message)
 
     def _remove_bodies(self, offset: int, refusal: RefusedJob) -> int:
-        keys = self.blobs.remove_keys(list(refusal.bodies))
-        if keys:
-            self.blobs.writer.append(keys).done.addErrback(self.note_failure)
+        self.blobs.remove(list(refusal.bodies))
         return offset
