Refuse unknown statuses in the sidecar as well

What callers saw: nothing on the users' platform, which does not start it.

Cause: it checked for errors by numbers from 400 on.

Change: a status outside 200 to 599 counts as a lost response, which may have run.

Before: 6 of 8 cases of test_sidecar_responses fail; the engine's 600 and 999 were lost before as well. After: they pass.

--- a/src/pomeloshift/sidecar/_engine_client.py
+++ b/src/pomeloshift/sidecar/_engine_client.py
@@ -11,6 +11,7 @@
 
 from ..errors import Ran
 from ..net._bounded_body import read_bounded
+from ..net._known_status import is_final_status
 from ._engine_body import OnChunk, receive
 from ._engine_errors import EngineFencedError, EngineLostError, EngineRefusedError
 from ._engine_types import EngineEnd, EngineLoadSnapshot, EngineServes
@@ -180,6 +181,8 @@
 
     async def _check_status(self, response: Any) -> None:
         status = response.code
+        if not is_final_status(status):
+            raise EngineLostError(f"the engine responded with status {status}")
         if status < 400 or status == CANCELLED_STATUS:
             return
         body = await self._read(response, CONTROL_TIMEOUT_S, MAX_CONTROL_BYTES)
--- a/src/pomeloshift/sidecar/_plain_executor.py
+++ b/src/pomeloshift/sidecar/_plain_executor.py
@@ -7,9 +7,10 @@
 from twisted.internet.error import ConnectError, ConnectionRefusedError
 from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
 
-from ..errors import ErrorCode, ErrorReport, Ran
+from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
 from ..model import LoadReport
 from ..net._bounded_body import read_bounded
+from ..net._known_status import is_final_status
 from ..wire import MAX_FRAME_BYTES, AttemptRequest
 from ._frame_sink import FrameSink
 
@@ -20,6 +21,13 @@
 FORWARDED_HEADERS = ("idempotency-key", "accept")
 
 
+class UnknownStatusError(PomeloshiftError):
+    """A service responded with a status that HTTP does not have."""
+
+    code = ErrorCode.BACKEND_SERVER_LOST
+    ran = Ran.UNKNOWN
+
+
 class PlainExecutor:
     """Executes the calls of one plain service.
 
@@ -86,6 +94,8 @@
         )
         reading = read_bounded(response, MAX_BODY_BYTES)
         body = await reading.addTimeout(req.deadline_s, self._reactor)
+        if not is_final_status(response.code):
+            raise UnknownStatusError(f"status {response.code}")
         kinds = response.headers.getRawHeaders("content-type", [""])
         self._sink.append(req.attempt_id, body, 0, response.code, kinds[0])
         self._sink.finish(req.attempt_id)
