Tell a reset from an end in the sidecar's calls of plain services

What callers saw: nothing on the users' platform, which does not start it.

Cause: the HTTP library reports the end of a body without a length in the same way, however its connection ended.

Change: an agent whose connections note how they end; such a body is complete only if its connection was not reset. A body that ends in order is complete as before.

Before: test_response_of_a_service_that_is_reset_is_not_complete[short] fails; with a long request it passed.

--- a/src/pomeloshift/net/_bounded_body.py
+++ b/src/pomeloshift/net/_bounded_body.py
@@ -9,6 +9,7 @@
 from twisted.web.http import PotentialDataLoss
 
 from ..errors import ErrorCode, PomeloshiftError, Ran
+from ._watched_agent import ConnectionEnd
 
 
 class BodyTooLargeError(PomeloshiftError):
@@ -21,10 +22,12 @@
 class BoundedBody(Protocol):
     """Collects a body of at most ``max_bytes``; ``done`` fires with it.
 
-    Above the limit, and if ``done`` is cancelled, the connection is closed.
+    Above the limit, and if ``done`` is cancelled, the connection is closed. A body
+    without a length is complete unless ``end`` says that its connection was reset.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, end: ConnectionEnd | None = None) -> None:
+        self._end = end or ConnectionEnd()
         self.done: Deferred[bytes] = Deferred(lambda _: self._close())
         self._max_bytes = max_bytes
         self._content = bytearray()
@@ -47,7 +50,12 @@
         """
         if self.done.called:
             return
-        if reason is not None and not reason.check(ResponseDone, PotentialDataLoss):
+        if reason is None or reason.check(ResponseDone):
+            is_complete = True
+        else:
+            is_unframed = reason.check(PotentialDataLoss) is not None
+            is_complete = is_unframed and not self._end.was_reset
+        if not is_complete:
             self.done.errback(reason)
         else:
             self.done.callback(bytes(self._content))
@@ -59,11 +67,14 @@
             transport.loseConnection()
 
 
-def read_bounded(response: Any, max_bytes: int) -> Deferred[bytes]:
+def read_bounded(
+    response: Any, max_bytes: int, end: ConnectionEnd | None = None
+) -> Deferred[bytes]:
     """Returns a deferred that fires with the body of an unbuffered ``response``.
 
-    It fails with `BodyTooLargeError` for a body of more than ``max_bytes``.
+    It fails with `BodyTooLargeError` for a body of more than ``max_bytes``. ``end`` is
+    that of a `watched_agent`, if it sent the request.
     """
-    body = BoundedBody(max_bytes)
+    body = BoundedBody(max_bytes, end)
     response.deliverBody(body)
     return body.done
--- a/src/pomeloshift/sidecar/_plain_executor.py
+++ b/src/pomeloshift/sidecar/_plain_executor.py
@@ -5,12 +5,13 @@
 from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectError, ConnectionRefusedError
-from twisted.web.client import Agent, HTTPConnectionPool, RequestNotSent
+from twisted.web.client import HTTPConnectionPool, RequestNotSent
 
 from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
 from ..model import LoadReport
 from ..net._bounded_body import read_bounded
 from ..net._known_status import is_final_status
+from ..net._watched_agent import watched_agent
 from ..wire import MAX_FRAME_BYTES, AttemptRequest
 from ._frame_sink import FrameSink
 
@@ -41,7 +42,8 @@
         self._reactor = reactor
         self._pool = HTTPConnectionPool(reactor, persistent=True)
         self._pool.retryAutomatically = False
-        agent: Any = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_S, pool=self._pool)
+        agent: Any
+        agent, self._end = watched_agent(reactor, self._pool, CONNECT_TIMEOUT_S)
         self._http = HTTPClient(agent)
         self._running: dict[str, Deferred[None]] = {}
         self._sequence = 0
@@ -92,7 +94,7 @@
             timeout=req.deadline_s,
             unbuffered=True,
         )
-        reading = read_bounded(response, MAX_BODY_BYTES)
+        reading = read_bounded(response, MAX_BODY_BYTES, self._end)
         body = await reading.addTimeout(req.deadline_s, self._reactor)
         if not is_final_status(response.code):
             raise UnknownStatusError(f"status {response.code}")
--- a/tests/test_sidecar_responses.py
+++ b/tests/test_sidecar_responses.py
@@ -17,11 +17,14 @@
 
 
 class Answer(Protocol):
-    """Sends what the test chose as soon as a request's head has arrived."""
+    """Sends what the test chose as soon as a request's head has arrived.
 
-    def __init__(self, data, is_reset):
+    ``end`` is the name of the transport's method that ends the connection, if any.
+    """
+
+    def __init__(self, data, end):
         self.data = data
-        self.is_reset = is_reset
+        self.end = end
         self.received = b""
 
     def connectionMade(self):  # noqa: N802
@@ -33,8 +36,9 @@
             return
         self.transport.pauseProducing()
         self.transport.write(self.data)
-        if self.is_reset:
-            self.factory.reactor.callLater(0.1, self.transport.abortConnection)
+        if self.end is not None:
+            end = getattr(self.transport, self.end)
+            self.factory.reactor.callLater(0.1, end)
 
 
 async def stop(port):
@@ -63,8 +67,8 @@
     """Starts a server that answers each request with the same bytes."""
     ports = []
 
-    def serve(data, is_reset=False):
-        factory = Factory.forProtocol(lambda: Answer(data, is_reset))
+    def serve(data, end=None):
+        factory = Factory.forProtocol(lambda: Answer(data, end))
         factory.reactor, factory.channels = reactor, []
         port = reactor.listenTCP(0, factory, interface="127.0.0.1")
         ports.append((port, factory))
@@ -127,5 +131,12 @@
 @pytest.mark.parametrize("body", [b"short", b"x" * 4_000_000])
 def test_response_of_a_service_that_is_reset_is_not_complete(serve, call_service, body):
     """A part of a body without a length was published as a complete one (MIXED)."""
-    url = serve(b"HTTP/1.1 200 OK\r\n\r\npart", is_reset=True)
+    url = serve(b"HTTP/1.1 200 OK\r\n\r\npart", "abortConnection")
     assert call_service(url, body) == ([], Ran.UNKNOWN)
+
+
+def test_response_of_a_service_without_a_length_ends_with_its_connection(
+    serve, call_service
+):
+    url = serve(b"HTTP/1.1 200 OK\r\n\r\nwhole", "loseConnection")
+    assert call_service(url, b"body") == ([(200, b"whole")], "finished")
