Keep the statuses of final responses in one place

The gateway's connection and the sidecar each had the limits of their own; both use http1.is_final_status.

--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -191,6 +191,7 @@
                     self._fail(group, exc or _not_applied())
                 return
             if exc is not None:
+                # A connection that broke before the time was up says nothing of the size.
                 if isinstance(exc, StoreNoResponseError) and took_s >= timeout_s:
                     lost_calls += 1
                     self.pace.note_lost(_size(group))
--- a/src/pomeloshift/http1/__init__.py
+++ b/src/pomeloshift/http1/__init__.py
@@ -22,6 +22,7 @@
     Response,
     ResponseEnd,
     ResponseHead,
+    is_final_status,
 )
 from ._pool_config import PoolConfig
 
@@ -48,4 +49,5 @@
     "Response",
     "ResponseEnd",
     "ResponseHead",
+    "is_final_status",
 ]
--- a/src/pomeloshift/http1/_client_connection.py
+++ b/src/pomeloshift/http1/_client_connection.py
@@ -17,6 +17,7 @@
     RequestHead,
     ResponseEnd,
     ResponseHead,
+    is_final_status,
 )
 from ._overhead import Overhead
 
@@ -24,8 +25,6 @@
 MAX_SKIPPED_RESPONSES = 16
 REQUEST_ID = b"x-request-id"
 
-# The last status that HTTP defines. The parser refuses those before the first one.
-LAST_STATUS = 599
 # The status of the response to a probe.
 PROBE_STATUS = 200
 
@@ -249,7 +248,7 @@
             self._fail("closed by the server", by_server=True)
 
     def _begin_response(self, call: Call, event: h11.Response) -> None:
-        if event.status_code > LAST_STATUS:
+        if not is_final_status(event.status_code):
             self._fail(f"unknown status {event.status_code}")
             return
         headers = Headers(event.headers.raw_items())
--- a/src/pomeloshift/http1/_messages.py
+++ b/src/pomeloshift/http1/_messages.py
@@ -30,6 +30,18 @@
     }
 )
 
+# The first and the last status that a final response may have (RFC 9110, 15).
+FIRST_STATUS = 200
+LAST_STATUS = 599
+
+
+def is_final_status(status: int) -> bool:
+    """Returns whether HTTP allows a status in a final response.
+
+    is_final_status(0) is False
+    """
+    return FIRST_STATUS <= status <= LAST_STATUS
+
 
 @attrs.frozen
 class Headers:
--- a/src/pomeloshift/sidecar/_engine_client.py
+++ b/src/pomeloshift/sidecar/_engine_client.py
@@ -10,8 +10,8 @@
 from twisted.web.http_headers import Headers
 
 from ..errors import Ran
+from ..http1 import is_final_status
 from ..net._bounded_body import read_bounded
-from ..net._known_status import is_final_status
 from ._engine_body import OnChunk, receive
 from ._engine_errors import EngineFencedError, EngineLostError, EngineRefusedError
 from ._engine_types import EngineEnd, EngineLoadSnapshot, EngineServes
--- a/src/pomeloshift/sidecar/_plain_executor.py
+++ b/src/pomeloshift/sidecar/_plain_executor.py
@@ -8,9 +8,9 @@
 from twisted.web.client import HTTPConnectionPool, RequestNotSent
 
 from ..errors import ErrorCode, ErrorReport, PomeloshiftError, Ran
+from ..http1 import is_final_status
 from ..model import LoadReport
 from ..net._bounded_body import read_bounded
-from ..net._known_status import is_final_status
 from ..net._watched_agent import watched_agent
 from ..wire import MAX_FRAME_BYTES, AttemptRequest
 from ._frame_sink import FrameSink
