--- a/src/pomeloshift/gateway/_log_writer.py
+++ b/src/pomeloshift/gateway/_log_writer.py
@@ -191,7 +191,7 @@
                     self._fail(group, exc or _not_applied())
                 return
             if exc is not None:
-                # A connection that broke before the time was up says nothing of the size.
+                # A connection that broke earlier says nothing about the size.
                 if isinstance(exc, StoreNoResponseError) and took_s >= timeout_s:
                     lost_calls += 1
                     self.pace.note_lost(_size(group))
