--- a/review/stand3.py
+++ b/review/stand3.py
@@ -429,8 +429,10 @@
     ``before(request, number)`` may return bytes to send at once, before the response.
     """
 
-    def __init__(self, record, store, engine_id, service, plan, before=None, slots=8):
-        self.record, self.store = record, store
+    def __init__(
+        self, record, store, engine_id, service, plan, before=None, slots=8, zone="a"
+    ):
+        self.record, self.store, self.zone = record, store, zone
         self.id, self.service, self.slots = engine_id, service, slots
         self.plan = plan
         self.before = before or (lambda req, number: b"")
@@ -439,7 +441,7 @@
         self.runs = {}
         self.answers = {}
         self.count = 0
-        self.last_answer = {}
+        self.run_times = []
         self.server = Server(self._handle)
 
     async def start(self, host="127.0.0.1"):
@@ -450,7 +452,7 @@
         entry = {
             "service": self.service,
             "address": self.server.address,
-            "zone": "a",
+            "zone": self.zone,
             "version": "v1",
             "slots": self.slots,
             "state": "serving",
@@ -496,6 +498,7 @@
         number = self.runs[rid] = self.runs.get(rid, 0) + 1
         self.count += 1
         after = int(req.headers.get("last-event-id", 0))
+        self.run_times.append((time.monotonic(), rid))
         self.record("engine_run", engine=self.id, id=rid, run=number, after=after)
         extra = self.before(req, number)
         if extra:
