--- a/review/stand3.py
+++ b/review/stand3.py
@@ -590,6 +590,7 @@
 cancelMs = 3000
 settleMs = 1000
 quotaOverrun = 0.1
+{bounds}
 [platform]
 address = "{store}"
 form = "log"
@@ -635,9 +636,10 @@
         zone="a",
         region="r",
         store_address="",
+        bounds="",
     ):
         self.record, self.folder, self.store = record, Path(folder), store
-        self.zone, self.region = zone, region
+        self.zone, self.region, self.bounds = zone, region, bounds
         self.store_address = store_address or store.server.address
         self.number, self.memory_mb = number, memory_mb
         self.ip = f"127.0.11.{number}"
@@ -667,6 +669,7 @@
                 p0=self.ports[3],
                 p1=self.ports[3] + 1,
                 store=self.store_address,
+                bounds=self.bounds,
                 memory_mb=self.memory_mb,
                 bootstrap="true" if self.starts == 1 else "false",
             )
@@ -762,7 +765,7 @@
     return route(name, "batch", service, **fields | changes)
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, **fields):
     return json.dumps(
         {
             "version": version,
@@ -778,6 +781,7 @@
                 "idleTimeoutMs": 15000,
             },
         }
+        | fields
     ).encode()
 
 
